feat: serve a program end to end through separate processes

The thin whole path: rules applied by zincringctl, three instances that follow them, programs whose shards are leased in the table, turns in a write-ahead log, calls forwarded between instances, and stand-ins of the platform, an engine and a plain service as processes of their own.

Shown by: the process test thinPath, which kills every instance in turn between turns.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,107 @@
+import eslint from '@eslint/js';
+import jsdoc from 'eslint-plugin-jsdoc';
+import tseslint from 'typescript-eslint';
+
+/** Which workspace packages each package may import; docs/DEVELOPMENT.md shows the same table. */
+const allowedImports = {
+  core: [],
+  rules: ['core'],
+  protocol: [],
+  platform: ['core'],
+  coordination: ['core', 'platform'],
+  scheduling: ['core'],
+  instance: ['core', 'rules', 'protocol', 'platform', 'coordination', 'scheduling'],
+  control: ['core', 'rules', 'protocol', 'platform', 'coordination'],
+  'stand-ins': ['core', 'rules', 'platform', 'coordination', 'scheduling'],
+};
+
+const packageNames = Object.keys(allowedImports);
+
+const boundaryRules = packageNames.map(name => ({
+  files: [`packages/${name}/src/**/*.ts`],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        paths: packageNames
+          .filter(other => !allowedImports[name].includes(other))
+          .map(other => ({
+            name: `@zincring/${other}`,
+            message: `The package ${name} may not import ${other}; see docs/DEVELOPMENT.md.`,
+          })),
+        patterns: [
+          { group: ['@zincring/*/*'], message: 'Import the package by its name only.' },
+          ...(name === 'core'
+            ? []
+            : [
+                {
+                  group: ['ts-results', 'js-csp'],
+                  message: 'Import these through @zincring/core.',
+                },
+              ]),
+        ],
+      },
+    ],
+  },
+}));
+
+/** Only the private package and the tests start processes. */
+const noProcesses = {
+  files: packageNames
+    .filter(name => name !== 'stand-ins')
+    .map(name => `packages/${name}/src/**/*.ts`),
+  rules: {
+    'no-restricted-syntax': [
+      'error',
+      {
+        selector:
+          'ImportDeclaration[source.value=/^(node:)?(child_process|cluster|worker_threads)$/]',
+        message: 'A zincring process starts no process and no thread.',
+      },
+    ],
+  },
+};
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', 'build/**', 'coverage/**', 'packages/protocol/src/generated/**'] },
+  eslint.configs.recommended,
+  {
+    files: ['packages/**/*.ts', 'vitest.config.ts'],
+    extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/no-import-type-side-effects': 'error',
+      '@typescript-eslint/prefer-readonly': 'error',
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      curly: 'error',
+      eqeqeq: 'error',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 60, skipBlankLines: true, skipComments: true }],
+    },
+  },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    plugins: { jsdoc },
+    rules: {
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration'],
+          publicOnly: true,
+          require: { ClassDeclaration: true, FunctionDeclaration: true, MethodDefinition: false },
+        },
+      ],
+    },
+  },
+  {
+    files: ['packages/*/tests/**/*.ts'],
+    rules: { 'max-lines-per-function': 'off', '@typescript-eslint/no-non-null-assertion': 'off' },
+  },
+  ...boundaryRules,
+  noProcesses,
+);
--- /dev/null
+++ b/packages/coordination/src/log/logRecord.ts
@@ -0,0 +1,42 @@
+import type { Epoch, IncarnationId, ShardId } from '@zincring/core';
+
+/** One record of the write-ahead log. */
+export interface LogRecord {
+  readonly shard: ShardId;
+  /** Fencing number under which the record was written. */
+  readonly epoch: Epoch;
+  /** What happened, as the owner of the shard encodes it. */
+  readonly payload: string;
+}
+
+/** Where a commit group stands. */
+export interface LogPosition {
+  readonly incarnation: IncarnationId;
+  /** Number of the object, from 1. */
+  readonly sequence: number;
+}
+
+const SEQUENCE_DIGITS = 12;
+
+/** Prefix of the objects of one incarnation's log. */
+export function logPrefix(incarnation: IncarnationId): string {
+  return `log/${incarnation}/`;
+}
+
+/** Name of the object of one commit group. */
+export function logObjectName(incarnation: IncarnationId, sequence: number): string {
+  return `${logPrefix(incarnation)}${String(sequence).padStart(SEQUENCE_DIGITS, '0')}`;
+}
+
+/** Encodes a commit group as JSON lines. */
+export function encodeGroup(records: readonly LogRecord[]): Uint8Array {
+  return Buffer.from(records.map(record => JSON.stringify(record)).join('\n'));
+}
+
+/** Decodes a commit group. */
+export function decodeGroup(content: Uint8Array): readonly LogRecord[] {
+  return Buffer.from(content)
+    .toString('utf8')
+    .split('\n')
+    .map(line => JSON.parse(line) as LogRecord);
+}
--- /dev/null
+++ b/packages/core/src/errors/errorKinds.ts
@@ -0,0 +1,236 @@
+/** Whether the work behind a failed request took effect: certainly not, possibly, or certainly. */
+export type Ran = 'maybe' | 'no' | 'yes';
+
+/** What every error of one kind has in common: the table from kind to answer. */
+export interface ErrorDescriptor {
+  /** HTTP status of the answer. */
+  readonly status: number;
+  /** Default of {@link Ran}; a single error may be less certain, never more. */
+  readonly ran: Ran;
+  /** When the caller may try again, in seconds; `null` when a resend cannot help. */
+  readonly retryAfterSeconds: number | null;
+  /** Short text for people, without details. */
+  readonly text: string;
+}
+
+/**
+ * The closed list of error kinds with the answer that each gets.
+ * docs/CALLERS.md shows the same table.
+ */
+export const errorKinds = {
+  'bad-request': {
+    status: 400,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The request is malformed.',
+  },
+  'body-too-deep': {
+    status: 400,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The JSON body nests too deeply.',
+  },
+  'body-too-large': {
+    status: 413,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The body is too large.',
+  },
+  'budget-exhausted': {
+    status: 402,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The budget of the program is used up.',
+  },
+  'call-interrupted': {
+    status: 502,
+    ran: 'maybe',
+    retryAfterSeconds: 1,
+    text: 'The call was interrupted; its outcome is not known. Resend it with the same call id.',
+  },
+  'call-outcome-unknown': {
+    status: 409,
+    ran: 'maybe',
+    retryAfterSeconds: null,
+    text: 'The call may have run. It will not be run again.',
+  },
+  'configuration-conflict': {
+    status: 409,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'Another change was accepted first.',
+  },
+  'deadline-exceeded': {
+    status: 504,
+    ran: 'maybe',
+    retryAfterSeconds: null,
+    text: 'The deadline of the call has passed.',
+  },
+  'deadline-exceeded-in-queue': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 2,
+    text: 'The call could not start before its deadline.',
+  },
+  'headers-too-large': {
+    status: 431,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The headers are too large.',
+  },
+  'instance-draining': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 1,
+    text: 'The instance is shutting down. Try another.',
+  },
+  'instance-not-ready': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 2,
+    text: 'The instance has no configuration yet.',
+  },
+  internal: { status: 500, ran: 'maybe', retryAfterSeconds: null, text: 'An unexpected fault.' },
+  'key-missing': { status: 401, ran: 'no', retryAfterSeconds: null, text: 'A key is required.' },
+  'key-rejected': {
+    status: 401,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The key is not valid.',
+  },
+  'key-withdrawn-while-running': {
+    status: 401,
+    ran: 'maybe',
+    retryAfterSeconds: null,
+    text: 'The key was withdrawn while the call ran.',
+  },
+  'mailbox-full': {
+    status: 429,
+    ran: 'no',
+    retryAfterSeconds: 1,
+    text: 'Too many calls of this program are waiting.',
+  },
+  'method-not-allowed': {
+    status: 405,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The route does not take this method.',
+  },
+  'not-found': { status: 404, ran: 'no', retryAfterSeconds: null, text: 'There is no such route.' },
+  'poison-request': {
+    status: 422,
+    ran: 'maybe',
+    retryAfterSeconds: 600,
+    text: 'The request brought down every upstream that ran it.',
+  },
+  'program-limit-reached': {
+    status: 429,
+    ran: 'no',
+    retryAfterSeconds: 30,
+    text: 'The workspace has too many open programs.',
+  },
+  'program-not-found': {
+    status: 404,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'There is no such program.',
+  },
+  'program-ended': {
+    status: 410,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The program has ended.',
+  },
+  'queue-full': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 2,
+    text: 'Too many calls are waiting for this service.',
+  },
+  'rate-limited': {
+    status: 429,
+    ran: 'no',
+    retryAfterSeconds: 1,
+    text: 'The workspace is over its rate.',
+  },
+  'service-not-found': {
+    status: 404,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'There is no such service.',
+  },
+  'shard-unavailable': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 2,
+    text: 'The program is being taken over by another instance.',
+  },
+  'store-unavailable': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 5,
+    text: 'The store cannot be reached, and the call needs it.',
+  },
+  'too-many-connections': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 2,
+    text: 'The instance has too many connections.',
+  },
+  'turn-conflict': {
+    status: 409,
+    ran: 'no',
+    retryAfterSeconds: null,
+    text: 'The expected turn is not the next turn of the program.',
+  },
+  'slow-sender': {
+    status: 408,
+    ran: 'no',
+    retryAfterSeconds: 1,
+    text: 'The request arrived too slowly.',
+  },
+  'undurable-limit-reached': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 5,
+    text: 'The store is out, and no more turns can be kept without it.',
+  },
+  'upstream-failed': {
+    status: 502,
+    ran: 'maybe',
+    retryAfterSeconds: 1,
+    text: 'The upstream failed.',
+  },
+  'upstream-unavailable': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 2,
+    text: 'No upstream of the service can take the call.',
+  },
+} as const satisfies Readonly<Record<string, ErrorDescriptor>>;
+
+/** One kind of the closed list. */
+export type ErrorKind = keyof typeof errorKinds;
+
+/** Every kind, in the order of the table. */
+export const allErrorKinds = Object.keys(errorKinds) as readonly ErrorKind[];
+
+/**
+ * Looks up what all errors of a kind have in common.
+ *
+ * @example
+ * describeErrorKind('rate-limited').status; // 429
+ */
+export function describeErrorKind(kind: ErrorKind): ErrorDescriptor {
+  return errorKinds[kind];
+}
+
+/**
+ * Tells whether text names a kind of the closed list.
+ *
+ * @example
+ * isErrorKind('rate-limited'); // true
+ */
+export function isErrorKind(text: string): text is ErrorKind {
+  return Object.hasOwn(errorKinds, text);
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,27 @@
+export type * from './ids/brand.js';
+export type * from './ids/identifiers.js';
+export { isIdentifier, parseProgramId } from './ids/identifiers.js';
+export type { ErrorDescriptor, ErrorKind, Ran } from './errors/errorKinds.js';
+export { allErrorKinds, describeErrorKind, isErrorKind } from './errors/errorKinds.js';
+export type { ErrorReport, ResumePoint, ZincringErrorOptions } from './errors/zincringError.js';
+export { toZincringError, ZincringError } from './errors/zincringError.js';
+export { Err, Ok } from './result/result.js';
+export type { Result } from './result/result.js';
+export type { TimerService, TimerSubscription } from './time/timerService.js';
+export { sleep } from './time/timerService.js';
+export { SystemTimerService } from './time/systemTimerService.js';
+export { ManualTimerService } from './time/manualTimerService.js';
+export type { ProcessSteps } from './processes/channel.js';
+export { Channel, settle, startProcess } from './processes/channel.js';
+export {
+  emptyHistoryDigest,
+  extendHistoryDigest,
+  hash32,
+  hashKey,
+  isSameKeyHash,
+  sha256Hex,
+} from './hashing/hash.js';
+export type { LogFields, Logger, LogLevel } from './logging/logger.js';
+export { createLogger, failureText, silentLogger } from './logging/logger.js';
+export type { Metrics, MetricTags, StatsdOptions } from './metrics/metrics.js';
+export { createStatsdMetrics, discardingMetrics } from './metrics/metrics.js';
--- /dev/null
+++ b/packages/core/src/processes/js-csp.d.ts
@@ -0,0 +1,41 @@
+/** The part of js-csp that the workspace uses; the library carries no types. */
+declare module 'js-csp' {
+  export const CLOSED: null;
+  /** A channel. */
+  export interface Channel<Value> {
+    close(): void;
+    isClosed(): boolean;
+    readonly __value?: Value;
+  }
+  /** A buffer of a channel. */
+  export interface Buffer {
+    readonly __buffer?: true;
+  }
+  /** What a process yields to the scheduler. */
+  export interface Instruction {
+    readonly __instruction?: true;
+  }
+  export const buffers: {
+    fixed(size: number): Buffer;
+    dropping(size: number): Buffer;
+    sliding(size: number): Buffer;
+  };
+  export function chan<Value>(buffer?: Buffer | number): Channel<Value>;
+  export function take(channel: Channel<unknown>): Instruction;
+  export function put<Value>(channel: Channel<Value>, value: Value): Instruction;
+  export function alts(
+    operations: readonly (Channel<unknown> | readonly [Channel<unknown>, unknown])[],
+    options?: { readonly priority?: boolean },
+  ): Instruction;
+  export function putAsync<Value>(
+    channel: Channel<Value>,
+    value: Value,
+    callback?: (accepted: boolean) => void,
+  ): void;
+  export function takeAsync<Value>(
+    channel: Channel<Value>,
+    callback: (value: Value | null) => void,
+  ): void;
+  export function offer<Value>(channel: Channel<Value>, value: Value): boolean;
+  export function go(generator: () => Generator<Instruction, unknown, never>): Channel<unknown>;
+}
--- /dev/null
+++ b/packages/instance/src/bin.ts
@@ -0,0 +1,79 @@
+#!/usr/bin/env node
+import { readFile } from 'node:fs/promises';
+
+import {
+  createLogger,
+  createStatsdMetrics,
+  discardingMetrics,
+  SystemTimerService,
+} from '@zincring/core';
+import { connectPlatform } from '@zincring/platform';
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+
+import type { Settings } from './lifecycle/settings.js';
+
+import { Instance } from './lifecycle/instance.js';
+import { parseSettings } from './lifecycle/settings.js';
+
+/** Exit code of a process whose settings are not valid. */
+const EXIT_INVALID_SETTINGS = 2;
+
+async function loadSettings(file: string): Promise<Settings> {
+  const parsed = parseSettings(await readFile(file, 'utf8'));
+  if (parsed.ok) {
+    return parsed.val;
+  }
+  for (const { message, path } of parsed.val) {
+    process.stderr.write(`${path}: ${message}\n`);
+  }
+  return process.exit(EXIT_INVALID_SETTINGS);
+}
+
+async function serve(file: string): Promise<void> {
+  const settings = await loadSettings(file);
+  const logger = createLogger(settings.logLevel, { instance: settings.instance });
+  const instance = new Instance({
+    logger,
+    metrics:
+      settings.metrics === undefined
+        ? discardingMetrics
+        : createStatsdMetrics({ ...settings.metrics, tags: { zone: settings.zone } }),
+    platform: connectPlatform(settings.platform),
+    settings,
+    timers: new SystemTimerService(),
+  });
+  const stop = (): void => {
+    instance.stop().then(
+      () => process.exit(0),
+      () => process.exit(1),
+    );
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+  await instance.start();
+}
+
+await yargs(hideBin(process.argv))
+  .scriptName('zincring')
+  .strict()
+  .option('settings', {
+    default: 'zincring.json',
+    describe: 'file of settings in JSON',
+    type: 'string',
+  })
+  .command(
+    '$0',
+    'serve callers',
+    builder => builder,
+    async ({ settings }) => serve(settings),
+  )
+  .command(
+    'check-settings',
+    'check the settings and print them with their defaults',
+    builder => builder,
+    async ({ settings }) => {
+      process.stdout.write(`${JSON.stringify(await loadSettings(settings), undefined, 2)}\n`);
+    },
+  )
+  .parseAsync();
--- /dev/null
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -0,0 +1,223 @@
+import type {
+  IncarnationId,
+  Logger,
+  Metrics,
+  TimerService,
+  TimerSubscription,
+} from '@zincring/core';
+import type { Platform } from '@zincring/platform';
+
+import { randomBytes } from 'node:crypto';
+
+import { failureText } from '@zincring/core';
+import { Membership, ShardLeases, VersionedChanges, WriteAheadLog } from '@zincring/coordination';
+
+import type { Settings } from './settings.js';
+
+import { CallerServer } from '../callers/callerServer.js';
+import { ProgramRoutes } from '../callers/programRoutes.js';
+import { ServiceRoutes } from '../callers/serviceRoutes.js';
+import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { StaticAdmission } from '../limits/admission.js';
+import { Heartbeats } from '../peers/heartbeats.js';
+import { PeerClients } from '../peers/peerClients.js';
+import { PeerServer } from '../peers/peerServer.js';
+import { RoutedProgramService } from '../peers/routedProgramService.js';
+import { ShardLocations } from '../peers/shardLocations.js';
+import { ProgramHome } from '../programs/programHome.js';
+import { DirectDispatcher } from '../upstreams/directDispatcher.js';
+import { ReplicaTable } from '../upstreams/replicaTable.js';
+import { splitAddress } from '../util/splitAddress.js';
+import { OperatorServer } from './operatorServer.js';
+
+/** What an instance is made of. */
+export interface InstanceParts {
+  readonly settings: Settings;
+  readonly platform: Platform;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+const INCARNATION_BYTES = 6;
+const LOG_RETRY_MILLISECONDS = 200;
+
+/** One running instance: every slice, connected. */
+export class Instance {
+  private readonly membership: Membership;
+  private readonly locations = new ShardLocations();
+  private readonly clients = new PeerClients();
+  private readonly replicas = new ReplicaTable();
+  private readonly configuration: ConfigurationFollower;
+  private readonly log: WriteAheadLog;
+  private readonly home: ProgramHome;
+  private readonly leases: ShardLeases;
+  private readonly heartbeats: Heartbeats;
+  private readonly callerServer: CallerServer;
+  private readonly peerServer: PeerServer;
+  private readonly operatorServer: OperatorServer;
+  private renewals: TimerSubscription | undefined;
+  private draining: Promise<void> | undefined;
+
+  public constructor(private readonly parts: InstanceParts) {
+    const { logger, platform, settings, timers } = parts;
+    const incarnation = createIncarnation(settings.instance);
+    this.membership = new Membership({
+      self: settings.instance,
+      suspectMilliseconds: settings.suspectMilliseconds,
+      timers,
+    });
+    this.configuration = new ConfigurationFollower({
+      changes: new VersionedChanges({ ...platform, name: 'configuration', timers }),
+      logger,
+      pollMilliseconds: settings.configurationPollMilliseconds,
+      timers,
+    });
+    this.log = new WriteAheadLog({
+      groupMilliseconds: settings.logGroupMilliseconds,
+      incarnation,
+      logger,
+      maximumPending: settings.maximumPendingRecords,
+      objects: platform.objects,
+      retryMilliseconds: LOG_RETRY_MILLISECONDS,
+      timers,
+    });
+    const dispatcher = new DirectDispatcher(this.replicas);
+    this.home = new ProgramHome({
+      configuration: () => this.configuration.current,
+      dispatcher,
+      log: this.log,
+      logger,
+      maximumMailbox: settings.maximumMailbox,
+      objects: platform.objects,
+      shardCount: settings.shardCount,
+      timers,
+    });
+    this.leases = this.createLeases();
+    this.home.attach(this.leases);
+    this.heartbeats = this.createHeartbeats();
+    this.peerServer = new PeerServer({ heartbeats: this.heartbeats, home: this.home });
+    this.callerServer = new CallerServer({
+      admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
+      bodyLimitBytes: settings.bodyLimitBytes,
+      configuration: () => this.configuration.current,
+      headLimitBytes: settings.headLimitBytes,
+      logger,
+      programRoutes: new ProgramRoutes(this.createRouting()),
+      serviceRoutes: new ServiceRoutes(dispatcher),
+    });
+    this.operatorServer = new OperatorServer({
+      drain: () => void this.stop(),
+      isReady: () => this.isReady,
+    });
+  }
+
+  /** Whether callers' requests are welcome. */
+  public get isReady(): boolean {
+    return this.configuration.current !== undefined && this.draining === undefined;
+  }
+
+  /** Listens and takes part. */
+  public async start(): Promise<void> {
+    const { settings, timers } = this.parts;
+    await this.operatorServer.listen(...splitAddress(settings.operatorAddress));
+    await this.peerServer.listen(...splitAddress(settings.peerAddress));
+    this.configuration.start();
+    this.heartbeats.start();
+    this.renewals = timers.every(settings.lease.renewMilliseconds, () => {
+      this.renewLeases();
+    });
+    await this.callerServer.listen(...splitAddress(settings.callerAddress));
+    this.parts.logger.info({ address: settings.callerAddress }, 'instance started');
+  }
+
+  /** Shuts down gracefully: hands over the shards, answers every request, then ends. */
+  public async stop(): Promise<void> {
+    this.draining ??= this.drain();
+    await this.draining;
+  }
+
+  private async drain(): Promise<void> {
+    this.parts.logger.info({}, 'drain started');
+    this.membership.leave();
+    this.heartbeats.beat();
+    await this.leases.stop();
+    this.heartbeats.beat();
+    await this.callerServer.drain();
+    this.renewals?.stop();
+    this.configuration.stop();
+    this.heartbeats.stop();
+    this.log.close();
+    this.peerServer.close();
+    this.clients.close();
+    this.operatorServer.close();
+    this.parts.platform.close();
+    this.parts.metrics.close();
+    this.parts.logger.info({}, 'drain finished');
+  }
+
+  private renewLeases(): void {
+    this.leases.tick().catch((failure: unknown) => {
+      this.parts.logger.error({ failure: failureText(failure) }, 'lease renewal failed');
+    });
+  }
+
+  private createLeases(): ShardLeases {
+    const { logger, platform, settings, timers } = this.parts;
+    return new ShardLeases({
+      address: settings.peerAddress,
+      createIncarnation: () => createIncarnation(settings.instance),
+      instance: settings.instance,
+      logger,
+      members: this.membership,
+      owner: this.home,
+      shardCount: settings.shardCount,
+      table: platform.table,
+      terms: settings.lease,
+      timers,
+    });
+  }
+
+  private createHeartbeats(): Heartbeats {
+    const { logger, platform, settings, timers } = this.parts;
+    return new Heartbeats({
+      clients: this.clients,
+      describeSelf: () => ({
+        address: settings.peerAddress,
+        id: settings.instance,
+        incarnation: this.leases.incarnation,
+        isLeaving: this.draining !== undefined,
+        shards: this.leases.heldShards,
+        zone: settings.zone,
+      }),
+      directory: platform.directory,
+      intervalMilliseconds: settings.heartbeatMilliseconds,
+      locations: this.locations,
+      logger,
+      membership: this.membership,
+      onDirectory: entries => {
+        this.replicas.update(entries);
+      },
+      timers,
+    });
+  }
+
+  private createRouting(): RoutedProgramService {
+    const { settings, timers } = this.parts;
+    return new RoutedProgramService({
+      clients: this.clients,
+      handoverWaitMilliseconds: settings.handoverWaitMilliseconds,
+      home: this.home,
+      isHeldHere: shard => this.leases.standing(shard) !== 'none',
+      locations: this.locations,
+      membership: this.membership,
+      self: settings.instance,
+      shardCount: settings.shardCount,
+      timers,
+    });
+  }
+}
+
+function createIncarnation(instance: string): IncarnationId {
+  return `${instance}.${randomBytes(INCARNATION_BYTES).toString('hex')}` as IncarnationId;
+}
--- /dev/null
+++ b/packages/instance/src/peers/peerClients.ts
@@ -0,0 +1,51 @@
+import type { Client } from '@connectrpc/connect';
+
+import { createClient } from '@connectrpc/connect';
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { PeerService } from '@zincring/protocol';
+
+/** A client of one instance. */
+export type PeerClient = Client<typeof PeerService>;
+
+interface Connection {
+  readonly client: PeerClient;
+  readonly sessions: Http2SessionManager;
+}
+
+/** One HTTP/2 connection to every instance that is spoken to. */
+export class PeerClients {
+  private readonly connections = new Map<string, Connection>();
+
+  /** The client of a peer address. */
+  public at(address: string): PeerClient {
+    const known = this.connections.get(address);
+    if (known !== undefined) {
+      return known.client;
+    }
+    const baseUrl = `http://${address}`;
+    const sessions = new Http2SessionManager(baseUrl);
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: sessions,
+    });
+    const client = createClient(PeerService, transport);
+    this.connections.set(address, { client, sessions });
+    return client;
+  }
+
+  /** Closes connections to addresses that are no longer in use. */
+  public retain(addresses: ReadonlySet<string>): void {
+    for (const [address, connection] of this.connections) {
+      if (!addresses.has(address)) {
+        connection.sessions.abort();
+        this.connections.delete(address);
+      }
+    }
+  }
+
+  /** Closes every connection. */
+  public close(): void {
+    this.retain(new Set());
+  }
+}
--- /dev/null
+++ b/packages/instance/src/peers/shardLocations.ts
@@ -0,0 +1,31 @@
+import type { InstanceId, ShardId } from '@zincring/core';
+
+/** Which instance holds which shard, as the instances tell. */
+export class ShardLocations {
+  private readonly holders = new Map<ShardId, InstanceId>();
+  private readonly shardsOf = new Map<InstanceId, readonly ShardId[]>();
+
+  /** Takes over the shards that an instance says it holds. */
+  public update(instance: InstanceId, shards: readonly ShardId[]): void {
+    this.forget(instance);
+    this.shardsOf.set(instance, shards);
+    for (const shard of shards) {
+      this.holders.set(shard, instance);
+    }
+  }
+
+  /** Forgets an instance. */
+  public forget(instance: InstanceId): void {
+    for (const shard of this.shardsOf.get(instance) ?? []) {
+      if (this.holders.get(shard) === instance) {
+        this.holders.delete(shard);
+      }
+    }
+    this.shardsOf.delete(instance);
+  }
+
+  /** The instance last heard to hold a shard. */
+  public holderOf(shard: ShardId): InstanceId | undefined {
+    return this.holders.get(shard);
+  }
+}
--- /dev/null
+++ b/packages/instance/src/upstreams/engineClient.ts
@@ -0,0 +1,64 @@
+import type { IncomingMessage } from 'node:http';
+
+import { ZincringError } from '@zincring/core';
+import { z } from 'zod';
+
+import type { Replica } from './replicaTable.js';
+import type { EnginePayload, UpstreamFrame, UpstreamWork } from './upstreamMessages.js';
+
+import { openRequest, readLines } from './upstreamRequest.js';
+
+const lineSchema = z.union([
+  z.object({ index: z.number(), text: z.string() }),
+  z.object({
+    usage: z.object({
+      cachedTokens: z.number(),
+      outputTokens: z.number(),
+      promptTokens: z.number(),
+    }),
+  }),
+]);
+
+/**
+ * Generates text at one engine: newline-delimited JSON, a line a token and a last line with the
+ * usage.
+ */
+export async function* generateAtEngine(
+  replica: Replica,
+  work: UpstreamWork,
+  payload: EnginePayload,
+  priority: number,
+): AsyncGenerator<UpstreamFrame> {
+  const body = JSON.stringify({
+    maxTokens: payload.maxTokens,
+    priority,
+    program: work.program ?? '',
+    requestId: `${work.program ?? ''}/${work.call}`,
+    segments: payload.segments,
+  });
+  const response = await openRequest({
+    address: replica.address,
+    body,
+    headers: { 'content-type': 'application/json' },
+    method: 'POST',
+    path: '/v1/generate',
+    signal: work.signal,
+  });
+  yield* readGeneration(response);
+}
+
+async function* readGeneration(response: IncomingMessage): AsyncGenerator<UpstreamFrame> {
+  if (response.statusCode !== 200) {
+    response.resume();
+    throw new ZincringError('upstream-failed', { detail: `status ${response.statusCode ?? 0}` });
+  }
+  for await (const line of readLines(response)) {
+    const parsed = lineSchema.parse(JSON.parse(line));
+    if ('usage' in parsed) {
+      yield { kind: 'done', usage: parsed.usage };
+      return;
+    }
+    yield { data: Buffer.from(parsed.text), kind: 'data' };
+  }
+  throw new ZincringError('upstream-failed', { detail: 'the stream was cut off' });
+}
--- /dev/null
+++ b/packages/platform/src/directory/httpInstanceDirectory.ts
@@ -0,0 +1,38 @@
+import type { AvailabilityZone, Result, ServiceName } from '@zincring/core';
+
+import { z } from 'zod';
+
+import type { HttpExchange } from '../http/httpExchange.js';
+import type { PlatformError } from '../platformError.js';
+import type { DirectoryEntry, InstanceDirectory } from './instanceDirectory.js';
+
+import { parseAnswer } from '../http/parseAnswer.js';
+
+const entrySchema = z
+  .object({
+    address: z.string(),
+    id: z.string(),
+    role: z.discriminatedUnion('kind', [
+      z.object({ kind: z.literal('entry') }),
+      z.object({
+        kind: z.literal('upstream'),
+        service: z.string().transform(name => name as ServiceName),
+      }),
+    ]),
+    state: z.enum(['leaving', 'live']),
+    zone: z.string().transform(name => name as AvailabilityZone),
+  })
+  .transform((entry): DirectoryEntry => entry);
+const listSchema = z
+  .object({ instances: z.array(entrySchema) })
+  .transform((list): readonly DirectoryEntry[] => list.instances);
+
+/** The list of instances over the plain HTTP protocol of the stand-in. */
+export class HttpInstanceDirectory implements InstanceDirectory {
+  public constructor(private readonly exchange: HttpExchange) {}
+
+  public async list(): Promise<Result<readonly DirectoryEntry[], PlatformError>> {
+    const sent = await this.exchange.send({ isRead: true, method: 'GET', path: '/instances' });
+    return sent.andThen(response => parseAnswer(listSchema, response, 'unavailable'));
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/launch/fleet.ts
@@ -0,0 +1,260 @@
+import type { AvailabilityZone, ServiceName } from '@zincring/core';
+import type { DirectoryEntry } from '@zincring/platform';
+
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import type { LaunchedProcess } from './childProcess.js';
+import type { StandInProcess } from './standInProcess.js';
+
+import { launch } from './childProcess.js';
+import { findFreePort } from './freePort.js';
+import { launchStandIn } from './standInProcess.js';
+
+/** One instance that runs as a process of its own. */
+export interface FleetInstance {
+  readonly id: string;
+  readonly zone: string;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly operatorAddress: string;
+  readonly settingsFile: string;
+  process: LaunchedProcess;
+}
+
+/** One upstream replica that runs as a process of its own. */
+export interface FleetUpstream {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly standIn: StandInProcess;
+}
+
+/** What a fleet is made of. */
+export interface FleetOptions {
+  readonly instances: number;
+  readonly zones: readonly string[];
+  readonly engines: number;
+  readonly plainServices: number;
+  /** Settings of the instances beside their names and addresses. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+  /** Command lines of the engines beside their role. */
+  readonly engineCommandLine?: readonly string[];
+  /** Called with every log line of every instance. */
+  readonly onLog?: (instance: string, line: string) => void;
+}
+
+const READY_PAUSE_MILLISECONDS = 50;
+
+/** Instances and the world around them, as processes on loopback. */
+export class Fleet {
+  public readonly instances: FleetInstance[] = [];
+  public readonly upstreams: FleetUpstream[] = [];
+  private readonly leaving = new Set<string>();
+
+  private constructor(
+    public readonly platform: StandInProcess,
+    private readonly directory: string,
+    private readonly options: FleetOptions,
+  ) {}
+
+  /** Starts everything and waits until the platform's list shows it. */
+  public static async start(options: FleetOptions): Promise<Fleet> {
+    const platform = await launchStandIn('platform', ['--lag-milliseconds', '100']);
+    const directory = await mkdtemp(join(tmpdir(), 'zincring-'));
+    const fleet = new Fleet(platform, directory, options);
+    for (let index = 0; index < options.engines; index++) {
+      await fleet.addUpstream('engine', 'minutes-llm', options.engineCommandLine ?? []);
+    }
+    for (let index = 0; index < options.plainServices; index++) {
+      await fleet.addUpstream('plain-service', 'ticket-app', []);
+    }
+    for (let index = 0; index < options.instances; index++) {
+      await fleet.addInstance();
+    }
+    await fleet.publish();
+    return fleet;
+  }
+
+  /** Starts one more instance; {@link Fleet.publish} makes it known. */
+  public async addInstance(): Promise<FleetInstance> {
+    const id = `entry-${this.instances.length + 1}`;
+    const zone = this.zoneOf(this.instances.length);
+    const [callerPort, peerPort, operatorPort] = [
+      await findFreePort(),
+      await findFreePort(),
+      await findFreePort(),
+    ];
+    const settings = {
+      callerAddress: `127.0.0.1:${callerPort}`,
+      instance: id,
+      operatorAddress: `127.0.0.1:${operatorPort}`,
+      peerAddress: `127.0.0.1:${peerPort}`,
+      platform: { address: this.platform.address },
+      zone,
+      ...this.options.settings,
+    };
+    const settingsFile = join(this.directory, `${id}.json`);
+    await writeFile(settingsFile, JSON.stringify(settings));
+    const instance: FleetInstance = {
+      callerAddress: settings.callerAddress,
+      id,
+      operatorAddress: settings.operatorAddress,
+      peerAddress: settings.peerAddress,
+      process: this.launchInstance(id, settingsFile),
+      settingsFile,
+      zone,
+    };
+    this.instances.push(instance);
+    return instance;
+  }
+
+  /** Starts an instance again that has ended. */
+  public restart(instance: FleetInstance): void {
+    instance.process = this.launchInstance(instance.id, instance.settingsFile);
+  }
+
+  /** Starts one more upstream; {@link Fleet.publish} makes it known. */
+  public async addUpstream(
+    role: 'engine' | 'plain-service',
+    service: string,
+    commandLine: readonly string[],
+  ): Promise<FleetUpstream> {
+    const zone = this.zoneOf(this.upstreams.length);
+    const standIn = await launchStandIn(role, commandLine);
+    const upstream = { id: `${service}-${this.upstreams.length + 1}`, service, standIn, zone };
+    this.upstreams.push(upstream);
+    return upstream;
+  }
+
+  /** Marks an instance or upstream as leaving in the platform's list. */
+  public async markLeaving(id: string): Promise<void> {
+    this.leaving.add(id);
+    await this.publish();
+  }
+
+  /** Gives the platform its list of instances; it shows with the platform's lag. */
+  public async publish(): Promise<void> {
+    const entries: DirectoryEntry[] = [
+      ...this.instances.map(instance => ({
+        address: instance.peerAddress,
+        id: instance.id,
+        role: { kind: 'entry' } as const,
+        state: this.stateOf(instance.id),
+        zone: instance.zone as AvailabilityZone,
+      })),
+      ...this.upstreams.map(upstream => ({
+        address: upstream.standIn.address,
+        id: upstream.id,
+        role: { kind: 'upstream', service: upstream.service as ServiceName } as const,
+        state: this.stateOf(upstream.id),
+        zone: upstream.zone as AvailabilityZone,
+      })),
+    ];
+    await this.controlPlatform('instances', { instances: entries });
+  }
+
+  /** Sets a switch of the platform stand-in, such as `faults`. */
+  public async controlPlatform(name: string, body: unknown): Promise<unknown> {
+    return await controlStandIn(this.platform.address, name, body);
+  }
+
+  /** Runs zincringctl against the platform; gives its exit code and output. */
+  public async control(
+    ...commandLine: readonly string[]
+  ): Promise<{ readonly exitCode: number | null; readonly output: string }> {
+    const lines: string[] = [];
+    const process = launch({
+      commandLine: [...commandLine, '--platform', this.platform.address],
+      name: 'zincringctl',
+      onLine: line => lines.push(line),
+      script: 'control/dist/bin.js',
+    });
+    const exitCode = await process.waitForExit();
+    return { exitCode, output: lines.join('\n') };
+  }
+
+  /** Writes a rule file and applies it. */
+  public async applyRules(text: string): Promise<void> {
+    const file = join(this.directory, 'rules.txt');
+    await writeFile(file, text);
+    const { exitCode, output } = await this.control(
+      'apply',
+      file,
+      '--requester',
+      'fleet',
+      '--reason',
+      'start',
+    );
+    if (exitCode !== 0) {
+      throw new Error(`zincringctl apply ended with ${String(exitCode)}: ${output}`);
+    }
+  }
+
+  /** Waits until every instance is ready. */
+  public async waitUntilReady(): Promise<void> {
+    for (const instance of this.instances) {
+      await waitUntil(async () => {
+        const response = await fetch(`http://${instance.operatorAddress}/ready`);
+        return response.ok;
+      });
+    }
+  }
+
+  /** Ends every process. */
+  public async stop(): Promise<void> {
+    const processes = [
+      ...this.instances.map(instance => instance.process),
+      ...this.upstreams.map(upstream => upstream.standIn.process),
+      this.platform.process,
+    ];
+    await Promise.all(processes.map(async process => process.kill()));
+    await rm(this.directory, { force: true, recursive: true });
+  }
+
+  private launchInstance(id: string, settingsFile: string): LaunchedProcess {
+    return launch({
+      commandLine: ['--settings', settingsFile],
+      name: id,
+      onLine: line => this.options.onLog?.(id, line),
+      script: 'instance/dist/bin.js',
+    });
+  }
+
+  private zoneOf(index: number): string {
+    return this.options.zones[index % this.options.zones.length] ?? 'zone';
+  }
+
+  private stateOf(id: string): 'leaving' | 'live' {
+    return this.leaving.has(id) ? 'leaving' : 'live';
+  }
+}
+
+/** Sets or reads a switch of a stand-in. */
+export async function controlStandIn(
+  address: string,
+  name: string,
+  body: unknown = {},
+): Promise<unknown> {
+  const response = await fetch(`http://${address}/stand-in/${name}`, {
+    body: JSON.stringify(body),
+    method: 'POST',
+  });
+  return await response.json();
+}
+
+/** Waits until a condition holds; an error counts as not yet. */
+export async function waitUntil(
+  condition: () => Promise<boolean>,
+  timeoutMilliseconds = 30_000,
+): Promise<void> {
+  const giveUpAt = performance.now() + timeoutMilliseconds;
+  while (performance.now() < giveUpAt) {
+    if (await condition().catch(() => false)) {
+      return;
+    }
+    await new Promise(resolve => setTimeout(resolve, READY_PAUSE_MILLISECONDS));
+  }
+  throw new Error(`the condition did not hold within ${timeoutMilliseconds} ms`);
+}
