--- a/packages/stand-ins/tests/thinPath.process.test.ts
+++ b/packages/stand-ins/tests/thinPath.process.test.ts
@@ -48,6 +48,7 @@
     const program = await open();
     const answers: string[] = [];
     for (let turn = 1; turn <= 6; turn++) {
+      await fleet.waitUntilReady();
       const instance = fleet.instances[turn % 3]!;
       const request = {
         call: `call-${turn}`,
