--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -19,11 +19,13 @@
 import { ServiceRoutes } from '../callers/serviceRoutes.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import { StaticAdmission } from '../limits/admission.js';
+import { lendNothing } from '../limits/tokenLender.js';
 import { Heartbeats } from '../peers/heartbeats.js';
 import { PeerClients } from '../peers/peerClients.js';
 import { PeerServer } from '../peers/peerServer.js';
 import { RoutedProgramService } from '../peers/routedProgramService.js';
 import { ShardLocations } from '../peers/shardLocations.js';
+import { keepNoCopies } from '../programs/copyKeeper.js';
 import { ProgramHome } from '../programs/programHome.js';
 import { DirectDispatcher } from '../upstreams/directDispatcher.js';
 import { ReplicaTable } from '../upstreams/replicaTable.js';
@@ -45,7 +47,7 @@
 /** One running instance: every slice, connected. */
 export class Instance {
   private readonly membership: Membership;
-  private readonly locations = new ShardLocations();
+  private readonly locations = new ShardLocations(() => this.leases.heldShards);
   private readonly clients = new PeerClients();
   private readonly replicas = new ReplicaTable();
   private readonly configuration: ConfigurationFollower;
@@ -96,7 +98,12 @@
     this.leases = this.createLeases();
     this.home.attach(this.leases);
     this.heartbeats = this.createHeartbeats();
-    this.peerServer = new PeerServer({ heartbeats: this.heartbeats, home: this.home });
+    this.peerServer = new PeerServer({
+      copies: keepNoCopies,
+      heartbeats: this.heartbeats,
+      home: this.home,
+      lender: lendNothing,
+    });
     this.callerServer = new CallerServer({
       admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
       bodyLimitBytes: settings.bodyLimitBytes,
@@ -187,17 +194,16 @@
         id: settings.instance,
         incarnation: this.leases.incarnation,
         isLeaving: this.draining !== undefined,
-        shards: this.leases.heldShards,
         zone: settings.zone,
       }),
       directory: platform.directory,
       intervalMilliseconds: settings.heartbeatMilliseconds,
-      locations: this.locations,
       logger,
       membership: this.membership,
       onDirectory: entries => {
         this.replicas.update(entries);
       },
+      participants: [this.locations],
       timers,
     });
   }
--- a/packages/instance/src/peers/heartbeats.ts
+++ b/packages/instance/src/peers/heartbeats.ts
@@ -3,7 +3,6 @@
   IncarnationId,
   InstanceId,
   Logger,
-  ShardId,
   TimerService,
   TimerSubscription,
 } from '@zincring/core';
@@ -11,10 +10,12 @@
 import type { InstanceDirectory } from '@zincring/platform';
 import type { ExchangeRequest, ExchangeResponse } from '@zincring/protocol';
 
+import { create } from '@bufbuild/protobuf';
 import { failureText } from '@zincring/core';
+import { GossipItemSchema } from '@zincring/protocol';
 
 import type { PeerClients } from './peerClients.js';
-import type { ShardLocations } from './shardLocations.js';
+import type { GossipParticipant } from './gossipParticipant.js';
 
 /** What an instance tells of itself. */
 export interface SelfDescription {
@@ -23,13 +24,12 @@
   readonly zone: AvailabilityZone;
   readonly incarnation: IncarnationId;
   readonly isLeaving: boolean;
-  readonly shards: readonly ShardId[];
 }
 
 /** What heartbeats need. */
 export interface HeartbeatsOptions {
   readonly membership: Membership;
-  readonly locations: ShardLocations;
+  readonly participants: readonly GossipParticipant[];
   readonly clients: PeerClients;
   readonly directory: InstanceDirectory;
   readonly timers: TimerService;
@@ -40,8 +40,6 @@
   readonly onDirectory: (entries: Parameters<Membership['updateFromDirectory']>[0]) => void;
 }
 
-const SHARDS_ITEM = 'shards';
-
 /** Tells the peers of this instance and learns of them. */
 export class Heartbeats {
   private readonly subscriptions: TimerSubscription[] = [];
@@ -112,14 +110,12 @@
       address: self.address,
       incarnation: self.incarnation,
       instance: self.id,
-      items: [
-        {
-          $typeName: 'zincring.peer.v1.GossipItem',
-          key: SHARDS_ITEM,
-          value: JSON.stringify(self.shards),
-          version: 0n,
-        },
-      ],
+      items: this.options.participants.flatMap(participant => {
+        const value = participant.tell();
+        return value === undefined
+          ? []
+          : [create(GossipItemSchema, { key: participant.key, value })];
+      }),
       leaving: self.isLeaving,
       zone: self.zone,
     };
@@ -139,9 +135,10 @@
       isLeaving: message.leaving,
       zone: (message.zone ?? known?.zone ?? '') as AvailabilityZone,
     });
-    const shards = message.items.find(item => item.key === SHARDS_ITEM);
-    if (shards !== undefined) {
-      this.options.locations.update(id, JSON.parse(shards.value) as ShardId[]);
+    for (const item of message.items) {
+      this.options.participants
+        .find(participant => participant.key === item.key)
+        ?.hear(id, item.value);
     }
   }
 }
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -4,7 +4,19 @@
 import { PeerService } from '@zincring/protocol';
 import { createServer } from 'node:http2';
 
-import type { ProgramId, Result, WorkspaceName, ZincringError } from '@zincring/core';
+import type {
+  Epoch,
+  IncarnationId,
+  InstanceId,
+  ProgramId,
+  Result,
+  ShardId,
+  WorkspaceName,
+  ZincringError,
+} from '@zincring/core';
+import type { BorrowRequest, KeepCopyRequest } from '@zincring/protocol';
+import type { LoanRequest, TokenLender } from '../limits/tokenLender.js';
+import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
 import type { ProgramService, ProgramSummary } from '../programs/programMessages.js';
 import type { Heartbeats } from './heartbeats.js';
 
@@ -19,6 +31,8 @@
 export interface PeerServerOptions {
   readonly home: ProgramService;
   readonly heartbeats: Heartbeats;
+  readonly lender: TokenLender;
+  readonly copies: CopyKeeper;
 }
 
 /** Serves other instances over HTTP/2. */
@@ -30,7 +44,7 @@
       connectNodeAdapter({
         routes: router => {
           router.service(PeerService, {
-            borrow: () => ({ tokens: 0, validMilliseconds: 0 }),
+            borrow: message => options.lender.lend(loanRequest(message)),
             call: async function* call(message) {
               for await (const frame of options.home.call(callFromMessage(message))) {
                 yield frameToMessage(frame);
@@ -41,7 +55,7 @@
             endProgram: async message =>
               summaryResponse(await options.home.end(reference(message))),
             exchange: message => options.heartbeats.answer(message),
-            keepCopy: () => ({ kept: false }),
+            keepCopy: message => ({ kept: options.copies.keep(copyRequest(message)) }),
             openProgram: async message =>
               summaryResponse(
                 await options.home.open({
@@ -73,6 +87,28 @@
   }
 }
 
+function loanRequest(message: BorrowRequest): LoanRequest {
+  return {
+    borrower: message.borrower as InstanceId,
+    tokens: message.tokens,
+    workspace: message.workspace as WorkspaceName,
+  };
+}
+
+function copyRequest(message: KeepCopyRequest): CopyRequest {
+  return {
+    flushedSequence: Number(message.flushedSequence),
+    incarnation: message.incarnation as IncarnationId,
+    instance: message.instance as InstanceId,
+    records: message.records.map(record => ({
+      epoch: Number(record.epoch) as Epoch,
+      payload: record.payload,
+      sequence: Number(record.sequence),
+      shard: record.shard as ShardId,
+    })),
+  };
+}
+
 function reference(message: { readonly workspace: string; readonly program: string }): {
   readonly workspace: WorkspaceName;
   readonly program: ProgramId;
