--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -100,6 +100,7 @@
     this.heartbeats = this.createHeartbeats();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
+      findGone: programs => this.home.findGone(programs),
       heartbeats: this.heartbeats,
       home: this.home,
       lender: lendNothing,
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -18,6 +18,7 @@
 import type { LoanRequest, TokenLender } from '../limits/tokenLender.js';
 import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
 import type { ProgramService, ProgramSummary } from '../programs/programMessages.js';
+import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { Heartbeats } from './heartbeats.js';
 
 import {
@@ -31,6 +32,8 @@
 export interface PeerServerOptions {
   readonly home: ProgramService;
   readonly heartbeats: Heartbeats;
+  /** Programs that are gone, of those whose shards are held here. */
+  readonly findGone: (programs: readonly ProgramId[]) => readonly GoneProgram[];
   readonly lender: TokenLender;
   readonly copies: CopyKeeper;
 }
@@ -55,6 +58,11 @@
             endProgram: async message =>
               summaryResponse(await options.home.end(reference(message))),
             exchange: message => options.heartbeats.answer(message),
+            findGone: message => ({
+              gone: options
+                .findGone(message.programs as readonly string[] as readonly ProgramId[])
+                .map(({ fence, program }) => ({ epoch: BigInt(fence), program })),
+            }),
             keepCopy: message => ({ kept: options.copies.keep(copyRequest(message)) }),
             openProgram: async message =>
               summaryResponse(
--- a/packages/instance/src/programs/programHome.ts
+++ b/packages/instance/src/programs/programHome.ts
@@ -19,6 +19,7 @@
 import { Channel, Err, failureText, Ok, settle, startProcess, ZincringError } from '@zincring/core';
 import { shardOf } from '@zincring/coordination';
 
+import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
 import type {
   CallClosed,
@@ -158,6 +159,18 @@
     return ended.map(() => found.val.summary);
   }
 
+  /** Those of the programs that have ended or never were; only the holder of a shard can tell. */
+  public findGone(programs: readonly ProgramId[]): readonly GoneProgram[] {
+    return programs.flatMap(program => {
+      const home = this.findHome(program);
+      if (home.err) {
+        return [];
+      }
+      const state = home.val.programs.find(program);
+      return state === undefined || state.hasEnded ? [{ fence: home.val.epoch, program }] : [];
+    });
+  }
+
   public async *call(request: CallRequest): AsyncGenerator<CallFrame> {
     const found = this.find(request);
     if (found.err) {
--- a/packages/instance/src/upstreams/engineClient.ts
+++ b/packages/instance/src/upstreams/engineClient.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage } from 'node:http';
 
-import { ZincringError } from '@zincring/core';
 import { z } from 'zod';
 
 import type { Replica } from './replicaTable.js';
 import type { EnginePayload, UpstreamFrame, UpstreamWork } from './upstreamMessages.js';
 
+import { UpstreamFailure } from './upstreamFailure.js';
 import { openRequest, readLines } from './upstreamRequest.js';
 
 const lineSchema = z.union([
@@ -50,7 +50,7 @@
 async function* readGeneration(response: IncomingMessage): AsyncGenerator<UpstreamFrame> {
   if (response.statusCode !== 200) {
     response.resume();
-    throw new ZincringError('upstream-failed', { detail: `status ${response.statusCode ?? 0}` });
+    throw new UpstreamFailure('failed', `status ${response.statusCode ?? 0}`);
   }
   for await (const line of readLines(response)) {
     const parsed = lineSchema.parse(JSON.parse(line));
@@ -60,5 +60,5 @@
     }
     yield { data: Buffer.from(parsed.text), kind: 'data' };
   }
-  throw new ZincringError('upstream-failed', { detail: 'the stream was cut off' });
+  throw new UpstreamFailure('died', 'the stream was cut off');
 }
--- a/packages/instance/src/upstreams/upstreamRequest.ts
+++ b/packages/instance/src/upstreams/upstreamRequest.ts
@@ -54,3 +54,16 @@
     yield rest;
   }
 }
+
+/** Reads a whole answer as text; rejects when it is longer than a line may be. */
+export async function readAll(response: IncomingMessage): Promise<string> {
+  let text = '';
+  response.setEncoding('utf8');
+  for await (const chunk of response as AsyncIterable<string>) {
+    text += chunk;
+    if (text.length > LONGEST_LINE) {
+      throw new Error('the upstream sent too long an answer');
+    }
+  }
+  return text;
+}
