--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -1,5 +1,7 @@
 import type {
   IncarnationId,
+  InstanceId,
+  ShardId,
   Logger,
   Metrics,
   TimerService,
@@ -10,8 +12,15 @@
 import { randomBytes } from 'node:crypto';
 
 import { failureText } from '@zincring/core';
-import { Membership, ShardLeases, VersionedChanges, WriteAheadLog } from '@zincring/coordination';
+import {
+  Membership,
+  preferredHolder,
+  ShardLeases,
+  VersionedChanges,
+  WriteAheadLog,
+} from '@zincring/coordination';
 
+import type { ShardHolder } from '../peers/fleetCensus.js';
 import type { Settings } from './settings.js';
 
 import { CallerServer } from '../callers/callerServer.js';
@@ -20,6 +29,7 @@
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import { StaticAdmission } from '../limits/admission.js';
 import { lendNothing } from '../limits/tokenLender.js';
+import { FleetCensus } from '../peers/fleetCensus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
 import { PeerClients } from '../peers/peerClients.js';
 import { PeerServer } from '../peers/peerServer.js';
@@ -27,8 +37,9 @@
 import { ShardLocations } from '../peers/shardLocations.js';
 import { keepNoCopies } from '../programs/copyKeeper.js';
 import { ProgramHome } from '../programs/programHome.js';
-import { DirectDispatcher } from '../upstreams/directDispatcher.js';
-import { ReplicaTable } from '../upstreams/replicaTable.js';
+import { HttpEngineOrders } from '../upstreams/engineOrders.js';
+import { HttpReplicaSender } from '../upstreams/replicaSender.js';
+import { Upstreams } from '../upstreams/upstreams.js';
 import { splitAddress } from '../util/splitAddress.js';
 import { OperatorServer } from './operatorServer.js';
 
@@ -49,7 +60,7 @@
   private readonly membership: Membership;
   private readonly locations = new ShardLocations(() => this.leases.heldShards);
   private readonly clients = new PeerClients();
-  private readonly replicas = new ReplicaTable();
+  private readonly upstreams: Upstreams;
   private readonly configuration: ConfigurationFollower;
   private readonly log: WriteAheadLog;
   private readonly home: ProgramHome;
@@ -84,7 +95,8 @@
       retryMilliseconds: LOG_RETRY_MILLISECONDS,
       timers,
     });
-    const dispatcher = new DirectDispatcher(this.replicas);
+    this.upstreams = this.createUpstreams();
+    const { dispatcher } = this.upstreams;
     this.home = new ProgramHome({
       configuration: () => this.configuration.current,
       dispatcher,
@@ -132,6 +144,10 @@
     await this.peerServer.listen(...splitAddress(settings.peerAddress));
     this.configuration.start();
     this.heartbeats.start();
+    this.upstreams.start();
+    this.configuration.subscribe(configuration => {
+      this.upstreams.updateConfiguration(configuration);
+    });
     this.renewals = timers.every(settings.lease.renewMilliseconds, () => {
       this.renewLeases();
     });
@@ -155,6 +171,7 @@
     this.renewals?.stop();
     this.configuration.stop();
     this.heartbeats.stop();
+    this.upstreams.stop();
     this.log.close();
     this.peerServer.close();
     this.clients.close();
@@ -202,13 +219,51 @@
       logger,
       membership: this.membership,
       onDirectory: entries => {
-        this.replicas.update(entries);
+        this.upstreams.updateDirectory(entries);
       },
-      participants: [this.locations],
+      participants: [this.locations, ...this.upstreams.participants],
+      timers,
+    });
+  }
+
+  private createUpstreams(): Upstreams {
+    const { logger, metrics, settings, timers } = this.parts;
+    return new Upstreams({
+      census: new FleetCensus({
+        clients: this.clients,
+        findGoneHere: programs => this.home.findGone(programs),
+        holderOf: shard => this.findHolder(shard),
+        self: settings.instance,
+        shardCount: settings.shardCount,
+      }),
+      configuration: () => this.configuration.current,
+      instances: () => new Set([settings.instance, ...this.membership.alive.map(peer => peer.id)]),
+      logger,
+      metrics,
+      orders: new HttpEngineOrders(),
+      self: settings.instance,
+      sender: new HttpReplicaSender({
+        stallMilliseconds: settings.upstreams.stallMilliseconds,
+        timers,
+      }),
+      settings: settings.upstreams,
+      spreadNews: async () => this.heartbeats.spread(),
       timers,
+      zone: settings.zone,
     });
   }
 
+  private findHolder(shard: ShardId): ShardHolder | undefined {
+    const { settings } = this.parts;
+    if (this.leases.standing(shard) === 'held') {
+      return { address: settings.peerAddress, instance: settings.instance };
+    }
+    const holder =
+      this.locations.holderOf(shard) ?? preferredHolder(shard, this.membership.eligible());
+    const peer = holder === undefined ? undefined : this.membership.find(holder as InstanceId);
+    return peer === undefined ? undefined : { address: peer.address, instance: peer.id };
+  }
+
   private createRouting(): RoutedProgramService {
     const { settings, timers } = this.parts;
     return new RoutedProgramService({
--- a/packages/instance/src/lifecycle/settings.ts
+++ b/packages/instance/src/lifecycle/settings.ts
@@ -19,6 +19,27 @@
     'expected renewMilliseconds + marginMilliseconds below termMilliseconds',
   );
 
+const upstreamSchema = z.strictObject({
+  callMilliseconds: milliseconds.default(1_000),
+  maximumPrefixes: z.number().int().positive().default(100_000),
+  maximumReleases: z.number().int().positive().default(10_000),
+  maximumReplicas: z.number().int().positive().default(64),
+  maximumWaiting: z.number().int().positive().default(10_000),
+  maximumWaitingPerWorkspace: z.number().int().positive().default(2_000),
+  prefillMillisecondsPerToken: z.number().positive().default(0.05),
+  releaseRetryMilliseconds: milliseconds.default(1_000),
+  reportLagMilliseconds: milliseconds.default(500),
+  reportMilliseconds: milliseconds.default(1_000),
+  retryReservePerSecond: z.number().nonnegative().default(1),
+  retryShare: z.number().min(0).max(1).default(0.1),
+  slotsPerReplica: z.number().int().positive().default(8),
+  stallMilliseconds: milliseconds.default(20_000),
+  suspicionMilliseconds: milliseconds.default(2_000),
+  sweepMilliseconds: milliseconds.default(30_000),
+  targetWaiting: z.number().int().nonnegative().default(2),
+  zoneMilliseconds: milliseconds.default(5),
+});
+
 const settingsSchema = z.strictObject({
   bodyLimitBytes: z
     .number()
@@ -56,6 +77,7 @@
     .refine(count => count > 0 && (count & (count - 1)) === 0, 'expected a power of two')
     .default(256),
   suspectMilliseconds: milliseconds.default(2_000),
+  upstreams: upstreamSchema.prefault({}),
   zone: z
     .string()
     .refine(isIdentifier, 'expected an identifier')
--- a/packages/instance/src/peers/heartbeats.ts
+++ b/packages/instance/src/peers/heartbeats.ts
@@ -76,6 +76,12 @@
     }
   }
 
+  /** Tells every peer the news; settles when all have answered or been given up. */
+  public async spread(): Promise<void> {
+    const { known } = this.options.membership;
+    await Promise.allSettled(known.map(async peer => this.exchangeWith(peer.address)));
+  }
+
   /** Answers a heartbeat of another instance. */
   public answer(request: ExchangeRequest): Omit<ExchangeResponse, '$typeName' | '$unknown'> {
     this.hear(request);
--- a/packages/instance/tests/upstreams/engineMemory.test.ts
+++ b/packages/instance/tests/upstreams/engineMemory.test.ts
@@ -4,11 +4,7 @@
 import { discardingMetrics, Err, ManualTimerService, Ok, silentLogger } from '@zincring/core';
 import { describe, expect, it } from 'vitest';
 
-import type {
-  EngineOrders,
-  OrderOutcome,
-  ReleaseOrder,
-} from '../../src/upstreams/engineOrders.js';
+import type { EngineOrders, OrderOutcome, ReleaseOrder } from '../../src/upstreams/engineOrders.js';
 import type { GoneProgram } from '../../src/upstreams/engineSweeper.js';
 import type { Replica } from '../../src/upstreams/replicaTable.js';
 
--- /dev/null
+++ b/packages/instance/tests/upstreams/queueingDispatcher.test.ts
@@ -0,0 +1,310 @@
+import type {
+  AvailabilityZone,
+  CallId,
+  InstanceId,
+  ProgramId,
+  ServiceName,
+  UpstreamId,
+  WorkspaceName,
+} from '@zincring/core';
+import type { ServiceRule } from '@zincring/rules';
+
+import { discardingMetrics, ManualTimerService, Ok, silentLogger } from '@zincring/core';
+import { createConfiguration, parseRules } from '@zincring/rules';
+import { describe, expect, it } from 'vitest';
+
+import type { EngineOrders } from '../../src/upstreams/engineOrders.js';
+import type { ReplicaSender } from '../../src/upstreams/replicaSender.js';
+import type { Replica } from '../../src/upstreams/replicaTable.js';
+import type { UpstreamFrame, UpstreamWork } from '../../src/upstreams/upstreamMessages.js';
+
+import { UpstreamFailure } from '../../src/upstreams/upstreamFailure.js';
+import { Upstreams } from '../../src/upstreams/upstreams.js';
+import { upstreamSettings } from './upstreamSettings.js';
+
+const engines = 'minutes-llm' as ServiceName;
+const tickets = 'ticket-app' as ServiceName;
+
+const rules = parseRules(`
+workspace utility rate=100 burst=100 # dana: pilot
+service minutes-llm protocol=engine timeout=30 # omar: models
+service ticket-app protocol=plain idempotent=no timeout=30 # omar: work orders
+`).unwrap();
+const configuration = createConfiguration(1 as never, rules);
+
+type Reaction = 'answer' | 'die' | 'die-after-data' | 'hang' | 'refuse-connection' | 'fail';
+
+/** Upstreams whose reactions a test sets, counted over all instances. */
+class FakeUpstreams implements ReplicaSender {
+  public readonly sent: { readonly replica: UpstreamId; readonly call: CallId }[] = [];
+  public react: (replica: Replica, work: UpstreamWork) => Reaction = () => 'answer';
+
+  public async *send(replica: Replica, work: UpstreamWork): AsyncGenerator<UpstreamFrame> {
+    const reaction = this.react(replica, work);
+    if (reaction === 'refuse-connection') {
+      throw new UpstreamFailure('unsent', 'refused');
+    }
+    this.sent.push({ call: work.call, replica: replica.id });
+    switch (reaction) {
+      case 'die':
+        throw new UpstreamFailure('died', 'reset');
+      case 'fail':
+        throw new UpstreamFailure('failed', 'status 500');
+      case 'hang':
+        await new Promise(resolve => {
+          work.signal.addEventListener('abort', resolve);
+        });
+        throw new UpstreamFailure('timed-out', 'aborted');
+      case 'die-after-data':
+        yield { data: Buffer.from('par'), kind: 'data' };
+        throw new UpstreamFailure('died', 'reset');
+      case 'answer':
+        yield { data: Buffer.from('whole'), kind: 'data' };
+        yield {
+          kind: 'done',
+          usage: { cachedTokens: 0, outputTokens: 2, promptTokens: 3 },
+        };
+    }
+  }
+}
+
+/** Several instances that share upstreams and hear each other's news at once. */
+function startInstances(count: number, replicas = 4) {
+  const timers = new ManualTimerService();
+  const upstreams = new FakeUpstreams();
+  const names = Array.from({ length: count }, (_, index) => `entry-${index + 1}` as InstanceId);
+  const instances: Upstreams[] = [];
+  for (const self of names) {
+    const instance: Upstreams = new Upstreams({
+      census: { findGone: async () => Promise.resolve([]) },
+      configuration: () => configuration,
+      instances: () => new Set(names),
+      logger: silentLogger,
+      metrics: discardingMetrics,
+      orders: {
+        readCacheEvents: async () => Promise.resolve(Ok({ events: [], next: 0 })),
+        readLoad: async () => Promise.resolve(Ok({ cachedTokens: 0, running: 0, waiting: 0 })),
+      } as unknown as EngineOrders,
+      self,
+      sender: upstreams,
+      settings: upstreamSettings,
+      spreadNews: async () => {
+        for (const teller of instance.participants) {
+          const value = teller.tell();
+          for (const other of instances) {
+            if (value !== undefined && other !== instance) {
+              other.participants.find(each => each.key === teller.key)?.hear(self, value);
+            }
+          }
+        }
+        return Promise.resolve();
+      },
+      timers,
+      zone: 'nelson' as AvailabilityZone,
+    });
+    instance.updateDirectory(
+      [engines, tickets].flatMap(service =>
+        Array.from({ length: replicas }, (_, index) => ({
+          address: '127.0.0.1:1',
+          id: `${service}-${index + 1}`,
+          role: { kind: 'upstream', service } as const,
+          state: 'live' as const,
+          zone: 'nelson' as AvailabilityZone,
+        })),
+      ),
+    );
+    instances.push(instance);
+  }
+  return { instances, timers, upstreams };
+}
+
+function workFor(service: ServiceName, overrides: Partial<UpstreamWork> = {}): UpstreamWork {
+  const isEngine = service === engines;
+  return {
+    attainedTokens: 0,
+    beforeSend: async () => Promise.resolve(Ok(undefined)),
+    call: 'call-1' as CallId,
+    isIdempotent: isEngine,
+    payload: isEngine
+      ? { maxTokens: 4, protocol: 'engine', segments: ['question'] }
+      : {
+          body: Buffer.from('{}'),
+          contentType: 'application/json',
+          method: 'POST',
+          path: '/orders',
+          protocol: 'plain',
+        },
+    program: 'program-1' as ProgramId,
+    rule: configuration.services.get(service) as ServiceRule,
+    service,
+    signal: new AbortController().signal,
+    timeoutMilliseconds: 30_000,
+    workspace: 'utility' as WorkspaceName,
+    ...overrides,
+  };
+}
+
+/** Runs work to its end while time moves on; gives a line for the end and the data. */
+async function run(
+  fleet: ReturnType<typeof startInstances>,
+  instance: number,
+  work: UpstreamWork,
+): Promise<{ readonly end: string; readonly ran: string | undefined; readonly text: string }> {
+  let text = '';
+  let end = 'none';
+  let ran: string | undefined;
+  const running = (async () => {
+    for await (const frame of fleet.instances[instance]!.dispatcher.dispatch(work)) {
+      if (frame.kind === 'data') {
+        text += Buffer.from(frame.data).toString();
+      }
+      if (frame.kind === 'failed') {
+        end = frame.error.kind;
+        ran = frame.error.ran;
+      }
+      if (frame.kind === 'done') {
+        end = 'done';
+      }
+    }
+  })();
+  for (let second = 0; second < 120 && end === 'none'; second++) {
+    await fleet.timers.advance(1_000);
+  }
+  await running;
+  return { end, ran, text };
+}
+
+describe('dispatch of idempotent work', () => {
+  it.each<{ reaction: Reaction; end: string; sends: number }>([
+    { end: 'done', reaction: 'die', sends: 2 },
+    { end: 'done', reaction: 'fail', sends: 2 },
+    { end: 'done', reaction: 'refuse-connection', sends: 1 },
+    { end: 'upstream-failed', reaction: 'die-after-data', sends: 1 },
+  ])('ends with $end after one upstream reacts with $reaction', async each => {
+    const fleet = startInstances(1);
+    await fleet.timers.advance(2_000);
+    let reactions = 0;
+    fleet.upstreams.react = () => (reactions++ === 0 ? each.reaction : 'answer');
+    const result = await run(fleet, 0, workFor(engines));
+    expect(result.end).toBe(each.end);
+    expect(fleet.upstreams.sent).toHaveLength(each.sends);
+  });
+
+  it('refuses at once when there is no replica', async () => {
+    const fleet = startInstances(1, 0);
+    expect(await run(fleet, 0, workFor(engines))).toMatchObject({
+      end: 'upstream-unavailable',
+      ran: 'no',
+    });
+  });
+
+  it('never says that nothing ran after an attempt that was sent', async () => {
+    const fleet = startInstances(1, 1);
+    await fleet.timers.advance(2_000);
+    fleet.upstreams.react = () => 'fail';
+    const result = await run(fleet, 0, workFor(engines));
+    expect(fleet.upstreams.sent).toHaveLength(1);
+    expect(result.ran).not.toBe('no');
+  });
+
+  it('ends a hanging call at its timeout', async () => {
+    const fleet = startInstances(1);
+    fleet.upstreams.react = () => 'hang';
+    const signal = new AbortController();
+    fleet.timers.after(5_000, () => {
+      signal.abort();
+    });
+    const work = workFor(engines, { signal: signal.signal, timeoutMilliseconds: 5_000 });
+    expect(await run(fleet, 0, work)).toMatchObject({ end: 'deadline-exceeded', ran: 'maybe' });
+    expect(fleet.timers.now()).toBeLessThanOrEqual(6_000);
+  });
+});
+
+describe('dispatch of non-idempotent work', () => {
+  it.each<{ reaction: Reaction; end: string; ran: string | undefined; sends: number }>([
+    { end: 'call-outcome-unknown', ran: 'maybe', reaction: 'die', sends: 1 },
+    { end: 'call-outcome-unknown', ran: 'maybe', reaction: 'fail', sends: 1 },
+    { end: 'call-outcome-unknown', ran: 'maybe', reaction: 'die-after-data', sends: 1 },
+    { end: 'done', ran: undefined, reaction: 'refuse-connection', sends: 1 },
+  ])('ends with $end after one upstream reacts with $reaction', async each => {
+    const fleet = startInstances(1);
+    await fleet.timers.advance(2_000);
+    let reactions = 0;
+    fleet.upstreams.react = () => (reactions++ === 0 ? each.reaction : 'answer');
+    const result = await run(fleet, 0, workFor(tickets));
+    expect(result).toMatchObject({ end: each.end, ran: each.ran });
+    expect(fleet.upstreams.sent).toHaveLength(each.sends);
+  });
+
+  it('says that nothing ran when every connection is refused', async () => {
+    const fleet = startInstances(1);
+    fleet.upstreams.react = () => 'refuse-connection';
+    const result = await run(fleet, 0, workFor(tickets));
+    expect(result).toMatchObject({ end: 'upstream-unavailable', ran: 'no' });
+    expect(fleet.upstreams.sent).toHaveLength(0);
+  });
+});
+
+describe('poison requests', () => {
+  const poisoned = { call: 'poison' as CallId };
+
+  it('stops a request after two upstreams although it is resent through every instance', async () => {
+    const fleet = startInstances(13);
+    await fleet.timers.advance(2_000);
+    fleet.upstreams.react = () => 'die';
+    const ends: string[] = [];
+    for (let resend = 0; resend < 26; resend++) {
+      const call = `poison-${resend}` as CallId;
+      const result = await run(fleet, resend % 13, workFor(engines, { call }));
+      expect(result.ran).toBe('maybe');
+      ends.push(result.end);
+    }
+    expect(new Set(fleet.upstreams.sent.map(each => each.replica)).size).toBe(2);
+    expect(fleet.upstreams.sent).toHaveLength(2);
+    expect(ends.at(-1)).toBe('poison-request');
+  });
+
+  it('leaves other requests alone', async () => {
+    const fleet = startInstances(2);
+    await fleet.timers.advance(2_000);
+    fleet.upstreams.react = (_, work) => (work.call === poisoned.call ? 'die' : 'answer');
+    await run(fleet, 0, workFor(engines, poisoned));
+    const other = workFor(engines, {
+      payload: { maxTokens: 4, protocol: 'engine', segments: ['another question'] },
+    });
+    expect(await run(fleet, 1, other)).toMatchObject({ end: 'done', text: 'whole' });
+  });
+
+  it('tries the request again after the quarantine', async () => {
+    const fleet = startInstances(2);
+    await fleet.timers.advance(2_000);
+    fleet.upstreams.react = () => 'die';
+    await run(fleet, 0, workFor(engines, poisoned));
+    await run(fleet, 1, workFor(engines, poisoned));
+    fleet.upstreams.react = () => 'answer';
+    expect(await run(fleet, 1, workFor(engines))).toMatchObject({ end: 'poison-request' });
+    await fleet.timers.advance(600_000);
+    expect(await run(fleet, 1, workFor(engines))).toMatchObject({ end: 'done' });
+  });
+});
+
+describe('retries of all instances together', () => {
+  it('stay within the retry budget while a whole service fails', async () => {
+    const fleet = startInstances(13);
+    fleet.upstreams.react = () => 'fail';
+    const requests = 650;
+    const startedAt = fleet.timers.now();
+    for (let request = 0; request < requests; request++) {
+      const work = workFor(engines, {
+        call: `call-${request}` as CallId,
+        payload: { maxTokens: 1, protocol: 'engine', segments: [`question ${request}`] },
+        timeoutMilliseconds: 1_000,
+      });
+      await run(fleet, request % 13, work);
+    }
+    const seconds = (fleet.timers.now() - startedAt) / 1_000;
+    const { retryReservePerSecond, retryShare } = upstreamSettings;
+    const retries = fleet.upstreams.sent.length - requests;
+    expect(retries).toBeLessThanOrEqual(requests * retryShare + seconds * retryReservePerSecond);
+  });
+});
