--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -10,17 +10,26 @@
 export { Session } from './leases/session.js';
 export { SessionObserver } from './leases/sessionObserver.js';
 export type {
-  ShardLeasesOptions,
-  ShardMembers,
+  ShardLease,
   ShardOwner,
   ShardStanding,
-} from './leases/shardLeases.js';
+  ShardWriteFailure,
+} from './leases/shardLease.js';
+export type { ShardLeasesOptions, ShardMembers } from './leases/shardLeases.js';
 export { ShardLeases } from './leases/shardLeases.js';
 export type { LogPosition, LogRecord } from './log/logRecord.js';
-export { decodeGroup, encodeGroup, logObjectName, logPrefix } from './log/logRecord.js';
-export type { LogFailure, WriteAheadLogOptions } from './log/writeAheadLog.js';
+export {
+  decodeGroup,
+  encodeGroup,
+  logObjectName,
+  logPrefix,
+  parseLogObjectName,
+} from './log/logRecord.js';
+export type { LogFailure, QueuedRecord, WriteAheadLogOptions } from './log/writeAheadLog.js';
 export { WriteAheadLog } from './log/writeAheadLog.js';
-export { readLog } from './log/readLog.js';
+export { LogReader } from './log/logReader.js';
+export type { LogSweeperOptions } from './log/logSweeper.js';
+export { LogSweeper } from './log/logSweeper.js';
 export type { Heartbeat, MembershipOptions, Peer } from './membership/membership.js';
 export { Membership } from './membership/membership.js';
 export type { BucketSize } from './limits/tokenBucket.js';
--- a/packages/coordination/src/leases/session.ts
+++ b/packages/coordination/src/leases/session.ts
@@ -1,5 +1,5 @@
 import type { IncarnationId, TimerService } from '@zincring/core';
-import type { RowCheck, TableService } from '@zincring/platform';
+import type { Row, RowCheck, TableService } from '@zincring/platform';
 
 import type { SessionRow } from './leaseRows.js';
 
@@ -28,6 +28,8 @@
   readonly address: string;
 }
 
+const END_ATTEMPTS = 3;
+
 /**
  * The lease of one incarnation: one row, one write a renewal, however many shards it holds.
  * The holder counts its term on its monotonic clock from before it sent the renewal.
@@ -37,6 +39,7 @@
   private rowVersion = 0;
   private renewal = 0;
   private validUntil = Number.NEGATIVE_INFINITY;
+  private hasEnded = false;
   /** Values of renewals whose outcome is unknown, with the time before each was sent. */
   private readonly unsettled = new Map<string, number>();
 
@@ -59,8 +62,11 @@
     return { key: sessionRowKey(this.incarnation), version: this.rowVersion };
   }
 
-  /** Renews the session, or opens it the first time. */
+  /** Renews the session, or opens it the first time. Not to be called again before it returned. */
   public async renew(): Promise<RenewalOutcome> {
+    if (this.hasEnded) {
+      return 'lost';
+    }
     if (this.unsettled.size > 0) {
       const settled = await this.settle();
       if (settled !== 'renewed') {
@@ -79,23 +85,43 @@
       }
       return 'unknown';
     }
+    const row = outcome.val.rows[0];
+    if (row === undefined) {
+      return 'unknown';
+    }
     if (outcome.val.status === 'conflict') {
-      return 'lost';
+      return this.adopt(row);
     }
-    this.accept(outcome.val.rows[0]?.version ?? 0, sentAt);
+    this.unsettled.clear();
+    this.accept(row.version, sentAt);
     return 'renewed';
   }
 
   /** Ends the session, so that others need not wait for its term. */
   public async end(): Promise<void> {
+    this.hasEnded = true;
     this.validUntil = Number.NEGATIVE_INFINITY;
-    await this.options.table.transact({
-      checks: [this.check],
-      writes: [{ key: this.check.key, value: null }],
-    });
+    for (let attempt = 0; attempt < END_ATTEMPTS; attempt++) {
+      const outcome = await this.options.table.transact({
+        checks: [this.check],
+        writes: [{ key: this.check.key, value: null }],
+      });
+      const row = outcome.ok ? outcome.val.rows[0] : undefined;
+      if (row === undefined) {
+        continue;
+      }
+      if (row.version === 0) {
+        return;
+      }
+      // A renewal without an answer moved the row.
+      this.rowVersion = row.version;
+    }
   }
 
   private accept(rowVersion: number, sentAt: number): void {
+    if (this.hasEnded) {
+      return;
+    }
     const { marginMilliseconds, termMilliseconds } = this.options.terms;
     this.rowVersion = rowVersion;
     this.validUntil = Math.max(this.validUntil, sentAt + termMilliseconds - marginMilliseconds);
@@ -108,17 +134,18 @@
     if (row === undefined) {
       return 'unknown';
     }
+    // While the version stands, the unanswered renewals may still arrive: they stay unsettled.
+    return row.version === this.rowVersion ? 'renewed' : this.adopt(row);
+  }
+
+  /** Takes over a row that an unanswered renewal of this session wrote. */
+  private adopt(row: Row): RenewalOutcome {
     const sentAt = this.unsettled.get(row.value);
-    if (sentAt !== undefined) {
-      this.unsettled.clear();
-      this.accept(row.version, sentAt);
-      return 'renewed';
-    }
-    if (row.version !== this.rowVersion) {
+    if (sentAt === undefined) {
       return 'lost';
     }
-    // The unanswered renewals may still arrive, but only while the version stands: the next
-    // renewal moves it, and they fail their check.
+    this.unsettled.clear();
+    this.accept(row.version, sentAt);
     return 'renewed';
   }
 
--- a/packages/coordination/src/leases/shardLeases.ts
+++ b/packages/coordination/src/leases/shardLeases.ts
@@ -1,39 +1,17 @@
-import type { Epoch, IncarnationId, Logger, Result, ShardId, TimerService } from '@zincring/core';
-import type { Row, TableService } from '@zincring/platform';
+import type { Epoch, IncarnationId, Logger, ShardId, TimerService } from '@zincring/core';
+import type { TableService } from '@zincring/platform';
 
-import { Err, failureText, Ok } from '@zincring/core';
+import { failureText, sleep } from '@zincring/core';
 
-import type { LeaseTerms } from './session.js';
 import type { ShardRow, ShardStateReference } from './leaseRows.js';
+import type { LeaseTerms } from './session.js';
+import type { ShardOwner, ShardStanding } from './shardLease.js';
 
 import { preferredHolder } from '../shards/shardMap.js';
-import { parseShardRow, sessionRowKey, shardRowKey } from './leaseRows.js';
+import { ExpiredSessions } from './expiredSessions.js';
+import { HeldShard } from './heldShard.js';
+import { parseShardRow, shardRowKey } from './leaseRows.js';
 import { Session } from './session.js';
-import { SessionObserver } from './sessionObserver.js';
-
-/**
- * How an instance stands to a shard: `held` by a running lease; `lapsed`, held until the term ran
- * out and not known to be taken by another; `recovering`, taken but not yet replayed; `none`.
- */
-export type ShardStanding = 'held' | 'lapsed' | 'none' | 'recovering';
-
-/** What the owner of the leases does when shards come and go. */
-export interface ShardOwner {
-  /**
-   * Restores the state of a shard that was taken.
-   *
-   * @returns where the state stands from now on
-   */
-  recover(shard: ShardId, epoch: Epoch, state: ShardStateReference): Promise<ShardStateReference>;
-  /**
-   * Finishes the running work of a shard before it is released.
-   *
-   * @returns where the state stands for the next holder
-   */
-  handOver(shard: ShardId): Promise<ShardStateReference>;
-  /** Drops a shard that another holder has, or may have, taken. */
-  drop(shard: ShardId): void;
-}
 
 /** Who takes part: instances that should hold shards. */
 export interface ShardMembers {
@@ -56,13 +34,6 @@
   readonly createIncarnation: () => IncarnationId;
 }
 
-interface HeldShard {
-  readonly epoch: Epoch;
-  rowVersion: number;
-  state: ShardStateReference;
-  phase: 'active' | 'recovering' | 'releasing';
-}
-
 /** A row of a shard with its version. */
 interface ReadShard {
   readonly shard: ShardId;
@@ -72,6 +43,8 @@
 
 /** Most shards that are taken in one transaction. */
 const SHARDS_PER_TRANSACTION = 32;
+/** Pause before a failed recovery or release is tried again. */
+const RETRY_PAUSE_MILLISECONDS = 500;
 
 /**
  * Leases on shards: rendezvous hashing says who should try, the compare-and-set of the row says
@@ -79,14 +52,25 @@
  */
 export class ShardLeases {
   private session: Session;
-  private readonly observer: SessionObserver;
+  private readonly expiredSessions: ExpiredSessions;
   private readonly held = new Map<ShardId, HeldShard>();
+  /**
+   * Shards whose taking had no answer, with the version of the row that it expected: the row may
+   * name this instance although it does not act for the shard.
+   */
+  private readonly unsettledTakes = new Map<ShardId, number>();
+  private readonly releases = new Map<HeldShard, Promise<void>>();
+  private isTicking = false;
+  private isDraining = false;
   private isRebalancing = false;
   private isStopping = false;
 
   public constructor(private readonly options: ShardLeasesOptions) {
     this.session = this.openSession();
-    this.observer = new SessionObserver(options.timers, options.terms.termMilliseconds);
+    this.expiredSessions = new ExpiredSessions({
+      ...options,
+      termMilliseconds: options.terms.termMilliseconds,
+    });
   }
 
   /** The running incarnation; a new one begins when the session was lost. */
@@ -101,56 +85,55 @@
 
   /** How this instance stands to a shard. To be asked again after every wait. */
   public standing(shard: ShardId): ShardStanding {
-    const held = this.held.get(shard);
-    if (held === undefined || held.phase === 'releasing') {
-      return 'none';
-    }
-    if (held.phase === 'recovering') {
-      return 'recovering';
-    }
-    return this.session.isValid ? 'held' : 'lapsed';
-  }
-
-  /** The fencing number under which a shard is held. */
-  public epochOf(shard: ShardId): Epoch | undefined {
-    return this.held.get(shard)?.epoch;
+    return this.held.get(shard)?.standing ?? 'none';
   }
 
   /** Renews the session, gives up what others should hold and takes what this one should. */
   public async tick(): Promise<void> {
-    const renewal = await this.session.renew();
-    if (renewal === 'lost') {
-      this.startOver();
+    // A second renewal beside one that waits for its answer would fail the check of the row.
+    if (this.isTicking || this.isStopping) {
       return;
     }
-    if (renewal === 'renewed' && !this.isStopping) {
-      this.startRebalancing();
-    }
-  }
-
-  /** Records a newer snapshot of a shard. */
-  public async commitState(
-    shard: ShardId,
-    state: ShardStateReference,
-  ): Promise<Result<void, Error>> {
-    const held = this.held.get(shard);
-    if (held === undefined) {
-      return Err(new Error(`shard ${shard} is not held`));
+    this.isTicking = true;
+    try {
+      await this.renew();
+    } finally {
+      this.isTicking = false;
     }
-    const isCommitted = await this.writeShard(shard, held, this.session.incarnation, state);
-    return isCommitted ? Ok(undefined) : Err(new Error(`shard ${shard} was not written`));
   }
 
-  /** Hands over every shard and ends the session. */
+  /** Hands over every shard and ends the session. Renewals go on until then. */
   public async stop(): Promise<void> {
+    const renewals = this.options.timers.every(this.options.terms.renewMilliseconds, () => {
+      this.tick().catch((failure: unknown) => {
+        this.options.logger.warn({ failure: failureText(failure) }, 'lease renewal failed');
+      });
+    });
+    this.isDraining = true;
+    await Promise.all([...this.held.values()].map(async held => this.release(held)));
     this.isStopping = true;
-    await Promise.all([...this.held.keys()].map(async shard => this.release(shard)));
+    renewals.stop();
     await this.session.end();
+    this.startOver();
+  }
+
+  private async renew(): Promise<void> {
+    const { session } = this;
+    switch (await session.renew()) {
+      case 'lost':
+        this.startOver();
+        return;
+      case 'renewed':
+        this.startRebalancing();
+        return;
+      case 'unknown':
+        return;
+    }
   }
 
-  /** Rebalances beside the renewals, which must not wait for a recovery. */
+  /** Rebalances beside the renewals, which must not wait for it. */
   private startRebalancing(): void {
-    if (this.isRebalancing) {
+    if (this.isRebalancing || this.isDraining) {
       return;
     }
     this.isRebalancing = true;
@@ -164,69 +147,116 @@
   }
 
   private async rebalance(): Promise<void> {
-    await this.releaseForeign();
-    await this.takeOwn();
+    const eligible = this.options.members.eligible();
+    for (const held of this.held.values()) {
+      const isForeign = preferredHolder(held.shard, eligible) !== this.options.instance;
+      if (isForeign && held.phase === 'active') {
+        void this.release(held);
+      }
+    }
+    await this.takeOwn(eligible);
   }
 
   private openSession(): Session {
     return new Session({ ...this.options, incarnation: this.options.createIncarnation() });
   }
 
+  private isCurrent(session: Session): boolean {
+    return session === this.session && !this.isStopping;
+  }
+
   private startOver(): void {
-    this.options.logger.warn({ incarnation: this.session.incarnation }, 'session lost');
-    for (const shard of this.held.keys()) {
-      this.options.owner.drop(shard);
+    if (!this.isStopping) {
+      this.options.logger.warn({ incarnation: this.session.incarnation }, 'session lost');
+    }
+    for (const held of [...this.held.values()]) {
+      this.drop(held);
     }
-    this.held.clear();
+    this.unsettledTakes.clear();
     this.session = this.openSession();
   }
 
-  private async releaseForeign(): Promise<void> {
-    const eligible = this.options.members.eligible();
-    const foreign = [...this.held].filter(
-      ([shard, held]) =>
-        held.phase === 'active' && preferredHolder(shard, eligible) !== this.options.instance,
-    );
-    await Promise.all(foreign.map(async ([shard]) => this.release(shard)));
+  private drop(held: HeldShard): void {
+    if (held.phase === 'dropped') {
+      return;
+    }
+    held.phase = 'dropped';
+    if (this.held.get(held.shard) === held) {
+      this.held.delete(held.shard);
+    }
+    this.options.owner.drop(held);
   }
 
-  private async release(shard: ShardId): Promise<void> {
-    const held = this.held.get(shard);
-    if (held === undefined || held.phase === 'releasing') {
+  private async release(held: HeldShard): Promise<void> {
+    if (held.phase === 'recovering') {
+      // The row stands for the whole state: whoever finds the session ended takes it from there.
+      this.drop(held);
+      return;
+    }
+    const running = this.releases.get(held);
+    if (running !== undefined) {
+      await running;
       return;
     }
     held.phase = 'releasing';
+    const release = this.finishRelease(held).finally(() => {
+      this.releases.delete(held);
+    });
+    this.releases.set(held, release);
+    await release;
+  }
+
+  /** Tries until the row is written: while it names this live session, nobody may take it. */
+  private async finishRelease(held: HeldShard): Promise<void> {
+    const state = await this.handOver(held);
+    while (held.standing !== 'none') {
+      const written = await held.writeRelease(state);
+      // At a planned stop the session ends by itself: then a later holder need not wait for more.
+      const isGivenUp = this.isDraining && held.standing === 'lapsed';
+      if (written.ok || written.val === 'lost' || isGivenUp) {
+        this.drop(held);
+        return;
+      }
+      await sleep(this.options.timers, RETRY_PAUSE_MILLISECONDS);
+    }
+  }
+
+  /** `undefined` when the state stays where the row says that it is. */
+  private async handOver(held: HeldShard): Promise<ShardStateReference | undefined> {
     try {
-      const state = await this.options.owner.handOver(shard);
-      await this.writeShard(shard, held, null, state);
+      return await this.options.owner.handOver(held);
     } catch (failure) {
-      this.options.logger.warn({ failure: failureText(failure), shard }, 'release failed');
+      const fields = { failure: failureText(failure), shard: held.shard };
+      this.options.logger.warn(fields, 'shard handed over without a new snapshot');
+      return undefined;
     }
-    this.options.owner.drop(shard);
-    this.held.delete(shard);
   }
 
-  private async takeOwn(): Promise<void> {
-    const eligible = this.options.members.eligible();
+  private async takeOwn(eligible: ReadonlySet<string>): Promise<void> {
     const wanted: ShardId[] = [];
-    for (let shard = 0; shard < this.options.shardCount; shard++) {
-      const id = shard as ShardId;
-      if (!this.held.has(id) && preferredHolder(id, eligible) === this.options.instance) {
-        wanted.push(id);
+    for (let number = 0; number < this.options.shardCount; number++) {
+      const shard = number as ShardId;
+      const isWanted =
+        this.unsettledTakes.has(shard) ||
+        preferredHolder(shard, eligible) === this.options.instance;
+      if (isWanted && !this.held.has(shard)) {
+        wanted.push(shard);
       }
     }
     if (wanted.length === 0) {
-      this.observer.retain(new Set());
       return;
     }
-    const free = await this.findFree(wanted);
+    const free = await this.findFree(wanted, eligible);
     for (let start = 0; start < free.length; start += SHARDS_PER_TRANSACTION) {
       await this.take(free.slice(start, start + SHARDS_PER_TRANSACTION));
     }
   }
 
-  /** Those of the wanted shards that nobody holds, or whose holder's session has expired. */
-  private async findFree(wanted: readonly ShardId[]): Promise<readonly ReadShard[]> {
+  /** Those of the wanted shards that nobody holds, or whose holder's session has ended. */
+  private async findFree(
+    wanted: readonly ShardId[],
+    eligible: ReadonlySet<string>,
+  ): Promise<readonly ReadShard[]> {
     const read = await this.options.table.read(wanted.map(shardRowKey));
     if (read.err) {
       return [];
@@ -236,66 +266,46 @@
       rowVersion: row.version,
       shard: Number(row.key.slice(row.key.indexOf('/') + 1)) as ShardId,
     }));
+    const candidates = shards.filter(each => this.isCandidate(each, eligible));
     const holders = new Set(
-      shards
+      candidates
         .map(each => each.row.holder)
         .filter((holder): holder is IncarnationId => holder !== null)
         .filter(holder => holder !== this.incarnation),
     );
-    const expired = await this.findExpired(holders);
-    return shards.filter(
-      ({ row }) =>
-        row.holder === null || row.holder === this.incarnation || expired.has(row.holder),
+    const ended = await this.expiredSessions.find(holders);
+    return candidates.filter(
+      ({ row }) => row.holder === null || row.holder === this.incarnation || ended.has(row.holder),
     );
   }
 
-  private async findExpired(
-    holders: ReadonlySet<IncarnationId>,
-  ): Promise<ReadonlyMap<IncarnationId, Row>> {
-    this.observer.retain(holders);
-    const incarnations = [...holders];
-    const startedAt = this.options.timers.now();
-    const read = await this.options.table.read(incarnations.map(sessionRowKey));
-    const expired = new Map<IncarnationId, Row>();
-    if (read.err) {
-      return expired;
-    }
-    for (const [index, row] of read.val.entries()) {
-      const incarnation = incarnations[index];
-      if (incarnation !== undefined && this.observer.observe(incarnation, row, startedAt)) {
-        expired.set(incarnation, row);
-      }
-    }
-    // An expired session is ended first, so that its holder can never renew it again.
-    for (const [incarnation, row] of expired) {
-      if (row.version > 0 && !(await this.endSession(incarnation, row))) {
-        expired.delete(incarnation);
-      }
+  private isCandidate(read: ReadShard, eligible: ReadonlySet<string>): boolean {
+    const expectedVersion = this.unsettledTakes.get(read.shard);
+    const isOwn = read.row.holder === this.incarnation;
+    if (!isOwn && expectedVersion !== undefined && read.rowVersion !== expectedVersion) {
+      // The row has moved on: the taking without an answer can no longer take effect.
+      this.unsettledTakes.delete(read.shard);
     }
-    return expired;
-  }
-
-  private async endSession(incarnation: IncarnationId, row: Row): Promise<boolean> {
-    const ended = await this.options.table.transact({
-      checks: [{ key: row.key, version: row.version }],
-      writes: [{ key: row.key, value: null }],
-    });
-    const isEnded = ended.ok && ended.val.status === 'committed';
-    if (isEnded) {
-      this.options.logger.info({ incarnation }, 'expired session ended');
-    }
-    return isEnded;
+    return isOwn || preferredHolder(read.shard, eligible) === this.options.instance;
   }
 
   private async take(shards: readonly ReadShard[]): Promise<void> {
+    const { session } = this;
+    if (!this.isCurrent(session) || !session.isValid) {
+      return;
+    }
     const rows = shards.map(each => ({
       ...each.row,
       epoch: (each.row.epoch + 1) as Epoch,
-      holder: this.session.incarnation,
+      holder: session.incarnation,
     }));
+    const earlier = new Set(this.unsettledTakes.keys());
+    for (const each of shards) {
+      this.unsettledTakes.set(each.shard, each.rowVersion);
+    }
     const outcome = await this.options.table.transact({
       checks: [
-        this.session.check,
+        session.check,
         ...shards.map(each => ({ key: shardRowKey(each.shard), version: each.rowVersion })),
       ],
       writes: shards.map((each, index) => ({
@@ -303,54 +313,84 @@
         value: JSON.stringify(rows[index]),
       })),
     });
-    if (outcome.err || outcome.val.status === 'conflict') {
+    if (outcome.err || !this.isCurrent(session)) {
       return;
     }
-    const written = outcome.val.rows;
-    await Promise.all(
-      shards.map(async (each, index) => {
-        const held: HeldShard = {
-          epoch: (each.row.epoch + 1) as Epoch,
-          phase: 'recovering',
-          rowVersion: written[index]?.version ?? 0,
-          state: each.row.state,
-        };
-        this.held.set(each.shard, held);
-        await this.recover(each.shard, held);
-      }),
-    );
+    const isTaken = outcome.val.status === 'committed';
+    for (const each of shards) {
+      // A conflict may come from an earlier taking without an answer, which named this instance.
+      if (isTaken || !earlier.has(each.shard)) {
+        this.unsettledTakes.delete(each.shard);
+      }
+    }
+    if (!isTaken) {
+      return;
+    }
+    for (const [index, each] of shards.entries()) {
+      const rowVersion = outcome.val.rows[index]?.version ?? 0;
+      this.startHolding(session, each, rowVersion);
+    }
   }
 
-  private async recover(shard: ShardId, held: HeldShard): Promise<void> {
-    try {
-      const state = await this.options.owner.recover(shard, held.epoch, held.state);
-      if (await this.writeShard(shard, held, this.session.incarnation, state)) {
-        held.phase = 'active';
+  private startHolding(session: Session, read: ReadShard, rowVersion: number): void {
+    const held = new HeldShard({
+      epoch: (read.row.epoch + 1) as Epoch,
+      rowVersion,
+      session,
+      shard: read.shard,
+      state: read.row.state,
+      table: this.options.table,
+      timers: this.options.timers,
+    });
+    this.held.set(read.shard, held);
+    void this.recover(held);
+  }
+
+  /** Tries until the shard is recovered or lost. */
+  private async recover(held: HeldShard): Promise<void> {
+    let state: ShardStateReference | undefined;
+    while (held.isIn('recovering')) {
+      // Once recovered, only the row is written again: it may have been written already, and then
+      // what it named before may be deleted at any time.
+      state ??= await this.tryRecovery(held);
+      if (state !== undefined && (await this.activate(held, state))) {
         return;
       }
+      await sleep(this.options.timers, RETRY_PAUSE_MILLISECONDS);
+    }
+  }
+
+  private async tryRecovery(held: HeldShard): Promise<ShardStateReference | undefined> {
+    try {
+      return await this.options.owner.recover(held, held.state);
     } catch (failure) {
-      this.options.logger.warn({ failure: failureText(failure), shard }, 'recovery failed');
+      const fields = { failure: failureText(failure), shard: held.shard };
+      this.options.logger.warn(fields, 'recovery failed');
+      return undefined;
+    } finally {
+      if (!held.isIn('recovering')) {
+        this.options.owner.drop(held);
+      }
     }
-    this.options.owner.drop(shard);
-    this.held.delete(shard);
   }
 
-  private async writeShard(
-    shard: ShardId,
-    held: HeldShard,
-    holder: IncarnationId | null,
-    state: ShardStateReference,
-  ): Promise<boolean> {
-    const row: ShardRow = { epoch: held.epoch, holder, state };
-    const outcome = await this.options.table.transact({
-      checks: [{ key: shardRowKey(shard), version: held.rowVersion }],
-      writes: [{ key: shardRowKey(shard), value: JSON.stringify(row) }],
-    });
-    if (outcome.err || outcome.val.status === 'conflict') {
-      return false;
+  /** Returns whether no more is to be done: the shard is active or lost. */
+  private async activate(held: HeldShard, state: ShardStateReference): Promise<boolean> {
+    if (!held.isIn('recovering')) {
+      return true;
+    }
+    const written = await held.commitState(state);
+    if (!held.isIn('recovering')) {
+      return true;
+    }
+    if (written.ok) {
+      held.phase = 'active';
+      return true;
+    }
+    if (written.val === 'lost') {
+      this.drop(held);
+      return true;
     }
-    held.rowVersion = outcome.val.rows[0]?.version ?? 0;
-    held.state = state;
-    return true;
+    return false;
   }
 }
--- a/packages/coordination/src/log/logRecord.ts
+++ b/packages/coordination/src/log/logRecord.ts
@@ -18,9 +18,12 @@
 
 const SEQUENCE_DIGITS = 12;
 
+/** Prefix of the objects of all logs. */
+export const LOG_ROOT = 'log/';
+
 /** Prefix of the objects of one incarnation's log. */
 export function logPrefix(incarnation: IncarnationId): string {
-  return `log/${incarnation}/`;
+  return `${LOG_ROOT}${incarnation}/`;
 }
 
 /** Name of the object of one commit group. */
@@ -28,6 +31,14 @@
   return `${logPrefix(incarnation)}${String(sequence).padStart(SEQUENCE_DIGITS, '0')}`;
 }
 
+/** Reads the name of the object of a commit group; `undefined` for any other name. */
+export function parseLogObjectName(name: string): LogPosition | undefined {
+  const match = /^log\/([^/]+)\/(\d+)$/.exec(name);
+  return match === null
+    ? undefined
+    : { incarnation: match[1] as IncarnationId, sequence: Number(match[2]) };
+}
+
 /** Encodes a commit group as JSON lines. */
 export function encodeGroup(records: readonly LogRecord[]): Uint8Array {
   return Buffer.from(records.map(record => JSON.stringify(record)).join('\n'));
--- a/packages/coordination/src/log/writeAheadLog.ts
+++ b/packages/coordination/src/log/writeAheadLog.ts
@@ -1,8 +1,7 @@
 import type { IncarnationId, Logger, ProcessSteps, Result, TimerService } from '@zincring/core';
-import type { ObjectStore } from '@zincring/platform';
+import type { ObjectStore, PlatformError } from '@zincring/platform';
 
 import { Channel, Err, failureText, Ok, settle, sleep, startProcess } from '@zincring/core';
-import { putSettled } from '@zincring/platform';
 
 import type { LogPosition, LogRecord } from './logRecord.js';
 
@@ -25,11 +24,23 @@
 /** Why a record did not become durable. */
 export type LogFailure = 'closed' | 'foreign-object' | 'full';
 
+/** A record that the log has accepted. */
+export interface QueuedRecord {
+  /** Settles once the record is durable, however long the store is out. */
+  readonly stored: Promise<Result<LogPosition, LogFailure>>;
+}
+
 interface PendingRecord {
   readonly record: LogRecord;
   readonly settle: (outcome: Result<LogPosition, LogFailure>) => void;
 }
 
+/** Share of the room for records that new work may fill; the rest is for work that runs. */
+const ADMITTED_SHARE = 0.8;
+
+/** Size at which a commit group takes no more records, in characters. */
+const LARGEST_GROUP = 4 * 1_024 * 1_024;
+
 /**
  * The log of one incarnation: an object per commit group, each stored on condition that it does
  * not exist. A record is durable once its group is stored.
@@ -40,6 +51,7 @@
   private nextSequence = 1;
   private failure: LogFailure | undefined;
   private isStoreFailing = false;
+  private readonly stallListeners = new Set<() => void>();
 
   public constructor(private readonly options: WriteAheadLogOptions) {
     this.queue = new Channel(options.maximumPending);
@@ -67,24 +79,58 @@
     return this.pendingCount;
   }
 
+  /** Whether more work may be begun whose records will have to wait for the store. */
+  public get hasRoom(): boolean {
+    return this.pendingCount < this.options.maximumPending * ADMITTED_SHARE;
+  }
+
   /** Whether the last write of a group failed, so that waiting may take long. */
   public get isStalled(): boolean {
     return this.isStoreFailing;
   }
 
-  /** Appends a record; settles once it is durable, however long the store is out. */
-  public async append(record: LogRecord): Promise<Result<LogPosition, LogFailure>> {
+  /**
+   * Accepts a record, or refuses it at once: a record that was refused never becomes durable.
+   *
+   * @example
+   * const queued = log.append(record);
+   * if (queued.ok) await queued.val.stored;
+   */
+  public append(record: LogRecord): Result<QueuedRecord, LogFailure> {
     if (this.failure !== undefined) {
       return Err(this.failure);
     }
-    return await new Promise(resolve => {
-      const isQueued = this.queue.offer({ record, settle: resolve });
-      if (!isQueued) {
-        resolve(Err('full'));
-        return;
-      }
-      this.pendingCount++;
+    if (this.pendingCount >= this.options.maximumPending) {
+      return Err('full');
+    }
+    let settleRecord: PendingRecord['settle'] = () => undefined;
+    const stored = new Promise<Result<LogPosition, LogFailure>>(resolve => {
+      settleRecord = resolve;
     });
+    if (!this.queue.offer({ record, settle: settleRecord })) {
+      return Err('full');
+    }
+    this.pendingCount++;
+    return Ok({ stored });
+  }
+
+  /** Waits until a record is durable, or `undefined` once the store fails before that. */
+  public async storedOrStalled(
+    queued: QueuedRecord,
+  ): Promise<Result<LogPosition, LogFailure> | undefined> {
+    if (this.isStoreFailing) {
+      return undefined;
+    }
+    let listener: () => void = () => undefined;
+    const stalled = new Promise<undefined>(resolve => {
+      listener = () => {
+        resolve(undefined);
+      };
+      this.stallListeners.add(listener);
+    });
+    const outcome = await Promise.race([queued.stored, stalled]);
+    this.stallListeners.delete(listener);
+    return outcome;
   }
 
   /** Refuses further records and lets the queued ones become durable. */
@@ -101,12 +147,14 @@
       }
       yield* settle(sleep(this.options.timers, this.options.groupMilliseconds));
       const group = [first];
-      while (this.queue.size > 0) {
+      let size = first.record.payload.length;
+      while (this.queue.size > 0 && size < LARGEST_GROUP) {
         const next = yield* this.queue.receive();
         if (next === undefined) {
           break;
         }
         group.push(next);
+        size += next.record.payload.length;
       }
       yield* this.commit(group);
     }
@@ -129,20 +177,32 @@
     }
   }
 
-  /** Stores a group; `false` when another object has its name. */
+  /** Stores a group, however long it takes; `false` when another object has its name. */
   private async store(name: string, content: Uint8Array): Promise<boolean> {
     for (;;) {
-      const outcome = await putSettled(this.options.objects, name, content, {
-        attempts: 2,
-        pauseMilliseconds: this.options.retryMilliseconds,
-        timers: this.options.timers,
-      });
+      const outcome = await this.tryStore(name, content);
       if (outcome.ok) {
         this.isStoreFailing = false;
-        return outcome.val === 'stored';
+        return outcome.val;
       }
       this.isStoreFailing = true;
+      for (const listener of this.stallListeners) {
+        listener();
+      }
       await sleep(this.options.timers, this.options.retryMilliseconds);
     }
   }
+
+  /** An object of the same content is an earlier attempt whose answer was lost. */
+  private async tryStore(
+    name: string,
+    content: Uint8Array,
+  ): Promise<Result<boolean, PlatformError>> {
+    const put = await this.options.objects.putIfAbsent(name, content);
+    if (put.err || put.val === 'stored') {
+      return put.map(() => true);
+    }
+    const found = await this.options.objects.get(name);
+    return found.map(bytes => bytes !== undefined && Buffer.from(bytes).equals(content));
+  }
 }
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -13,6 +13,7 @@
 
 import { failureText } from '@zincring/core';
 import {
+  LogSweeper,
   Membership,
   preferredHolder,
   ShardLeases,
@@ -54,6 +55,9 @@
 
 const INCARNATION_BYTES = 6;
 const LOG_RETRY_MILLISECONDS = 200;
+/** How often the holder of the first shard deletes log objects that no shard needs. */
+const LOG_SWEEP_MILLISECONDS = 60_000;
+const FIRST_SHARD = 0 as ShardId;
 
 /** One running instance: every slice, connected. */
 export class Instance {
@@ -70,6 +74,7 @@
   private readonly peerServer: PeerServer;
   private readonly operatorServer: OperatorServer;
   private renewals: TimerSubscription | undefined;
+  private sweeps: TimerSubscription | undefined;
   private draining: Promise<void> | undefined;
 
   public constructor(private readonly parts: InstanceParts) {
@@ -108,7 +113,6 @@
       timers,
     });
     this.leases = this.createLeases();
-    this.home.attach(this.leases);
     this.heartbeats = this.createHeartbeats();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
@@ -144,6 +148,10 @@
     await this.peerServer.listen(...splitAddress(settings.peerAddress));
     this.configuration.start();
     this.heartbeats.start();
+    this.home.start();
+    this.sweeps = timers.every(LOG_SWEEP_MILLISECONDS, () => {
+      this.sweepLogs();
+    });
     this.upstreams.start();
     this.configuration.subscribe(configuration => {
       this.upstreams.updateConfiguration(configuration);
@@ -169,6 +177,8 @@
     this.heartbeats.beat();
     await this.callerServer.drain();
     this.renewals?.stop();
+    this.sweeps?.stop();
+    this.home.stop();
     this.configuration.stop();
     this.heartbeats.stop();
     this.upstreams.stop();
@@ -187,6 +197,17 @@
     });
   }
 
+  private sweepLogs(): void {
+    if (this.leases.standing(FIRST_SHARD) !== 'held') {
+      return;
+    }
+    const { objects, table } = this.parts.platform;
+    const { shardCount } = this.parts.settings;
+    new LogSweeper({ objects, shardCount, table }).sweep().catch((failure: unknown) => {
+      this.parts.logger.warn({ failure: failureText(failure) }, 'log sweep failed');
+    });
+  }
+
   private createLeases(): ShardLeases {
     const { logger, platform, settings, timers } = this.parts;
     return new ShardLeases({
--- a/packages/instance/src/programs/callRunner.ts
+++ b/packages/instance/src/programs/callRunner.ts
@@ -1,31 +1,40 @@
-import type { ProgramId, Result, TimerService } from '@zincring/core';
-import type { ShardStanding } from '@zincring/coordination';
-import type { ServiceRule } from '@zincring/rules';
+import type { Result, TimerService } from '@zincring/core';
+import type { ProgramRule, ServiceRule } from '@zincring/rules';
 
 import { Err, Ok, toZincringError, ZincringError } from '@zincring/core';
 
-import type {
-  EnginePayload,
-  PlainPayload,
-  UpstreamDispatcher,
-  UpstreamWork,
-} from '../upstreams/upstreamMessages.js';
-import type { CallRequest, CallUsage } from './programMessages.js';
-import type { ProgramRecord, TurnRecord } from './programRecord.js';
+import type { UpstreamDispatcher, UpstreamWork } from '../upstreams/upstreamMessages.js';
+import type { CallUsage } from './programMessages.js';
+import type { HomeShard } from './homeShard.js';
 import type { ProgramState } from './programState.js';
+import type { TurnRecord } from './programRecord.js';
 import type { RunningCall } from './runningCall.js';
 
+import { createPayload, isIdempotentCall, tokenBound } from './callPayload.js';
+import { untilAborted } from './untilAborted.js';
+
 /** What running calls needs. */
 export interface CallRunnerOptions {
   readonly dispatcher: UpstreamDispatcher;
   readonly timers: TimerService;
-  /** Applies a record and waits until it is durable. */
-  readonly record: (
-    state: ProgramState,
-    record: ProgramRecord,
-  ) => Promise<Result<void, ZincringError>>;
-  /** How this instance stands to the shard of a program. */
-  readonly standing: (program: ProgramId) => ShardStanding;
+}
+
+/** The rules in force when a call starts to run. */
+export interface CallRules {
+  /** The rule that binds the program; `undefined` when it has been withdrawn. */
+  readonly program: ProgramRule | undefined;
+  readonly service: ServiceRule | undefined;
+}
+
+/** One call on its way. */
+interface CallContext {
+  readonly running: RunningCall;
+  readonly home: HomeShard;
+  readonly state: ProgramState;
+  readonly rule: ServiceRule;
+  readonly isIdempotent: boolean;
+  /** Whether something may have been sent. */
+  mayBeSent: boolean;
 }
 
 /** What an upstream answered. */
@@ -34,158 +43,150 @@
   readonly status: number;
 }
 
-/** HTTP methods that have no effects by definition. */
-const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
+const RESERVATION_ATTEMPTS = 4;
 
-/** Runs one call of a program: checks, upstream, turn. */
+/** Runs one call of a program: checks, budget, upstream, turn. */
 export class CallRunner {
   public constructor(private readonly options: CallRunnerOptions) {}
 
   /** Runs a call to its end; every outcome goes to `running`. */
   public async run(
-    request: CallRequest,
-    state: ProgramState,
-    rule: ServiceRule | undefined,
     running: RunningCall,
+    home: HomeShard,
+    state: ProgramState,
+    rules: CallRules,
   ): Promise<void> {
+    const { call, program } = running.request;
+    const timeout = this.options.timers.after(findTimeout(running, home, state, rules), () => {
+      running.abort(new ZincringError('deadline-exceeded'));
+    });
     try {
-      const refusal = this.findRefusal(request, state, rule);
-      if (refusal !== undefined || rule === undefined) {
-        throw refusal ?? new ZincringError('service-not-found');
-      }
-      const answer = await this.send(request, state, rule, running);
-      await this.takeTurn(request, state, answer, running);
+      const rule = checkRules(running, rules);
+      const isIdempotent = isIdempotentCall(running.request, rule);
+      const context = { home, isIdempotent, mayBeSent: false, rule, running, state };
+      checkState(context);
+      state.startCall(call);
+      await this.reserve(context);
+      await this.takeTurn(context, await this.send(context));
     } catch (failure) {
       running.finish({ error: toZincringError(failure), kind: 'failed' });
+    } finally {
+      timeout.stop();
+      state.finishCall(call);
+      const known = home.programs.find(program);
+      if (known !== undefined) {
+        home.programs.touch(known);
+      }
     }
   }
 
-  private findRefusal(
-    request: CallRequest,
-    state: ProgramState,
-    rule: ServiceRule | undefined,
-  ): ZincringError | undefined {
-    if (this.options.standing(request.program) !== 'held') {
-      return new ZincringError('shard-unavailable');
-    }
-    if (state.hasEnded) {
-      return new ZincringError('program-ended');
-    }
-    if (rule === undefined) {
-      return new ZincringError('service-not-found');
-    }
-    if (request.turn !== state.turn + 1) {
-      return new ZincringError('turn-conflict', { resume: state.resumePoint });
-    }
-    const isOverTokens = rule.protocol === 'engine' && state.tokensLeft < request.maxTokens;
-    if (state.callsLeft < 1 || isOverTokens) {
-      return new ZincringError('budget-exhausted', { resume: state.resumePoint });
+  /** Reserves the upper bound of what the call can use, in the log as well where that is needed. */
+  private async reserve({ home, rule, running, state }: CallContext): Promise<void> {
+    const { call, program } = running.request;
+    const tokens = tokenBound(running.request, state, rule);
+    for (let attempt = 0; attempt < RESERVATION_ATTEMPTS; attempt++) {
+      switch (state.budget.reserve(call, tokens)) {
+        case 'reserved':
+          return;
+        case 'exhausted':
+          throw new ZincringError('budget-exhausted', { resume: resumePoint(running, state) });
+        case 'beyond-allowance':
+          break;
+      }
+      const allowance = state.budget.allowanceFor(tokens);
+      const granted = await home.writeDurably({ allowance, program, type: 'reserved' });
+      if (granted.err) {
+        throw new ZincringError('store-unavailable', { ran: 'no' });
+      }
     }
-    return undefined;
+    throw new ZincringError('store-unavailable', { ran: 'no' });
   }
 
-  private async send(
-    request: CallRequest,
-    state: ProgramState,
-    rule: ServiceRule,
-    running: RunningCall,
-  ): Promise<UpstreamAnswer> {
-    const work = this.createWork(request, state, rule);
+  private async send(context: CallContext): Promise<UpstreamAnswer> {
+    const { running } = context;
+    const work = this.createWork(context);
     let status = 0;
-    for await (const frame of this.options.dispatcher.dispatch(work)) {
-      switch (frame.kind) {
-        case 'head':
-          status = frame.status;
-          break;
-        case 'data':
-          running.append(frame.data);
-          break;
-        case 'done':
-          return { status, usage: frame.usage };
-        case 'failed':
-          await this.abandonIfNotRun(request, state, work, frame.error);
-          throw frame.error;
+    try {
+      for await (const frame of untilAborted(
+        this.options.dispatcher.dispatch(work),
+        running.signal,
+      )) {
+        switch (frame.kind) {
+          case 'head':
+            status = frame.status;
+            break;
+          case 'data':
+            running.append(frame.data);
+            break;
+          case 'done':
+            return { status, usage: frame.usage };
+          case 'failed':
+            throw frame.error;
+        }
       }
+      throw new ZincringError('upstream-failed', { detail: 'the answer has no end' });
+    } catch (failure) {
+      settleFailure(context, toZincringError(failure));
+      throw failure;
     }
-    throw new ZincringError('upstream-failed', { detail: 'the answer has no end' });
   }
 
-  private createWork(request: CallRequest, state: ProgramState, rule: ServiceRule): UpstreamWork {
-    const isIdempotent =
-      rule.protocol === 'engine' || rule.idempotent || SAFE_METHODS.has(request.method);
+  private createWork(context: CallContext): UpstreamWork {
+    const { isIdempotent, rule, running, state } = context;
+    const { request } = running;
     return {
-      attainedTokens: state.opened.tokens - state.tokensLeft,
-      beforeSend: async () => this.prepareSend(request, state, isIdempotent),
+      attainedTokens: state.budget.used,
+      beforeSend: async () => this.prepareSend(context),
       call: request.call,
       isIdempotent,
       payload: createPayload(request, state, rule),
       program: request.program,
       rule,
       service: request.service,
-      signal: AbortSignal.timeout(request.timeoutMilliseconds),
+      signal: running.signal,
       timeoutMilliseconds: request.timeoutMilliseconds,
       workspace: request.workspace,
     };
   }
 
   /** Stores the intent of non-idempotent work and looks at the lease again after it. */
-  private async prepareSend(
-    request: CallRequest,
-    state: ProgramState,
-    isIdempotent: boolean,
-  ): Promise<Result<void, ZincringError>> {
-    if (isIdempotent) {
-      return Ok(undefined);
+  private async prepareSend(context: CallContext): Promise<Result<void, ZincringError>> {
+    const { home, isIdempotent, running, state } = context;
+    const { call, program } = running.request;
+    if (!isIdempotent) {
+      const { requestDigest } = running;
+      const intended = await home.writeDurably({ call, program, requestDigest, type: 'intent' });
+      if (intended.err || running.isOver) {
+        abandonIntent(home, state, running);
+        return Err(new ZincringError('store-unavailable', { ran: 'no' }));
+      }
     }
-    const { call, program } = request;
-    const intended = await this.options.record(state, { call, program, type: 'intent' });
-    if (intended.err) {
-      return Err(new ZincringError('store-unavailable', { ran: 'no' }));
+    const refusal = findSendRefusal(context);
+    if (refusal !== undefined) {
+      abandonIntent(home, state, running);
+      return Err(refusal);
     }
-    return this.options.standing(program) === 'held'
-      ? Ok(undefined)
-      : Err(new ZincringError('shard-unavailable'));
+    context.mayBeSent = true;
+    return Ok(undefined);
   }
 
-  private async abandonIfNotRun(
-    request: CallRequest,
-    state: ProgramState,
-    work: UpstreamWork,
-    error: ZincringError,
-  ): Promise<void> {
-    const { call, program } = request;
-    if (!work.isIdempotent && error.ran === 'no' && state.findCall(call).status === 'intended') {
-      await this.options.record(state, { call, program, type: 'abandoned' });
+  private async takeTurn(context: CallContext, answer: UpstreamAnswer): Promise<void> {
+    const { home, running, state } = context;
+    if (running.isOver) {
+      throw new ZincringError('call-interrupted');
     }
-  }
-
-  private async takeTurn(
-    request: CallRequest,
-    state: ProgramState,
-    answer: UpstreamAnswer,
-    running: RunningCall,
-  ): Promise<void> {
-    const text = running.text();
-    const body = Buffer.from(request.body).toString('utf8');
-    const turn: TurnRecord = {
-      answer: text,
-      call: request.call,
-      digest: state.nextDigest(body, text),
-      program: request.program,
-      request: body,
-      service: request.service,
-      turn: state.turn + 1,
-      type: 'turn',
-      upstreamStatus: answer.status,
-      usage: answer.usage,
-    };
-    const stored = await this.options.record(state, turn);
-    if (stored.ok) {
-      state.durableTurn = Math.max(state.durableTurn, turn.turn);
+    const turn = createTurn(context, answer);
+    const written = home.write(turn);
+    if (written.err) {
+      throw written.val;
+    }
+    const outcome = await home.settle(written.val);
+    if (outcome === 'lost') {
+      throw new ZincringError('call-interrupted', { resume: resumePoint(running, state) });
     }
     running.finish({
       digest: turn.digest,
-      isDurable: stored.ok,
+      isDurable: outcome === 'durable',
       kind: 'closed',
       turn: turn.turn,
       upstreamStatus: turn.upstreamStatus,
@@ -194,23 +195,121 @@
   }
 }
 
-function createPayload(
-  request: CallRequest,
+function findTimeout(
+  running: RunningCall,
+  home: HomeShard,
   state: ProgramState,
-  rule: ServiceRule,
-): EnginePayload | PlainPayload {
-  if (rule.protocol === 'engine') {
-    return {
-      maxTokens: request.maxTokens,
-      protocol: 'engine',
-      segments: [...state.segments, Buffer.from(request.body).toString('utf8')],
-    };
+  rules: CallRules,
+): number {
+  return Math.min(
+    running.request.timeoutMilliseconds,
+    rules.service === undefined ? Number.POSITIVE_INFINITY : rules.service.timeoutSeconds * 1_000,
+    Math.max(0, state.opened.lifetimeMilliseconds - home.programs.ageOf(state)),
+  );
+}
+
+function checkRules(running: RunningCall, rules: CallRules): ServiceRule {
+  const isAllowed = rules.program?.services.includes(running.request.service) === true;
+  if (rules.service === undefined || !isAllowed) {
+    throw new ZincringError('service-not-found');
+  }
+  return rules.service;
+}
+
+function checkState(context: CallContext): void {
+  const { home, running, state } = context;
+  const refusal = findSendRefusal(context);
+  if (refusal !== undefined) {
+    throw refusal;
+  }
+  if (state.hasEnded) {
+    throw new ZincringError('program-ended');
+  }
+  const resume = resumePoint(running, state);
+  if (running.request.turn !== resume.turn + 1) {
+    throw new ZincringError('turn-conflict', { resume });
+  }
+  if (state.callsLeft < 1) {
+    throw new ZincringError('budget-exhausted', { resume });
+  }
+  if (!home.hasRoom) {
+    throw new ZincringError('undurable-limit-reached', { resume });
   }
+}
+
+/** Why the call may not be sent now; to be asked again after every wait. */
+function findSendRefusal(context: CallContext): ZincringError | undefined {
+  const { home, isIdempotent, running } = context;
+  if (running.isOver) {
+    return new ZincringError('shard-unavailable');
+  }
+  switch (home.standing) {
+    case 'held':
+      return isIdempotent || !home.isStoreFailing
+        ? undefined
+        : new ZincringError('store-unavailable', { ran: 'no' });
+    case 'releasing':
+      // A call that began before the handover is finished by this holder.
+      return undefined;
+    case 'lapsed':
+      return isIdempotent ? undefined : new ZincringError('store-unavailable', { ran: 'no' });
+    case 'none':
+    case 'recovering':
+      return new ZincringError('shard-unavailable');
+  }
+}
+
+function abandonIntent(home: HomeShard, state: ProgramState, running: RunningCall): void {
+  const { call, program } = running.request;
+  if (state.findCall(call).status === 'intended') {
+    home.write({ call, program, type: 'abandoned' });
+  }
+}
+
+/** Settles what a call without an answer leaves behind. */
+function settleFailure(context: CallContext, error: ZincringError): void {
+  const { home, running, state } = context;
+  const { call, program } = running.request;
+  if (!context.mayBeSent || error.ran === 'no') {
+    abandonIntent(home, state, running);
+    return;
+  }
+  const tokens = state.budget.reservedFor(call);
+  if (tokens > 0) {
+    // What the engine used of the reservation is not known: all of it counts.
+    home.write({ program, type: 'spent', usedTokens: state.budget.used + tokens });
+  }
+}
+
+function createTurn(context: CallContext, answer: UpstreamAnswer): TurnRecord {
+  const { home, running, state } = context;
+  const { request, requestDigest } = running;
+  const parentCall = request.parentCall ?? null;
+  const branch = state.branch(parentCall);
+  const body = Buffer.from(request.body).toString('utf8');
+  const text = running.text();
+  const usedTokens = answer.usage.promptTokens + answer.usage.outputTokens;
   return {
-    body: request.body,
-    contentType: 'application/json',
-    method: request.method,
-    path: request.path,
-    protocol: 'plain',
+    ageMilliseconds: home.programs.ageOf(state),
+    allowance: state.budget.allowanceAfter(request.call, usedTokens),
+    answer: text,
+    call: request.call,
+    digest: branch.nextDigest(body, text),
+    parentCall,
+    program: request.program,
+    request: body,
+    requestDigest,
+    service: request.service,
+    turn: branch.turn + 1,
+    type: 'turn',
+    upstreamStatus: answer.status,
+    usage: answer.usage,
   };
 }
+
+function resumePoint(
+  running: RunningCall,
+  state: ProgramState,
+): ReturnType<ProgramState['branch']>['resumePoint'] {
+  return state.branch(running.request.parentCall ?? null).resumePoint;
+}
--- a/packages/instance/src/programs/programHome.ts
+++ b/packages/instance/src/programs/programHome.ts
@@ -1,26 +1,29 @@
 import type {
-  CallId,
   Epoch,
   Logger,
   ProgramId,
   Result,
   ShardId,
   TimerService,
+  TimerSubscription,
+  WorkspaceName,
 } from '@zincring/core';
 import type {
-  ShardLeases,
+  ShardLease,
   ShardOwner,
   ShardStateReference,
   WriteAheadLog,
 } from '@zincring/coordination';
 import type { ObjectStore } from '@zincring/platform';
-import type { Configuration, ProgramRule, ServiceRule } from '@zincring/rules';
+import type { Configuration, ProgramRule } from '@zincring/rules';
 
-import { Channel, Err, failureText, Ok, settle, startProcess, ZincringError } from '@zincring/core';
+import { Err, Ok, ZincringError } from '@zincring/core';
 import { shardOf } from '@zincring/coordination';
 
 import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
+import type { CallRules } from './callRunner.js';
+import type { ProgramEndListener } from './programEndListener.js';
 import type {
   CallClosed,
   CallFrame,
@@ -30,14 +33,15 @@
   ProgramService,
   ProgramSummary,
 } from './programMessages.js';
-import type { ProgramRecord, TurnRecord } from './programRecord.js';
+import type { EndReason, OpenedRecord, TurnRecord } from './programRecord.js';
 import type { ProgramState } from './programState.js';
 
+import { digestRequest } from './callPayload.js';
 import { CallRunner } from './callRunner.js';
-import { encodeProgramRecord } from './programRecord.js';
+import { HomeShard } from './homeShard.js';
 import { replayAnswer, RunningCall } from './runningCall.js';
-import type { ShardPrograms } from './shardPrograms.js';
 import { ShardStore } from './shardStore.js';
+import { openingAllowance } from './tokenBudget.js';
 
 /** What the home of programs needs. */
 export interface ProgramHomeOptions {
@@ -48,48 +52,42 @@
   readonly shardCount: number;
   readonly dispatcher: UpstreamDispatcher;
   readonly configuration: () => Configuration | undefined;
-  /** Most calls of one program that wait. */
+  /** Most calls of one branch of a program that wait. */
   readonly maximumMailbox: number;
+  /** Hears of programs that have ended. */
+  readonly endListener?: ProgramEndListener;
+  /** Number of a workspace's open programs at the other instances, as far as is known. */
+  readonly countElsewhere?: (workspace: WorkspaceName) => number;
 }
 
-interface QueuedCall {
-  readonly request: CallRequest;
-  readonly running: RunningCall;
-}
-
-/** A program's mailbox: its calls run one after the other. */
-interface Mailbox {
-  readonly queue: Channel<QueuedCall>;
-  readonly calls: Map<CallId, RunningCall>;
-}
-
-interface HomeShard {
-  readonly epoch: Epoch;
-  readonly programs: ShardPrograms;
-  readonly mailboxes: Map<ProgramId, Mailbox>;
-  isClosing: boolean;
-}
+/** How often programs are looked at for their end, in milliseconds. */
+const MAINTENANCE_MILLISECONDS = 1_000;
+/** How long ended programs are kept to answer resends, in milliseconds. */
+const TOMBSTONE_MILLISECONDS = 10 * 60 * 1_000;
 
 /** The programs whose shards this instance holds. */
 export class ProgramHome implements ProgramService, ShardOwner {
   private readonly shards = new Map<ShardId, HomeShard>();
   private readonly store: ShardStore;
   private readonly runner: CallRunner;
-  private leases: ShardLeases | undefined;
+  private maintenance: TimerSubscription | undefined;
 
   public constructor(private readonly options: ProgramHomeOptions) {
     this.store = new ShardStore(options.objects, options.timers);
-    this.runner = new CallRunner({
-      dispatcher: options.dispatcher,
-      record: async (state, record) => this.record(state, record),
-      standing: program => this.leases?.standing(this.shardOf(program)) ?? 'none',
-      timers: options.timers,
+    this.runner = new CallRunner(options);
+  }
+
+  /** Begins to end programs that are idle or too old, and to move snapshots on. */
+  public start(): void {
+    this.maintenance ??= this.options.timers.every(MAINTENANCE_MILLISECONDS, () => {
+      this.maintain();
     });
   }
 
-  /** Connects the leases, which need this owner themselves. */
-  public attach(leases: ShardLeases): void {
-    this.leases = leases;
+  /** Stops what {@link ProgramHome.start} began. */
+  public stop(): void {
+    this.maintenance?.stop();
+    this.maintenance = undefined;
   }
 
   /** Number of programs held. */
@@ -97,32 +95,42 @@
     return [...this.shards.values()].reduce((sum, shard) => sum + shard.programs.size, 0);
   }
 
+  /** Number of a workspace's programs held here that have not ended. */
+  public countOpen(workspace: WorkspaceName): number {
+    return [...this.shards.values()].reduce(
+      (sum, shard) => sum + shard.programs.countOpen(workspace),
+      0,
+    );
+  }
+
   public async recover(
-    shard: ShardId,
-    epoch: Epoch,
+    lease: ShardLease,
     state: ShardStateReference,
   ): Promise<ShardStateReference> {
-    const programs = await this.store.load(shard, state);
-    this.shards.set(shard, { epoch, isClosing: false, mailboxes: new Map(), programs });
-    return await this.reference(shard, epoch, programs);
+    const programs = await this.store.load(lease.shard, state);
+    programs.startUnderNewHolder();
+    const home = new HomeShard({ ...this.options, lease, programs, store: this.store });
+    const reference = await home.createReference(false);
+    if (lease.standing === 'recovering') {
+      this.shards.set(lease.shard, home);
+    }
+    return reference;
   }
 
-  public async handOver(shard: ShardId): Promise<ShardStateReference> {
-    const home = this.shards.get(shard);
-    if (home === undefined) {
-      throw new Error(`shard ${shard} has no state`);
+  public async handOver(lease: ShardLease): Promise<ShardStateReference> {
+    const home = this.shards.get(lease.shard);
+    if (home?.lease !== lease) {
+      throw new Error(`shard ${lease.shard} has no state`);
     }
-    home.isClosing = true;
-    await this.finishCalls(home);
-    return await this.reference(shard, home.epoch, home.programs);
+    return await home.close();
   }
 
-  public drop(shard: ShardId): void {
-    const home = this.shards.get(shard);
-    for (const mailbox of home?.mailboxes.values() ?? []) {
-      mailbox.queue.close();
+  public drop(lease: ShardLease): void {
+    const home = this.shards.get(lease.shard);
+    if (home?.lease === lease) {
+      home.drop();
+      this.shards.delete(lease.shard);
     }
-    this.shards.delete(shard);
   }
 
   public async open(request: OpenProgramRequest): Promise<Result<ProgramSummary, ZincringError>> {
@@ -134,20 +142,31 @@
     if (home.err) {
       return home;
     }
+    const refusal = this.findOpenRefusal(home.val, request);
+    if (refusal !== undefined) {
+      return Err(refusal);
+    }
     const known = home.val.programs.find(request.program);
-    if (known !== undefined) {
-      return known.opened.workspace === request.workspace
-        ? Ok(known.summary)
-        : Err(new ZincringError('program-not-found'));
+    if (known?.isOpeningDurable === true) {
+      return Ok(known.summary);
+    }
+    const written = home.val.write(createOpenedRecord(request, rule));
+    if (written.err) {
+      return written;
     }
-    return await this.create(home.val, request, rule);
+    const outcome = await home.val.settle(written.val);
+    const state = home.val.programs.find(request.program);
+    if (outcome !== 'durable' || state === undefined) {
+      return Err(new ZincringError('store-unavailable', { ran: 'maybe' }));
+    }
+    return Ok(state.summary);
   }
 
   public async describe(
     reference: ProgramReference,
   ): Promise<Result<ProgramSummary, ZincringError>> {
     const found = this.find(reference);
-    return await Promise.resolve(found.map(state => state.summary));
+    return await Promise.resolve(found.map(({ state }) => state.summary));
   }
 
   public async end(reference: ProgramReference): Promise<Result<ProgramSummary, ZincringError>> {
@@ -155,19 +174,21 @@
     if (found.err) {
       return found;
     }
-    const ended = await this.record(found.val, { program: reference.program, type: 'ended' });
-    return ended.map(() => found.val.summary);
+    const { home, state } = found.val;
+    const ended = await this.endProgram(home, state, 'asked');
+    return ended.map(() => state.summary);
   }
 
   /** Those of the programs that have ended or never were; only the holder of a shard can tell. */
   public findGone(programs: readonly ProgramId[]): readonly GoneProgram[] {
     return programs.flatMap(program => {
-      const home = this.findHome(program);
-      if (home.err) {
+      const home = this.shards.get(this.shardOf(program));
+      if (home?.standing !== 'held') {
         return [];
       }
-      const state = home.val.programs.find(program);
-      return state === undefined || state.hasEnded ? [{ fence: home.val.epoch, program }] : [];
+      const state = home.programs.find(program);
+      const fence: Epoch = home.lease.epoch;
+      return state === undefined || state.hasEnded ? [{ fence, program }] : [];
     });
   }
 
@@ -177,19 +198,28 @@
       yield { error: found.val, kind: 'failed' };
       return;
     }
-    const state = found.val;
-    const home = this.shards.get(this.shardOf(request.program));
-    const running = home?.mailboxes.get(request.program)?.calls.get(request.call);
-    if (running !== undefined) {
+    const { home, state } = found.val;
+    const requestDigest = digestRequest(request);
+    const running = home.mailboxes.find(request.program, request.call);
+    const known = state.findCall(request.call);
+    const earlierDigest =
+      running?.requestDigest ??
+      (known.status === 'done' ? known.turn.requestDigest : undefined) ??
+      (known.status === 'intended' ? known.requestDigest : undefined);
+    if (earlierDigest !== undefined && earlierDigest !== requestDigest) {
+      const detail = 'the call id stands for another request';
+      yield { error: new ZincringError('bad-request', { detail }), kind: 'failed' };
+      return;
+    }
+    if (running !== undefined && !running.isOver) {
       yield* running.follow(request.fromOffset);
       return;
     }
-    const known = state.findCall(request.call);
     if (known.status === 'done') {
       yield* replayAnswer(known.turn.answer, request.fromOffset, closedOf(known.turn, state));
       return;
     }
-    const started = this.start(request, state, known.status === 'intended');
+    const started = this.startCall(request, requestDigest, home, state);
     if (started.err) {
       yield { error: started.val, kind: 'failed' };
       return;
@@ -197,126 +227,122 @@
     yield* started.val.follow(request.fromOffset);
   }
 
-  private start(
+  private startCall(
     request: CallRequest,
+    requestDigest: string,
+    home: HomeShard,
     state: ProgramState,
-    isIntended: boolean,
   ): Result<RunningCall, ZincringError> {
-    if (isIntended) {
+    if (state.findCall(request.call).status === 'intended') {
       return Err(new ZincringError('call-outcome-unknown'));
     }
+    const resume = state.branch(request.parentCall ?? null).resumePoint;
+    if (home.mailboxes.find(request.program, request.call) !== undefined) {
+      // The call was given up, but what was sent for it has not come to its end yet.
+      return Err(new ZincringError('call-interrupted', { resume }));
+    }
     if (request.isAttachOnly) {
-      return Err(new ZincringError('call-interrupted', { resume: state.resumePoint }));
+      return Err(new ZincringError('call-interrupted', { resume }));
     }
-    const home = this.shards.get(this.shardOf(request.program));
-    if (home === undefined || home.isClosing) {
+    if (home.isClosing) {
       return Err(new ZincringError('shard-unavailable'));
     }
-    const mailbox = this.mailboxOf(home, state);
-    const running = new RunningCall();
-    if (!mailbox.queue.offer({ request, running })) {
-      return Err(new ZincringError('mailbox-full'));
-    }
-    mailbox.calls.set(request.call, running);
-    return Ok(running);
+    const running = new RunningCall(request, requestDigest);
+    home.programs.touch(state);
+    const queued = home.mailboxes.enqueue(running, async next =>
+      this.runner.run(next, home, state, this.rulesFor(next.request, state)),
+    );
+    return queued.map(() => running);
   }
 
-  private mailboxOf(home: HomeShard, state: ProgramState): Mailbox {
-    const { program } = state.opened;
-    const known = home.mailboxes.get(program);
-    if (known !== undefined) {
-      return known;
-    }
-    const mailbox: Mailbox = {
-      calls: new Map(),
-      queue: new Channel(this.options.maximumMailbox),
+  private rulesFor(request: CallRequest, state: ProgramState): CallRules {
+    const configuration = this.options.configuration();
+    return {
+      program: configuration?.programs.get(state.opened.policy),
+      service: configuration?.services.get(request.service),
     };
-    home.mailboxes.set(program, mailbox);
-    const runner = this.runner;
-    const serviceOf = (request: CallRequest): ServiceRule | undefined =>
-      this.options.configuration()?.services.get(request.service);
-    startProcess(
-      function* runCalls() {
-        for (;;) {
-          const next = yield* mailbox.queue.receive();
-          if (next === undefined) {
-            return;
-          }
-          yield* settle(runner.run(next.request, state, serviceOf(next.request), next.running));
-          mailbox.calls.delete(next.request.call);
-        }
-      },
-      failure => {
-        this.options.logger.error({ failure: failureText(failure), program }, 'mailbox failed');
-        home.mailboxes.delete(program);
-      },
-    );
-    return mailbox;
   }
 
-  private async create(
-    home: HomeShard,
-    request: OpenProgramRequest,
-    rule: ProgramRule,
-  ): Promise<Result<ProgramSummary, ZincringError>> {
-    const { policy, program, workspace } = request;
-    const record: ProgramRecord = {
-      calls: rule.calls,
-      policy,
-      program,
-      tokens: rule.tokens,
-      type: 'opened',
-      workspace,
-    };
-    const logged = await this.append(program, home, record);
-    return logged.andThen(() => {
-      const state = home.programs.find(program);
-      return state === undefined
-        ? Err(new ZincringError('internal', { detail: 'the program was not opened' }))
-        : Ok(state.summary);
-    });
+  private findOpenRefusal(home: HomeShard, request: OpenProgramRequest): ZincringError | undefined {
+    if (home.isClosing || home.standing !== 'held') {
+      return new ZincringError('shard-unavailable');
+    }
+    if (home.isStoreFailing) {
+      return new ZincringError('store-unavailable', { ran: 'no' });
+    }
+    const known = home.programs.find(request.program);
+    if (known !== undefined) {
+      return known.opened.workspace === request.workspace
+        ? undefined
+        : new ZincringError('program-not-found');
+    }
+    const limit = this.options.configuration()?.workspaces.get(request.workspace)?.programs;
+    const open =
+      this.countOpen(request.workspace) + (this.options.countElsewhere?.(request.workspace) ?? 0);
+    return limit !== undefined && open >= limit
+      ? new ZincringError('program-limit-reached')
+      : undefined;
   }
 
-  private async record(
+  private async endProgram(
+    home: HomeShard,
     state: ProgramState,
-    record: ProgramRecord,
+    reason: EndReason,
   ): Promise<Result<void, ZincringError>> {
-    const home = this.shards.get(this.shardOf(state.opened.program));
-    if (home === undefined) {
-      return Err(new ZincringError('shard-unavailable', { ran: 'maybe' }));
+    const { program } = state;
+    if (!state.hasEnded && home.isClosing) {
+      return Err(new ZincringError('shard-unavailable'));
     }
-    return await this.append(state.opened.program, home, record);
+    const ended = await home.writeDurably({ program, reason, type: 'ended' });
+    if (ended.ok) {
+      this.options.endListener?.onProgramEnd(program, home.lease.epoch);
+    }
+    return ended;
   }
 
-  /** Applies a record and waits until it is durable and the lease is seen to hold after it. */
-  private async append(
-    program: ProgramId,
-    home: HomeShard,
-    record: ProgramRecord,
-  ): Promise<Result<void, ZincringError>> {
-    const shard = this.shardOf(program);
-    home.programs.apply(record);
-    const payload = encodeProgramRecord(record);
-    const stored = await this.options.log.append({ epoch: home.epoch, payload, shard });
-    if (stored.err || this.leases?.standing(shard) !== 'held') {
-      return Err(new ZincringError('store-unavailable', { ran: 'maybe' }));
+  private maintain(): void {
+    for (const home of this.shards.values()) {
+      if (home.standing !== 'held' || home.isClosing || home.isStoreFailing) {
+        continue;
+      }
+      for (const state of home.programs.all()) {
+        this.maintainProgram(home, state);
+      }
+      home.maintain();
     }
-    return Ok(undefined);
   }
 
-  private find(reference: ProgramReference): Result<ProgramState, ZincringError> {
+  private maintainProgram(home: HomeShard, state: ProgramState): void {
+    const { opened, program } = state;
+    if (state.hasEnded) {
+      if (home.programs.endedTimeOf(state) >= TOMBSTONE_MILLISECONDS) {
+        home.write({ program, type: 'forgotten' });
+      }
+      return;
+    }
+    const isOld = home.programs.ageOf(state) >= opened.lifetimeMilliseconds;
+    const isIdle =
+      home.programs.idleTimeOf(state) >= opened.idleMilliseconds && !home.mailboxes.isBusy(program);
+    if (isOld || isIdle) {
+      void this.endProgram(home, state, isOld ? 'lifetime' : 'idle');
+    }
+  }
+
+  private find(
+    reference: ProgramReference,
+  ): Result<{ readonly home: HomeShard; readonly state: ProgramState }, ZincringError> {
     return this.findHome(reference.program).andThen(home => {
       const state = home.programs.find(reference.program);
       return state?.opened.workspace === reference.workspace
-        ? Ok(state)
+        ? Ok({ home, state })
         : Err(new ZincringError('program-not-found'));
     });
   }
 
   private findHome(program: ProgramId): Result<HomeShard, ZincringError> {
-    const shard = this.shardOf(program);
-    const home = this.shards.get(shard);
-    return home === undefined || this.leases?.standing(shard) !== 'held'
+    const home = this.shards.get(this.shardOf(program));
+    const standing = home?.standing ?? 'none';
+    return home === undefined || standing === 'none' || standing === 'recovering'
       ? Err(new ZincringError('shard-unavailable'))
       : Ok(home);
   }
@@ -324,36 +350,30 @@
   private shardOf(program: ProgramId): ShardId {
     return shardOf(program, this.options.shardCount);
   }
+}
 
-  private async finishCalls(home: HomeShard): Promise<void> {
-    const running = [...home.mailboxes.values()].flatMap(mailbox => [...mailbox.calls.values()]);
-    await Promise.all(
-      running.map(async call => {
-        for await (const frame of call.follow(call.length)) {
-          if (frame.kind !== 'data') {
-            return;
-          }
-        }
-      }),
-    );
-  }
-
-  /** Stores a snapshot and says from where the log continues it. */
-  private async reference(
-    shard: ShardId,
-    epoch: Epoch,
-    programs: ShardPrograms,
-  ): Promise<ShardStateReference> {
-    const { incarnation, upcomingSequence } = this.options.log;
-    const snapshot = await this.store.save(shard, epoch, upcomingSequence, programs);
-    return { log: { epoch, from: upcomingSequence, incarnation }, snapshot };
-  }
+function createOpenedRecord(request: OpenProgramRequest, rule: ProgramRule): OpenedRecord {
+  const lifetimeMilliseconds = rule.lifetimeSeconds * 1_000;
+  return {
+    allowance: openingAllowance(rule.tokens),
+    calls: rule.calls,
+    idleMilliseconds: rule.idleSeconds * 1_000,
+    lifetimeMilliseconds: Math.min(
+      lifetimeMilliseconds,
+      request.deadlineMilliseconds ?? lifetimeMilliseconds,
+    ),
+    policy: request.policy,
+    program: request.program,
+    tokens: rule.tokens,
+    type: 'opened',
+    workspace: request.workspace,
+  };
 }
 
 function closedOf(turn: TurnRecord, state: ProgramState): CallClosed {
   return {
     digest: turn.digest,
-    isDurable: turn.turn <= state.durableTurn,
+    isDurable: turn.turn <= state.branch(turn.parentCall).durableTurn,
     kind: 'closed',
     turn: turn.turn,
     upstreamStatus: turn.upstreamStatus,
