feat(scheduling): fair queue, replica choice, windows, retry budget, quarantine, priority

Pure decisions with time coming in, for the instance's upstream slice. Tests: packages/scheduling/tests, focused.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,1 +1,38 @@
-export {};
+export type {
+  PushOutcome,
+  QueueItem,
+  RunnablePredicate,
+  WorkId,
+  WorkQueue,
+} from './queue/workQueue.js';
+export type { FairWorkQueueOptions } from './queue/fairWorkQueue.js';
+export { FairWorkQueue } from './queue/fairWorkQueue.js';
+export type { AttainedServiceOptions, ProgramOrder } from './queue/programOrder.js';
+export { AttainedServiceOrder, defaultAttainedServiceOptions } from './queue/programOrder.js';
+export type { HeapEntry } from './queue/lazyHeap.js';
+export { LazyHeap } from './queue/lazyHeap.js';
+export type { PrefixChain, PrefixDigest, PromptPrefix } from './replicas/prefixChain.js';
+export type {
+  CacheChange,
+  CapacityPredicate,
+  DispatchEnd,
+  DispatchOutcome,
+  LoadReport,
+  Placement,
+  PlacementRequest,
+  ReplicaChooser,
+  ReplicaDescription,
+} from './replicas/replicaChooser.js';
+export type { CostReplicaChooserOptions } from './replicas/costReplicaChooser.js';
+export { CostReplicaChooser } from './replicas/costReplicaChooser.js';
+export type { ReplicaRun } from './replicas/prefixRecord.js';
+export { PrefixRecord } from './replicas/prefixRecord.js';
+export { ReplicaLoad } from './replicas/replicaLoad.js';
+export type { ConcurrencyWindowOptions } from './windows/concurrencyWindow.js';
+export { ConcurrencyWindow } from './windows/concurrencyWindow.js';
+export type { RetryBudgetOptions } from './retries/retryBudget.js';
+export { RetryBudget } from './retries/retryBudget.js';
+export type { BodyDigest, QuarantineOptions, UpstreamDeath } from './retries/quarantine.js';
+export { defaultQuarantineOptions, Quarantine } from './retries/quarantine.js';
+export type { EnginePriorityInput } from './priority/enginePriority.js';
+export { enginePriority } from './priority/enginePriority.js';
--- /dev/null
+++ b/packages/scheduling/tests/fairWorkQueue.test.ts
@@ -0,0 +1,119 @@
+import type { WorkspaceName } from '@zincring/core';
+
+import { FairWorkQueue } from '@zincring/scheduling';
+import { describe, expect, test } from 'vitest';
+
+import { canRunAll, queueItem } from './items.js';
+
+function queueOf(weights: readonly number[] = [1, 1, 1], maxItems = 1_000, perWorkspace = 500) {
+  return new FairWorkQueue({
+    maxItems,
+    maxItemsPerWorkspace: perWorkspace,
+    weightOf: workspace => weights[Number(workspace.split('-')[1])] ?? 1,
+  });
+}
+
+function popWorkspaces(queue: ReturnType<typeof queueOf>, count: number): readonly string[] {
+  return Array.from({ length: count }, () => queue.pop(0, canRunAll)?.workspace ?? 'none');
+}
+
+describe('FairWorkQueue', () => {
+  test('a workspace that sends ten times as much gets no more than its share while others wait', () => {
+    const queue = queueOf();
+    for (let id = 0; id < 100; id++) {
+      queue.push(queueItem(id, 0), 0);
+    }
+    for (let id = 100; id < 110; id++) {
+      queue.push(queueItem(id, 1), 0);
+    }
+    const first = popWorkspaces(queue, 20);
+    expect(first.filter(name => name === 'workspace-1')).toHaveLength(10);
+  });
+
+  test('weights divide the service', () => {
+    const queue = queueOf([3, 1]);
+    for (let id = 0; id < 80; id++) {
+      queue.push(queueItem(id, id % 2), 0);
+    }
+    const first = popWorkspaces(queue, 40);
+    const heavy = first.filter(name => name === 'workspace-0').length;
+    expect(heavy).toBeGreaterThanOrEqual(29);
+    expect(heavy).toBeLessThanOrEqual(31);
+  });
+
+  test('use at other instances counts against a workspace, up to a bound', () => {
+    const queue = queueOf();
+    for (let id = 0; id < 60; id++) {
+      queue.push(queueItem(id, id % 2), 0);
+    }
+    queue.observeRemoteUse('workspace-0' as WorkspaceName, 1_000);
+    expect(popWorkspaces(queue, 10)).not.toContain('workspace-0');
+    expect(popWorkspaces(queue, 10)).toContain('workspace-0');
+  });
+
+  test('the true cost replaces the estimate', () => {
+    const queue = queueOf();
+    for (let id = 0; id < 60; id++) {
+      queue.push(queueItem(id, id % 2), 0);
+    }
+    const [first, second] = [queue.pop(0, canRunAll), queue.pop(0, canRunAll)];
+    queue.settle(first!.id, 1_100);
+    queue.settle(second!.id, 100);
+    expect(new Set(popWorkspaces(queue, 9))).toEqual(new Set([second!.workspace]));
+  });
+
+  test('short programs go first, and waiting outweighs attained service', () => {
+    const queue = queueOf();
+    queue.push(queueItem(1, 0, { attainedTokens: 50_000 }), 0);
+    queue.push(queueItem(2, 0), 100);
+    queue.push(queueItem(3, 0), 6_000);
+    const order = [1, 2, 3].map(() => queue.pop(6_000, canRunAll)?.id);
+    expect(order).toEqual(['work-2', 'work-1', 'work-3']);
+  });
+
+  test('an item whose deadline is near goes before shorter programs', () => {
+    const queue = queueOf();
+    queue.push(queueItem(1, 0), 0);
+    queue.push(queueItem(2, 0, { attainedTokens: 90_000, deadline: 1_000 }), 0);
+    expect(queue.pop(0, canRunAll)?.id).toBe('work-2');
+  });
+
+  test('items that cannot run keep their place', () => {
+    const queue = queueOf();
+    queue.push(queueItem(1, 0), 0);
+    queue.push(queueItem(2, 1), 0);
+    expect(queue.pop(0, item => item.id === 'work-2')?.id).toBe('work-2');
+    queue.push(queueItem(3, 1), 0);
+    expect(queue.pop(0, canRunAll)?.id).toBe('work-1');
+    expect(queue.pop(0, () => false)).toBeUndefined();
+    expect(queue.size).toBe(1);
+  });
+
+  test.each([
+    { expected: 'duplicate', id: 1, workspace: 0 },
+    { expected: 'workspace-full', id: 9, workspace: 0 },
+    { expected: 'accepted', id: 9, workspace: 1 },
+  ])('a push is answered with $expected', ({ expected, id, workspace }) => {
+    const queue = queueOf([], 3, 2);
+    queue.push(queueItem(1, 0), 0);
+    queue.push(queueItem(2, 0), 0);
+    expect(queue.push(queueItem(id, workspace), 0)).toBe(expected);
+    expect(queue.push(queueItem(10, 2), 0)).toBe(
+      expected === 'accepted' ? 'queue-full' : 'accepted',
+    );
+  });
+
+  test('a removed item is never popped and frees its place', () => {
+    const queue = queueOf([], 2, 2);
+    queue.push(queueItem(1, 0), 0);
+    queue.push(queueItem(2, 0), 0);
+    expect(queue.remove(queueItem(1, 0).id)?.id).toBe('work-1');
+    expect(queue.remove(queueItem(1, 0).id)).toBeUndefined();
+    expect(queue.push(queueItem(3, 0), 0)).toBe('accepted');
+    expect([queue.pop(0, canRunAll)?.id, queue.pop(0, canRunAll)?.id]).toEqual([
+      'work-2',
+      'work-3',
+    ]);
+    expect(queue.pop(0, canRunAll)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/scheduling/tests/windowsAndRetries.test.ts
@@ -0,0 +1,116 @@
+import type { UpstreamId } from '@zincring/core';
+import type { BodyDigest } from '@zincring/scheduling';
+
+import {
+  ConcurrencyWindow,
+  defaultQuarantineOptions,
+  enginePriority,
+  Quarantine,
+  RetryBudget,
+} from '@zincring/scheduling';
+import { describe, expect, test } from 'vitest';
+
+const windowOptions = { callMilliseconds: 1_000, instances: 13, maxCalls: 8, targetWaiting: 1 };
+
+describe('ConcurrencyWindow', () => {
+  test('a window below one still sends, paced, and never starves', () => {
+    const window = new ConcurrencyWindow(windowOptions);
+    let dispatched = 0;
+    let endsAt = Infinity;
+    for (let now = 0; now < 300_000; now += 100) {
+      window.observeWaiting(50, now);
+      if (now >= endsAt) {
+        window.noteSuccess(1_000, now);
+        endsAt = Infinity;
+      }
+      if (window.hasRoom(now)) {
+        window.noteDispatch();
+        endsAt = now + 1_000;
+        dispatched++;
+      }
+    }
+    expect(window.size).toBeLessThan(1);
+    expect(dispatched).toBeGreaterThanOrEqual(300_000 / 6_100 - 1);
+  });
+
+  test('grows to the rule and no further without congestion, and shrinks after failures', () => {
+    const window = new ConcurrencyWindow(windowOptions);
+    for (let now = 0; now < 500_000; now += 1_000) {
+      while (window.hasRoom(now)) {
+        window.noteDispatch();
+      }
+      while (window.used > 0) {
+        window.noteSuccess(1_000, now + 900);
+      }
+    }
+    expect(window.size).toBe(8);
+    window.noteDispatch();
+    window.noteFailure(600_000);
+    expect(window.size).toBe(4);
+  });
+});
+
+describe('RetryBudget', () => {
+  test('retries stay within the share of first attempts and the reserve', () => {
+    const budget = new RetryBudget({
+      instances: 13,
+      maxSaved: 100,
+      reservePerSecond: 13,
+      share: 0.1,
+    });
+    let retries = 0;
+    for (let now = 0; now < 60_000; now += 10) {
+      budget.noteFirstAttempt();
+      retries += budget.tryRetry(now) ? 1 : 0;
+    }
+    expect(retries).toBeLessThanOrEqual(6_000 * 0.1 + 60 + 1);
+    expect(retries).toBeGreaterThanOrEqual(6_000 * 0.1);
+  });
+});
+
+describe('Quarantine', () => {
+  const body = 'body' as BodyDigest;
+  const death = (upstream: string, ageMilliseconds = 0, digest = body) => ({
+    ageMilliseconds,
+    body: digest,
+    upstream: upstream as UpstreamId,
+  });
+
+  test('refuses a body after two upstreams, one seen elsewhere, for a time', () => {
+    const [here, there] = [new Quarantine(), new Quarantine()];
+    there.noteDeath(death('a'), 5_000);
+    here.noteDeath(death('b'), 100);
+    here.noteDeath(death('b'), 200);
+    expect(here.refusedUntil(body, 300)).toBeUndefined();
+    for (const told of there.recentDeaths(5_100, 10)) {
+      here.noteDeath(told, 300);
+    }
+    expect(here.refusedUntil(body, 300)).toBe(200 + defaultQuarantineOptions.durationMilliseconds);
+    expect(here.refusedUntil(body, 600_200)).toBeUndefined();
+  });
+
+  test('deaths older than its time do not count, and memory is bounded', () => {
+    const quarantine = new Quarantine({ ...defaultQuarantineOptions, maxBodies: 5 });
+    quarantine.noteDeath(death('a', 600_000), 600_000);
+    expect(quarantine.size).toBe(0);
+    for (let index = 0; index < 100; index++) {
+      quarantine.noteDeath(death('a', 0, `body-${index}` as BodyDigest), index);
+    }
+    expect(quarantine.size).toBe(5);
+    expect(quarantine.deathsOf('body-99' as BodyDigest, 100)).toBe(1);
+  });
+});
+
+describe('enginePriority', () => {
+  test.each([
+    { attainedTokens: 0, deadline: undefined, expected: 0, waited: 0 },
+    { attainedTokens: 9_000, deadline: undefined, expected: 2, waited: 0 },
+    { attainedTokens: 9_000, deadline: undefined, expected: 1, waited: 2_500 },
+    { attainedTokens: 1e9, deadline: undefined, expected: 8, waited: 0 },
+    { attainedTokens: 1e9, deadline: 11_000, expected: 0, waited: 0 },
+  ])('$attainedTokens tokens, $waited ms waited: $expected', row => {
+    const input = { attainedTokens: row.attainedTokens, deadline: row.deadline };
+    const priority = enginePriority({ ...input, enqueuedAt: 10_000 - row.waited, now: 10_000 });
+    expect(priority).toBe(row.expected);
+  });
+});
