--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -36,3 +36,13 @@
 export { defaultQuarantineOptions, Quarantine } from './retries/quarantine.js';
 export type { EnginePriorityInput } from './priority/enginePriority.js';
 export { enginePriority } from './priority/enginePriority.js';
+export type { RemoteUseListener, WorkspaceTotal } from './queue/workspaceUse.js';
+export { WorkspaceUse } from './queue/workspaceUse.js';
+export type {
+  Dispatch,
+  DispatchReport,
+  ScheduledItem,
+  ServiceScheduler,
+  WindowedServiceSchedulerOptions,
+} from './service/serviceScheduler.js';
+export { WindowedServiceScheduler } from './service/serviceScheduler.js';
--- /dev/null
+++ b/packages/scheduling/src/service/serviceScheduler.ts
@@ -0,0 +1,210 @@
+import type { UpstreamId, WorkspaceName } from '@zincring/core';
+
+import type { PushOutcome, QueueItem, WorkId, WorkQueue } from '../queue/workQueue.js';
+import type {
+  CacheChange,
+  DispatchEnd,
+  LoadReport,
+  Placement,
+  PlacementRequest,
+  ReplicaChooser,
+  ReplicaDescription,
+} from '../replicas/replicaChooser.js';
+import type { ConcurrencyWindowOptions } from '../windows/concurrencyWindow.js';
+
+import { enginePriority } from '../priority/enginePriority.js';
+import { ConcurrencyWindow } from '../windows/concurrencyWindow.js';
+
+/** Work that waits for a replica of one service. */
+export interface ScheduledItem extends PlacementRequest, QueueItem {
+  /** When the work entered the instance. */
+  readonly enqueuedAt: number;
+}
+
+/** Work that is to be sent now. */
+export interface Dispatch<Item extends ScheduledItem> {
+  readonly item: Item;
+  readonly placement: Placement;
+  /** For the replica; lower numbers run first. */
+  readonly priority: number;
+}
+
+/** How work that was sent has ended. */
+export interface DispatchReport {
+  readonly id: WorkId;
+  readonly end: DispatchEnd;
+  /** Tokens that were computed for it. */
+  readonly usedTokens: number;
+}
+
+/** Decides which work of one service goes to which replica, and when. */
+export interface ServiceScheduler<Item extends ScheduledItem> {
+  /** Items that wait. */
+  readonly size: number;
+  /** Takes over the replicas that may get new work. */
+  update(replicas: readonly ReplicaDescription[]): void;
+  /** Adds work. */
+  submit(item: Item, now: number): PushOutcome;
+  /** The next work to send, counted as sent; `undefined` when all that waits has to wait on. */
+  next(now: number): Dispatch<Item> | undefined;
+  /** When {@link next} should be asked again though nothing happened; `undefined` for never. */
+  nextWakeAt(now: number): number | undefined;
+  /** Removes work that waits. */
+  cancel(id: WorkId): Item | undefined;
+  /** Counts work that was sent as ended. */
+  noteEnd(report: DispatchReport, now: number): void;
+  /** Takes in a load report. */
+  observeLoad(replica: UpstreamId, report: LoadReport, now: number): void;
+  /** Takes in a cache event. */
+  observeCacheChange(change: CacheChange): void;
+  /** Counts tokens that other instances served to a workspace. */
+  observeRemoteUse(workspace: WorkspaceName, tokens: number): void;
+}
+
+/** Parts of a {@link WindowedServiceScheduler}. */
+export interface WindowedServiceSchedulerOptions<Item extends ScheduledItem> {
+  readonly queue: WorkQueue<Item>;
+  readonly chooser: ReplicaChooser;
+  readonly window: ConcurrencyWindowOptions;
+  /** Time for which a replica gets no new work after a failure, in milliseconds. */
+  readonly suspicionMilliseconds: number;
+}
+
+interface Sent<Item extends ScheduledItem> {
+  readonly item: Item;
+  readonly replica: UpstreamId;
+  readonly at: number;
+}
+
+/**
+ * Queue, choice of the replica and windows put together: work waits in the queue until a replica
+ * that suits it has room.
+ *
+ * @example
+ * scheduler.submit(item, timers.now());
+ * for (let next = scheduler.next(timers.now()); next; next = scheduler.next(timers.now())) {
+ *   void send(next);
+ * }
+ */
+export class WindowedServiceScheduler<
+  Item extends ScheduledItem,
+> implements ServiceScheduler<Item> {
+  private readonly windows = new Map<UpstreamId, ConcurrencyWindow>();
+  private readonly sent = new Map<WorkId, Sent<Item>>();
+
+  public constructor(private readonly options: WindowedServiceSchedulerOptions<Item>) {}
+
+  public get size(): number {
+    return this.options.queue.size;
+  }
+
+  /** Calls that were sent and have not ended. */
+  public get inFlight(): number {
+    return this.sent.size;
+  }
+
+  public update(replicas: readonly ReplicaDescription[]): void {
+    this.options.chooser.update(replicas);
+    const listed = new Set(replicas.map(({ id }) => id));
+    for (const id of this.windows.keys()) {
+      if (!listed.has(id)) {
+        this.windows.delete(id);
+      }
+    }
+    for (const id of listed) {
+      if (!this.windows.has(id)) {
+        this.windows.set(id, new ConcurrencyWindow(this.options.window));
+      }
+    }
+  }
+
+  public submit(item: Item, now: number): PushOutcome {
+    return this.options.queue.push(item, now);
+  }
+
+  public next(now: number): Dispatch<Item> | undefined {
+    if (this.options.queue.size === 0) {
+      return undefined;
+    }
+    let placement: Placement | undefined;
+    const hasRoom = (replica: UpstreamId): boolean =>
+      this.windows.get(replica)?.hasRoom(now) === true;
+    const item = this.options.queue.pop(now, candidate => {
+      placement = this.options.chooser.choose(candidate, now, hasRoom);
+      return placement !== undefined;
+    });
+    if (item === undefined || placement === undefined) {
+      return undefined;
+    }
+    this.windows.get(placement.replica)?.noteDispatch();
+    this.options.chooser.noteDispatch(placement.replica, item.prefixes, now);
+    this.sent.set(item.id, { at: now, item, replica: placement.replica });
+    return { item, placement, priority: enginePriority({ ...item, now }) };
+  }
+
+  public nextWakeAt(now: number): number | undefined {
+    if (this.options.queue.size === 0) {
+      return undefined;
+    }
+    let earliest: number | undefined;
+    for (const window of this.windows.values()) {
+      const at = window.nextRoomAt(now);
+      if (at !== undefined && at > now) {
+        earliest = Math.min(earliest ?? at, at);
+      }
+    }
+    return earliest;
+  }
+
+  public cancel(id: WorkId): Item | undefined {
+    return this.options.queue.remove(id);
+  }
+
+  public noteEnd({ end, id, usedTokens }: DispatchReport, now: number): void {
+    const sent = this.sent.get(id);
+    if (sent === undefined) {
+      return;
+    }
+    this.sent.delete(id);
+    this.options.queue.settle(id, usedTokens);
+    const { at, item, replica } = sent;
+    const durationMilliseconds = now - at;
+    const outcome = { durationMilliseconds, end, prefixes: item.prefixes, replica };
+    this.options.chooser.noteOutcome(outcome, now);
+    this.noteWindowEnd(replica, end, durationMilliseconds, now);
+  }
+
+  public observeLoad(replica: UpstreamId, report: LoadReport, now: number): void {
+    this.options.chooser.observeLoad(replica, report);
+    this.windows.get(replica)?.observeWaiting(report.waiting, now);
+  }
+
+  public observeCacheChange(change: CacheChange): void {
+    this.options.chooser.observeCacheChange(change);
+  }
+
+  public observeRemoteUse(workspace: WorkspaceName, tokens: number): void {
+    this.options.queue.observeRemoteUse(workspace, tokens);
+  }
+
+  private noteWindowEnd(
+    replica: UpstreamId,
+    end: DispatchEnd,
+    duration: number,
+    now: number,
+  ): void {
+    const window = this.windows.get(replica);
+    switch (end) {
+      case 'cancelled':
+        window?.noteCancellation(now);
+        return;
+      case 'failed':
+        window?.noteFailure(now);
+        this.options.chooser.suspectUntil(replica, now + this.options.suspicionMilliseconds);
+        return;
+      case 'succeeded':
+        window?.noteSuccess(duration, now);
+        return;
+    }
+  }
+}
