feat(upstreams): queue, place and retry calls by the scheduling policy

Deaths carry ids of their own: counting distinct upstreams let a body bring down a restarted replica a third time (seen by the test with 13 instances: 3 sends instead of 2). The reserve of the retry budget counts from the start of the instance: counted from the first retry it left a quiet instance without any (seen: one failure was not retried).

--- a/packages/instance/src/upstreams/engineReports.ts
+++ b/packages/instance/src/upstreams/engineReports.ts
@@ -1,19 +1,17 @@
 import type { Logger, TimerService, TimerSubscription, UpstreamId } from '@zincring/core';
-import type { PrefixDigest, ReplicaChooser } from '@zincring/scheduling';
+import type { PrefixDigest, ScheduledItem, ServiceScheduler } from '@zincring/scheduling';
 
 import { failureText } from '@zincring/core';
 
 import type { EngineOrders } from './engineOrders.js';
 import type { Replica } from './replicaTable.js';
-import type { ReplicaWindows } from './replicaWindows.js';
 
 /** What reading the reports of the engines of one service needs. */
 export interface EngineReportsOptions {
   readonly orders: EngineOrders;
   readonly timers: TimerService;
   readonly logger: Logger;
-  readonly chooser: ReplicaChooser;
-  readonly windows: ReplicaWindows;
+  readonly scheduler: Pick<ServiceScheduler<ScheduledItem>, 'observeCacheChange' | 'observeLoad'>;
   /** Engines that this instance uses. */
   readonly replicas: () => readonly Replica[];
   readonly intervalMilliseconds: number;
@@ -59,13 +57,13 @@
   }
 
   private async read(replica: Replica): Promise<void> {
-    const { chooser, lagMilliseconds, orders, timers, windows } = this.options;
+    const { lagMilliseconds, orders, scheduler, timers } = this.options;
     const load = await orders.readLoad(replica);
     if (load.ok) {
       const { running, waiting } = load.val;
-      const measuredAt = timers.now() - lagMilliseconds;
-      chooser.observeLoad(replica.id, { measuredAt, running, waiting });
-      windows.observeWaiting(replica.id, waiting, timers.now());
+      const now = timers.now();
+      const measuredAt = now - lagMilliseconds;
+      scheduler.observeLoad(replica.id, { measuredAt, running, waiting }, now);
     }
     const events = await orders.readCacheEvents(replica, this.nextEvent.get(replica.id) ?? 0);
     if (events.err) {
@@ -73,7 +71,7 @@
     }
     this.nextEvent.set(replica.id, events.val.next);
     for (const { change, prefix } of events.val.events) {
-      chooser.observeCacheChange({
+      scheduler.observeCacheChange({
         change,
         digest: prefix as PrefixDigest,
         replica: replica.id,
--- a/packages/instance/src/upstreams/poisonGuard.ts
+++ b/packages/instance/src/upstreams/poisonGuard.ts
@@ -1,5 +1,7 @@
 import type { InstanceId, TimerService, UpstreamId } from '@zincring/core';
-import type { BodyDigest, UpstreamDeath } from '@zincring/scheduling';
+import type { BodyDigest, DeathId, UpstreamDeath } from '@zincring/scheduling';
+
+import { randomUUID } from 'node:crypto';
 
 import { sleep, ZincringError } from '@zincring/core';
 import { Quarantine } from '@zincring/scheduling';
@@ -42,7 +44,12 @@
 
   /** Counts an upstream that died while it ran a request, and tells the other instances. */
   public async noteDeath(body: BodyDigest, upstream: UpstreamId): Promise<void> {
-    const death: UpstreamDeath = { ageMilliseconds: 0, body, upstream };
+    const death: UpstreamDeath = {
+      ageMilliseconds: 0,
+      body,
+      death: randomUUID() as string as DeathId,
+      upstream,
+    };
     this.quarantine.noteDeath(death, this.options.timers.now());
     const spread = this.options.spreadNews().catch(() => undefined);
     const limit = new AbortController();
--- a/packages/instance/src/upstreams/queueingDispatcher.ts
+++ b/packages/instance/src/upstreams/queueingDispatcher.ts
@@ -96,7 +96,7 @@
     const place = acquired.val;
     const prepared = await work.beforeSend();
     if (prepared.err) {
-      lane.release(place, { kind: 'cancelled' });
+      lane.release(place, { end: 'cancelled', usedTokens: 0 });
       return { error: prepared.val, kind: 'refused' };
     }
     if (work.program !== undefined && work.payload.protocol === 'engine') {
@@ -114,7 +114,7 @@
     const remaining = Math.max(1, attempts.deadline - this.options.timers.now());
     const limited: UpstreamWork = { ...work, timeoutMilliseconds: remaining };
     const answer: Uint8Array[] = [];
-    let end: PlaceEnd = { kind: 'cancelled' };
+    let end: PlaceEnd = { end: 'cancelled', usedTokens: 0 };
     try {
       for await (const frame of this.options.sender.send(place.replica, limited, place.priority)) {
         if (frame.kind === 'data') {
@@ -128,10 +128,8 @@
       return { kind: 'answered' };
     } catch (thrown) {
       const failure = classifyUpstreamFailure(thrown);
-      end = { isSuspect: failure.stage !== 'failed', kind: 'failed' };
-      if (failure.stage === 'timed-out' && work.signal.aborted) {
-        end = { kind: 'cancelled' };
-      }
+      const isGivenUp = failure.stage === 'timed-out' && work.signal.aborted;
+      end = { end: isGivenUp ? 'cancelled' : 'failed', usedTokens: 0 };
       attempts.excluded.add(place.replica.id);
       attempts.mayHaveRun ||= failure.stage !== 'unsent';
       return { failure, hasData: answer.length > 0, kind: 'failed' };
@@ -201,8 +199,7 @@
 ): PlaceEnd {
   const isEngine = attempts.work.payload.protocol === 'engine';
   return {
-    cachedTokens: isEngine ? usage.cachedTokens : undefined,
-    kind: 'succeeded',
+    end: 'succeeded',
     prefixes: isEngine
       ? promptPrefixes(attempts.work, Buffer.concat(answer).toString('utf8'))
       : attempts.prefixes,
--- a/packages/instance/src/upstreams/serviceLanes.ts
+++ b/packages/instance/src/upstreams/serviceLanes.ts
@@ -9,7 +9,12 @@
 import type { Configuration, ServiceRule } from '@zincring/rules';
 import type { ConcurrencyWindowOptions } from '@zincring/scheduling';
 
-import { CostReplicaChooser, FairWorkQueue, RetryBudget } from '@zincring/scheduling';
+import {
+  CostReplicaChooser,
+  FairWorkQueue,
+  RetryBudget,
+  WindowedServiceScheduler,
+} from '@zincring/scheduling';
 
 import type { EngineOrders } from './engineOrders.js';
 import type { Replica, ReplicaTable } from './replicaTable.js';
@@ -17,7 +22,6 @@
 
 import { EngineReports } from './engineReports.js';
 import { replicaSubset } from './replicaSubset.js';
-import { ReplicaWindows } from './replicaWindows.js';
 import { ServiceLane } from './serviceLane.js';
 
 /** Settings of the policy; docs/operators/policy.md explains each. */
@@ -68,8 +72,7 @@
 
 interface Lane {
   readonly lane: ServiceLane;
-  readonly queue: FairWorkQueue<WaitingWork>;
-  readonly windows: ReplicaWindows;
+  readonly scheduler: WindowedServiceScheduler<WaitingWork>;
   readonly reports: EngineReports | undefined;
   readonly retryBudget: RetryBudget;
 }
@@ -88,7 +91,11 @@
 export class ServiceLanes {
   private readonly lanes = new Map<ServiceName, Lane>();
 
-  public constructor(private readonly options: ServiceLanesOptions) {}
+  private readonly startedAt: number;
+
+  public constructor(private readonly options: ServiceLanesOptions) {
+    this.startedAt = options.timers.now();
+  }
 
   /** The lane of a service, made when first used. */
   public laneOf(service: ServiceName): ServiceLane {
@@ -102,7 +109,8 @@
 
   /** Takes over the platform's list in every lane. */
   public refreshReplicas(): void {
-    for (const { lane } of this.lanes.values()) {
+    for (const [service, { lane, scheduler }] of this.lanes) {
+      scheduler.reconfigure(this.windowOptions(service));
       lane.refreshReplicas();
     }
   }
@@ -119,13 +127,13 @@
 
   /** Counts what another instance served to a workspace at a service. */
   public observeRemoteUse(service: ServiceName, workspace: WorkspaceName, tokens: number): void {
-    this.lanes.get(service)?.queue.observeRemoteUse(workspace, tokens);
+    this.lanes.get(service)?.scheduler.observeRemoteUse(workspace, tokens);
   }
 
   /** Replicas with what this instance has in flight there. */
   public describe(): readonly ReplicaStatus[] {
     return [...this.options.replicas.all()].map(replica => {
-      const window = this.lanes.get(replica.service)?.windows.describe(replica.id);
+      const window = this.lanes.get(replica.service)?.scheduler.describeWindow(replica.id);
       return { inFlight: window?.used ?? 0, replica, window: window?.size ?? 0 };
     });
   }
@@ -150,68 +158,70 @@
   }
 
   private create(service: ServiceName): Lane {
-    const { self, settings, timers, zone } = this.options;
+    const { self, settings, timers } = this.options;
     const replicas = (): readonly Replica[] =>
       replicaSubset(this.options.replicas.of(service), self, settings.maximumReplicas);
-    const queue = new FairWorkQueue<WaitingWork>({
-      maxItems: settings.maximumWaiting,
-      maxItemsPerWorkspace: settings.maximumWaitingPerWorkspace,
-      weightOf: workspace => this.weightOf(workspace),
-    });
-    const chooser = new CostReplicaChooser({
-      callMilliseconds: settings.callMilliseconds,
-      maxPrefixes: settings.maximumPrefixes,
-      prefillMillisecondsPerToken: settings.prefillMillisecondsPerToken,
-      random: Math.random,
-      sharingMilliseconds: settings.callMilliseconds / settings.slotsPerReplica,
-      slotsPerReplica: settings.slotsPerReplica,
-      zone,
-      zoneMilliseconds: settings.zoneMilliseconds,
-    });
-    const windows = new ReplicaWindows(() => this.windowOptions(service));
-    const { suspicionMilliseconds } = settings;
-    const lane = new ServiceLane({
-      chooser,
-      queue,
-      replicas,
-      suspicionMilliseconds,
-      timers,
-      windows,
+    const scheduler = this.createScheduler(service);
+    return {
+      lane: new ServiceLane({ replicas, scheduler, timers }),
+      reports: this.createReports(service, scheduler, replicas),
+      retryBudget: this.createRetryBudget(),
+      scheduler,
+    };
+  }
+
+  private createScheduler(service: ServiceName): WindowedServiceScheduler<WaitingWork> {
+    const { settings, zone } = this.options;
+    return new WindowedServiceScheduler<WaitingWork>({
+      chooser: new CostReplicaChooser({
+        callMilliseconds: settings.callMilliseconds,
+        maxPrefixes: settings.maximumPrefixes,
+        prefillMillisecondsPerToken: settings.prefillMillisecondsPerToken,
+        random: Math.random,
+        sharingMilliseconds: settings.callMilliseconds / settings.slotsPerReplica,
+        slotsPerReplica: settings.slotsPerReplica,
+        zone,
+        zoneMilliseconds: settings.zoneMilliseconds,
+      }),
+      queue: new FairWorkQueue<WaitingWork>({
+        maxItems: settings.maximumWaiting,
+        maxItemsPerWorkspace: settings.maximumWaitingPerWorkspace,
+        weightOf: workspace => this.weightOf(workspace),
+      }),
+      suspicionMilliseconds: settings.suspicionMilliseconds,
+      window: this.windowOptions(service),
     });
-    const reports = this.createReports(service, { chooser, replicas, windows });
-    return { lane, queue, reports, retryBudget: this.createRetryBudget(), windows };
   }
 
   private createReports(
     service: ServiceName,
-    parts: {
-      readonly chooser: CostReplicaChooser;
-      readonly replicas: () => readonly Replica[];
-      readonly windows: ReplicaWindows;
-    },
+    scheduler: WindowedServiceScheduler<WaitingWork>,
+    replicas: () => readonly Replica[],
   ): EngineReports | undefined {
     if (this.ruleOf(service)?.protocol !== 'engine') {
       return undefined;
     }
     const { logger, orders, settings, timers } = this.options;
     return new EngineReports({
-      ...parts,
       intervalMilliseconds: settings.reportMilliseconds,
       lagMilliseconds: settings.reportLagMilliseconds,
       logger,
       orders,
+      replicas,
+      scheduler,
       timers,
     });
   }
 
   private createRetryBudget(): RetryBudget {
     const { instanceCount, settings } = this.options;
-    return new RetryBudget({
+    const options = {
       instances: instanceCount(),
       maxSaved: RETRIES_SAVED,
       reservePerSecond: settings.retryReservePerSecond,
       share: settings.retryShare,
-    });
+    };
+    return new RetryBudget(options, this.startedAt);
   }
 
   private windowOptions(service: ServiceName): ConcurrencyWindowOptions {
--- a/packages/instance/tests/upstreams/queueingDispatcher.test.ts
+++ b/packages/instance/tests/upstreams/queueingDispatcher.test.ts
@@ -7,7 +7,6 @@
   UpstreamId,
   WorkspaceName,
 } from '@zincring/core';
-import type { ServiceRule } from '@zincring/rules';
 
 import { discardingMetrics, ManualTimerService, Ok, silentLogger } from '@zincring/core';
 import { createConfiguration, parseRules } from '@zincring/rules';
@@ -135,7 +134,7 @@
           protocol: 'plain',
         },
     program: 'program-1' as ProgramId,
-    rule: configuration.services.get(service) as ServiceRule,
+    rule: configuration.services.get(service)!,
     service,
     signal: new AbortController().signal,
     timeoutMilliseconds: 30_000,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -32,7 +32,12 @@
 export { ConcurrencyWindow } from './windows/concurrencyWindow.js';
 export type { RetryBudgetOptions } from './retries/retryBudget.js';
 export { RetryBudget } from './retries/retryBudget.js';
-export type { BodyDigest, QuarantineOptions, UpstreamDeath } from './retries/quarantine.js';
+export type {
+  BodyDigest,
+  DeathId,
+  QuarantineOptions,
+  UpstreamDeath,
+} from './retries/quarantine.js';
 export { defaultQuarantineOptions, Quarantine } from './retries/quarantine.js';
 export type { EnginePriorityInput } from './priority/enginePriority.js';
 export { enginePriority } from './priority/enginePriority.js';
@@ -44,5 +49,6 @@
   ScheduledItem,
   ServiceScheduler,
   WindowedServiceSchedulerOptions,
+  WindowStatus,
 } from './service/serviceScheduler.js';
 export { WindowedServiceScheduler } from './service/serviceScheduler.js';
--- a/packages/scheduling/src/retries/quarantine.ts
+++ b/packages/scheduling/src/retries/quarantine.ts
@@ -3,8 +3,12 @@
 /** Digest of a request's service and body, the same for a resend through any instance. */
 export type BodyDigest = Brand<string, 'BodyDigest'>;
 
+/** Identifier of one death, unique across the fleet: an upstream may die, restart and die again. */
+export type DeathId = Brand<string, 'DeathId'>;
+
 /** An upstream that died while it ran a body; instances tell each other these. */
 export interface UpstreamDeath {
+  readonly death: DeathId;
   readonly body: BodyDigest;
   readonly upstream: UpstreamId;
   /** Time since the death, in milliseconds. */
@@ -28,17 +32,22 @@
   maxDeaths: 2,
 };
 
+interface KnownDeath {
+  readonly upstream: UpstreamId;
+  /** By this instance's clock. */
+  readonly diedAt: number;
+}
+
 interface SuspectBody {
-  /** When each upstream died, by this instance's clock. */
-  readonly deaths: Map<UpstreamId, number>;
+  readonly deaths: Map<DeathId, KnownDeath>;
 }
 
 /**
- * Bodies whose upstreams died while running them. A body that brought down too many different
- * upstreams, counted over all instances, is refused for a time.
+ * Bodies whose upstreams died while running them. A body that brought down upstreams too
+ * often, counted over all instances, is refused for a time.
  *
  * @example
- * quarantine.noteDeath({ ageMilliseconds: 0, body, upstream }, timers.now());
+ * quarantine.noteDeath({ ageMilliseconds: 0, body, death, upstream }, timers.now());
  * quarantine.refusedUntil(body, timers.now());
  */
 export class Quarantine {
@@ -53,22 +62,22 @@
   }
 
   /** Takes in a death seen here or told by another instance; hearing of it twice changes nothing. */
-  public noteDeath({ ageMilliseconds, body, upstream }: UpstreamDeath, now: number): void {
+  public noteDeath({ ageMilliseconds, body, death, upstream }: UpstreamDeath, now: number): void {
     const diedAt = now - Math.max(0, ageMilliseconds);
     if (now - diedAt >= this.options.durationMilliseconds) {
       return;
     }
-    const suspect = this.bodies.get(body) ?? { deaths: new Map<UpstreamId, number>() };
-    if (suspect.deaths.has(upstream) || suspect.deaths.size >= this.options.maxDeaths) {
+    const suspect = this.bodies.get(body) ?? { deaths: new Map<DeathId, KnownDeath>() };
+    if (suspect.deaths.has(death) || suspect.deaths.size >= this.options.maxDeaths) {
       return;
     }
-    suspect.deaths.set(upstream, diedAt);
+    suspect.deaths.set(death, { diedAt, upstream });
     this.bodies.delete(body);
     this.bodies.set(body, suspect);
     this.forget(now);
   }
 
-  /** Upstreams that died while running a body. */
+  /** Deaths of upstreams while running a body. */
   public deathsOf(body: BodyDigest, now: number): number {
     const suspect = this.bodies.get(body);
     return suspect === undefined || this.hasExpired(suspect, now) ? 0 : suspect.deaths.size;
@@ -86,11 +95,11 @@
   public recentDeaths(now: number, limit: number): readonly UpstreamDeath[] {
     const recent: UpstreamDeath[] = [];
     for (const [body, suspect] of [...this.bodies].reverse()) {
-      for (const [upstream, diedAt] of suspect.deaths) {
+      for (const [death, { diedAt, upstream }] of suspect.deaths) {
         if (recent.length >= limit) {
           return recent;
         }
-        recent.push({ ageMilliseconds: now - diedAt, body, upstream });
+        recent.push({ ageMilliseconds: now - diedAt, body, death, upstream });
       }
     }
     return recent;
@@ -110,6 +119,7 @@
   }
 
   private lastDeathOf(suspect: SuspectBody | undefined): number {
-    return Math.max(-Infinity, ...(suspect?.deaths.values() ?? []));
+    const times = [...(suspect?.deaths.values() ?? [])].map(({ diedAt }) => diedAt);
+    return Math.max(-Infinity, ...times);
   }
 }
--- a/packages/scheduling/src/retries/retryBudget.ts
+++ b/packages/scheduling/src/retries/retryBudget.ts
@@ -24,9 +24,11 @@
  */
 export class RetryBudget {
   private saved = 0;
-  private lastRefillAt: number | undefined;
-
-  public constructor(private readonly options: RetryBudgetOptions) {}
+  /** @param lastRefillAt time from which the reserve counts; the first retry by default */
+  public constructor(
+    private readonly options: RetryBudgetOptions,
+    private lastRefillAt?: number,
+  ) {}
 
   /** Retries that are left, before the reserve of the time since the last one. */
   public get available(): number {
--- a/packages/scheduling/src/service/serviceScheduler.ts
+++ b/packages/scheduling/src/service/serviceScheduler.ts
@@ -10,6 +10,7 @@
   ReplicaChooser,
   ReplicaDescription,
 } from '../replicas/replicaChooser.js';
+import type { PrefixChain } from '../replicas/prefixChain.js';
 import type { ConcurrencyWindowOptions } from '../windows/concurrencyWindow.js';
 
 import { enginePriority } from '../priority/enginePriority.js';
@@ -35,6 +36,8 @@
   readonly end: DispatchEnd;
   /** Tokens that were computed for it. */
   readonly usedTokens: number;
+  /** Prefixes that the replica holds from now on, where they are more than were asked for. */
+  readonly prefixes?: PrefixChain;
 }
 
 /** Decides which work of one service goes to which replica, and when. */
@@ -70,6 +73,14 @@
   readonly suspicionMilliseconds: number;
 }
 
+/** What a status shows of the window of one replica. */
+export interface WindowStatus {
+  /** Calls that may be in flight on average. */
+  readonly size: number;
+  /** Calls in flight. */
+  readonly used: number;
+}
+
 interface Sent<Item extends ScheduledItem> {
   readonly item: Item;
   readonly replica: UpstreamId;
@@ -92,7 +103,11 @@
   private readonly windows = new Map<UpstreamId, ConcurrencyWindow>();
   private readonly sent = new Map<WorkId, Sent<Item>>();
 
-  public constructor(private readonly options: WindowedServiceSchedulerOptions<Item>) {}
+  private windowOptions: ConcurrencyWindowOptions;
+
+  public constructor(private readonly options: WindowedServiceSchedulerOptions<Item>) {
+    this.windowOptions = options.window;
+  }
 
   public get size(): number {
     return this.options.queue.size;
@@ -113,11 +128,25 @@
     }
     for (const id of listed) {
       if (!this.windows.has(id)) {
-        this.windows.set(id, new ConcurrencyWindow(this.options.window));
+        this.windows.set(id, new ConcurrencyWindow(this.windowOptions));
       }
     }
   }
 
+  /** Takes over a changed rule or number of instances. */
+  public reconfigure(window: ConcurrencyWindowOptions): void {
+    this.windowOptions = window;
+    for (const each of this.windows.values()) {
+      each.reconfigure(window);
+    }
+  }
+
+  /** Size and use of the window of a replica. */
+  public describeWindow(replica: UpstreamId): WindowStatus {
+    const window = this.windows.get(replica);
+    return { size: window?.size ?? 0, used: window?.used ?? 0 };
+  }
+
   public submit(item: Item, now: number): PushOutcome {
     return this.options.queue.push(item, now);
   }
@@ -160,7 +189,8 @@
     return this.options.queue.remove(id);
   }
 
-  public noteEnd({ end, id, usedTokens }: DispatchReport, now: number): void {
+  public noteEnd(report: DispatchReport, now: number): void {
+    const { end, id, usedTokens } = report;
     const sent = this.sent.get(id);
     if (sent === undefined) {
       return;
@@ -169,7 +199,8 @@
     this.options.queue.settle(id, usedTokens);
     const { at, item, replica } = sent;
     const durationMilliseconds = now - at;
-    const outcome = { durationMilliseconds, end, prefixes: item.prefixes, replica };
+    const prefixes = report.prefixes ?? item.prefixes;
+    const outcome = { durationMilliseconds, end, prefixes, replica };
     this.options.chooser.noteOutcome(outcome, now);
     this.noteWindowEnd(replica, end, durationMilliseconds, now);
   }
--- a/packages/scheduling/tests/windowsAndRetries.test.ts
+++ b/packages/scheduling/tests/windowsAndRetries.test.ts
@@ -1,5 +1,5 @@
 import type { UpstreamId } from '@zincring/core';
-import type { BodyDigest } from '@zincring/scheduling';
+import type { BodyDigest, DeathId } from '@zincring/scheduling';
 
 import {
   ConcurrencyWindow,
@@ -73,6 +73,7 @@
   const death = (upstream: string, ageMilliseconds = 0, digest = body) => ({
     ageMilliseconds,
     body: digest,
+    death: upstream as DeathId,
     upstream: upstream as UpstreamId,
   });
 
