--- a/packages/instance/src/upstreams/queueingDispatcher.ts
+++ b/packages/instance/src/upstreams/queueingDispatcher.ts
@@ -1,4 +1,4 @@
-import type { Metrics, ServiceName, TimerService, UpstreamId } from '@zincring/core';
+import type { Metrics, ServiceName, TimerService, UpstreamId, WorkspaceName } from '@zincring/core';
 import type { BodyDigest, PrefixChain, RetryBudget } from '@zincring/scheduling';
 
 import { ZincringError } from '@zincring/core';
@@ -20,6 +20,8 @@
   readonly sender: ReplicaSender;
   readonly guard: PoisonGuard;
   readonly memory: EngineMemory;
+  /** Counts tokens that were computed for a workspace. */
+  readonly countUse: (service: ServiceName, workspace: WorkspaceName, tokens: number) => void;
   /** The lane of a service. */
   readonly laneOf: (service: ServiceName) => ServiceLane;
   /** The retry budget of a service. */
@@ -135,6 +137,9 @@
       return { failure, hasData: answer.length > 0, kind: 'failed' };
     } finally {
       lane.release(place, end);
+      if (end.usedTokens > 0) {
+        this.options.countUse(work.service, work.workspace, end.usedTokens);
+      }
     }
   }
 
--- a/packages/instance/src/upstreams/upstreams.ts
+++ b/packages/instance/src/upstreams/upstreams.ts
@@ -17,6 +17,7 @@
 import { QueueingDispatcher } from './queueingDispatcher.js';
 import { ReplicaTable } from './replicaTable.js';
 import { ServiceLanes } from './serviceLanes.js';
+import { WorkspaceUseGossip } from './workspaceUseGossip.js';
 
 /** Settings of the slice. */
 export interface UpstreamSettings extends PolicySettings {
@@ -62,12 +63,15 @@
     const { metrics, orders, sender, settings, spreadNews, timers } = options;
     const { replicas } = this;
     const guard = new PoisonGuard({ spreadNews, timers });
-    this.participants = [guard];
     this.lanes = new ServiceLanes({
       ...options,
       instanceCount: () => options.instances().size,
       replicas,
     });
+    const use = new WorkspaceUseGossip((service, workspace, tokens) => {
+      this.lanes.observeRemoteUse(service, workspace, tokens);
+    });
+    this.participants = [guard, use];
     this.memory = new EngineMemory({
       ...options,
       maximumPending: settings.maximumReleases,
@@ -76,6 +80,9 @@
     });
     this.sweeper = this.createSweeper(orders);
     this.dispatcher = new QueueingDispatcher({
+      countUse: (service, workspace, tokens) => {
+        use.add(service, workspace, tokens);
+      },
       guard,
       laneOf: service => this.lanes.laneOf(service),
       memory: this.memory,
