--- a/packages/instance/src/upstreams/queueingDispatcher.ts
+++ b/packages/instance/src/upstreams/queueingDispatcher.ts
@@ -1,4 +1,4 @@
-import type { Metrics, ServiceName, TimerService, UpstreamId } from '@zincring/core';
+import type { Metrics, ServiceName, TimerService, UpstreamId, WorkspaceName } from '@zincring/core';
 import type { BodyDigest, PrefixChain, RetryBudget } from '@zincring/scheduling';
 
 import { ZincringError } from '@zincring/core';
@@ -20,6 +20,8 @@
   readonly sender: ReplicaSender;
   readonly guard: PoisonGuard;
   readonly memory: EngineMemory;
+  /** Counts tokens that were computed for a workspace. */
+  readonly countUse: (service: ServiceName, workspace: WorkspaceName, tokens: number) => void;
   /** The lane of a service. */
   readonly laneOf: (service: ServiceName) => ServiceLane;
   /** The retry budget of a service. */
@@ -96,7 +98,7 @@
     const place = acquired.val;
     const prepared = await work.beforeSend();
     if (prepared.err) {
-      lane.release(place, { kind: 'cancelled' });
+      lane.release(place, { end: 'cancelled', usedTokens: 0 });
       return { error: prepared.val, kind: 'refused' };
     }
     if (work.program !== undefined && work.payload.protocol === 'engine') {
@@ -114,7 +116,7 @@
     const remaining = Math.max(1, attempts.deadline - this.options.timers.now());
     const limited: UpstreamWork = { ...work, timeoutMilliseconds: remaining };
     const answer: Uint8Array[] = [];
-    let end: PlaceEnd = { kind: 'cancelled' };
+    let end: PlaceEnd = { end: 'cancelled', usedTokens: 0 };
     try {
       for await (const frame of this.options.sender.send(place.replica, limited, place.priority)) {
         if (frame.kind === 'data') {
@@ -128,15 +130,16 @@
       return { kind: 'answered' };
     } catch (thrown) {
       const failure = classifyUpstreamFailure(thrown);
-      end = { isSuspect: failure.stage !== 'failed', kind: 'failed' };
-      if (failure.stage === 'timed-out' && work.signal.aborted) {
-        end = { kind: 'cancelled' };
-      }
+      const isGivenUp = failure.stage === 'timed-out' && work.signal.aborted;
+      end = { end: isGivenUp ? 'cancelled' : 'failed', usedTokens: 0 };
       attempts.excluded.add(place.replica.id);
       attempts.mayHaveRun ||= failure.stage !== 'unsent';
       return { failure, hasData: answer.length > 0, kind: 'failed' };
     } finally {
       lane.release(place, end);
+      if (end.usedTokens > 0) {
+        this.options.countUse(work.service, work.workspace, end.usedTokens);
+      }
     }
   }
 
@@ -201,8 +204,7 @@
 ): PlaceEnd {
   const isEngine = attempts.work.payload.protocol === 'engine';
   return {
-    cachedTokens: isEngine ? usage.cachedTokens : undefined,
-    kind: 'succeeded',
+    end: 'succeeded',
     prefixes: isEngine
       ? promptPrefixes(attempts.work, Buffer.concat(answer).toString('utf8'))
       : attempts.prefixes,
