--- /dev/null
+++ b/packages/coordination/tests/leases/session.test.ts
@@ -0,0 +1,34 @@
+import type { IncarnationId } from '@zincring/core';
+
+import { describe, expect, it } from 'vitest';
+
+import { Session } from '../../src/index.js';
+import { terms } from './leaseCluster.js';
+import { createSharedPlatform, deliverLateWrites, PausableNode } from './pausableNode.js';
+
+describe('a renewal that was given up', () => {
+  it('is recognized when it arrives between the look at the row and the next renewal', async () => {
+    const platform = createSharedPlatform();
+    const node = new PausableNode(platform);
+    const session = new Session({
+      address: '127.0.0.1:1',
+      incarnation: 'entry-1.1' as IncarnationId,
+      instance: 'entry-1',
+      table: {
+        ...node.table,
+        read: async keys => {
+          const rows = await node.table.read(keys);
+          deliverLateWrites(platform);
+          return rows;
+        },
+      },
+      terms,
+      timers: node.timers,
+    });
+    expect(await session.renew()).toBe('renewed');
+    node.nextFate = { count: 1, fate: 'late', prefix: 'session/' };
+    expect(await session.renew()).toBe('unknown');
+    expect(await session.renew()).toBe('renewed');
+    expect(await session.renew()).toBe('renewed');
+  });
+});
--- /dev/null
+++ b/packages/coordination/tests/leases/shardLeases.test.ts
@@ -0,0 +1,306 @@
+import type { ShardId } from '@zincring/core';
+
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import type { LeaseNode } from './leaseCluster.js';
+
+import { LeaseCluster, SHARD_COUNT, terms } from './leaseCluster.js';
+
+const SEED = 20_261_203;
+
+/** Clocks that run apart by less than the margin allows. */
+const clockRates = [1, 1.03, 0.97];
+
+type Step =
+  | { readonly kind: 'advance'; readonly milliseconds: number }
+  | { readonly kind: 'errors' | 'lost'; readonly node: number; readonly count: number }
+  | {
+      readonly kind: 'fail-owner' | 'outage' | 'pause' | 'replace' | 'resume';
+      readonly node: number;
+    }
+  | { readonly kind: 'fate'; readonly node: number; readonly next: LeaseNode['nextFate'] }
+  | { readonly kind: 'heal' }
+  | { readonly kind: 'see'; readonly node: number; readonly seen: readonly number[] }
+  | { readonly kind: 'slow'; readonly node: number; readonly milliseconds: number }
+  | { readonly kind: 'step-clock'; readonly node: number; readonly milliseconds: number };
+
+const node = fc.nat({ max: clockRates.length - 1 });
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    arbitrary: fc.record({
+      kind: fc.constant('advance' as const),
+      milliseconds: fc.constantFrom(50, 250, 1_000, 2_500, 6_000),
+    }),
+    weight: 5,
+  },
+  {
+    arbitrary: fc.record({
+      kind: fc.constantFrom('fail-owner', 'outage', 'pause', 'replace', 'resume' as const),
+      node,
+    }),
+    weight: 4,
+  },
+  {
+    arbitrary: fc.record({
+      count: fc.integer({ max: 3, min: 1 }),
+      kind: fc.constantFrom('errors', 'lost' as const),
+      node,
+    }),
+    weight: 3,
+  },
+  {
+    arbitrary: fc.record({
+      kind: fc.constant('fate' as const),
+      next: fc.record({
+        count: fc.integer({ max: 6, min: 1 }),
+        fate: fc.constantFrom('late', 'lost', 'refused' as const),
+        prefix: fc.constantFrom('shard/', 'session/'),
+      }),
+      node,
+    }),
+    weight: 3,
+  },
+  fc.record({ kind: fc.constant('heal' as const) }),
+  fc.record({ kind: fc.constant('see' as const), node, seen: fc.uniqueArray(node) }),
+  fc.record({
+    kind: fc.constant('slow' as const),
+    milliseconds: fc.constantFrom(0, 300, 1_500, 7_000),
+    node,
+  }),
+  fc.record({
+    kind: fc.constant('step-clock' as const),
+    milliseconds: fc.integer({ max: 86_400_000, min: -86_400_000 }),
+    node,
+  }),
+);
+
+function heal(cluster: LeaseCluster): void {
+  cluster.healMembership();
+  for (const each of cluster.nodes) {
+    each.tableFaults.set({ errors: 0, latencyMilliseconds: 0, lostAnswers: 0, outage: 'none' });
+    each.recoveryMilliseconds = 0;
+    each.answerMilliseconds = 0;
+    each.nextFate = undefined;
+    each.resume();
+  }
+}
+
+async function perform(cluster: LeaseCluster, next: Step): Promise<void> {
+  if (next.kind === 'advance') {
+    await cluster.advance(next.milliseconds);
+  } else if (next.kind === 'heal') {
+    heal(cluster);
+  } else {
+    performAt(cluster, next);
+  }
+}
+
+function performAt(
+  cluster: LeaseCluster,
+  next: Exclude<Step, { kind: 'advance' } | { kind: 'heal' }>,
+): void {
+  const target = cluster.nodes[next.node]!;
+  switch (next.kind) {
+    case 'errors':
+      target.tableFaults.set({ errors: next.count });
+      return;
+    case 'lost':
+      target.tableFaults.set({ lostAnswers: next.count });
+      return;
+    case 'fate':
+      target.nextFate = next.next && { ...next.next };
+      return;
+    case 'fail-owner':
+      target.failingRecoveries = 2;
+      target.failingHandOvers = 1;
+      return;
+    case 'outage':
+      target.tableFaults.set({ outage: 'refuse' });
+      return;
+    case 'pause':
+      target.pause();
+      return;
+    case 'replace':
+      cluster.replace(next.node);
+      return;
+    case 'resume':
+      target.resume();
+      return;
+    case 'see':
+      target.eligible = new Set([target.name, ...next.seen.map(index => cluster.names[index]!)]);
+      return;
+    case 'slow':
+      target.recoveryMilliseconds = next.milliseconds;
+      target.tableFaults.set({ latencyMilliseconds: next.milliseconds });
+      target.answerMilliseconds = next.milliseconds;
+      return;
+    case 'step-clock':
+      target.timers.stepWallClock(next.milliseconds);
+  }
+}
+
+describe('ownership of shards', () => {
+  it('has one holder at every moment, and the right one once the faults are over', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.array(step, { maxLength: 40, minLength: 10 }), async steps => {
+        const cluster = new LeaseCluster(clockRates);
+        cluster.healMembership();
+        for (const next of steps) {
+          await perform(cluster, next);
+          cluster.check();
+        }
+        heal(cluster);
+        await cluster.advance(8 * terms.termMilliseconds);
+        expect(cluster.isSettled).toBe(true);
+      }),
+      { numRuns: 60, seed: SEED },
+    );
+  });
+});
+
+describe('a single fault', () => {
+  async function settledPair(): Promise<LeaseCluster> {
+    const cluster = new LeaseCluster([1, 1]);
+    cluster.healMembership();
+    await cluster.advance(3 * terms.termMilliseconds);
+    expect(cluster.isSettled).toBe(true);
+    return cluster;
+  }
+
+  it('keeps the session when a renewal takes longer than the interval', async () => {
+    const cluster = await settledPair();
+    const [first] = cluster.nodes;
+    const { incarnation } = first!.leases;
+    first!.tableFaults.set({ latencyMilliseconds: 1_700 });
+    await cluster.advance(4 * terms.termMilliseconds);
+    expect(first!.leases.incarnation).toBe(incarnation);
+  });
+
+  it.each([1, 2, 3])('keeps the session when the answers of %i writes are lost', async count => {
+    const cluster = await settledPair();
+    const [first] = cluster.nodes;
+    const { incarnation } = first!.leases;
+    first!.tableFaults.set({ lostAnswers: count });
+    await cluster.advance(4 * terms.termMilliseconds);
+    expect(first!.leases.incarnation).toBe(incarnation);
+    expect(cluster.isSettled).toBe(true);
+  });
+
+  it('releases a shard in the end although hand-over, row and answers fail', async () => {
+    const cluster = await settledPair();
+    const [first, second] = cluster.nodes;
+    first!.failingHandOvers = SHARD_COUNT;
+    first!.eligible = new Set([second!.name]);
+    second!.eligible = new Set([second!.name]);
+    first!.nextFate = { count: 60, fate: 'refused', prefix: 'shard/' };
+    await cluster.advance(3 * terms.termMilliseconds);
+    for (let shard = 0; shard < SHARD_COUNT; shard++) {
+      expect(cluster.holdersOf(shard as ShardId)).toEqual([second!.name]);
+    }
+  });
+
+  it('goes on renewing and taking while a recovery takes longer than the term', async () => {
+    const cluster = await settledPair();
+    const [, second] = cluster.nodes;
+    second!.recoveryMilliseconds = 3 * terms.termMilliseconds;
+    const { incarnation } = second!.leases;
+    cluster.nodes[0]!.kill();
+    second!.eligible = new Set([second!.name]);
+    await cluster.advance(6 * terms.termMilliseconds);
+    expect(second!.leases.incarnation).toBe(incarnation);
+    for (let shard = 0; shard < SHARD_COUNT; shard++) {
+      expect(cluster.holdersOf(shard as ShardId)).toEqual([second!.name]);
+    }
+  });
+
+  it.each(['session/', 'shard/'])(
+    'keeps its shards when a write of %s arrives late',
+    async prefix => {
+      const cluster = await settledPair();
+      const [first] = cluster.nodes;
+      const { incarnation } = first!.leases;
+      first!.nextFate = { count: 1, fate: 'late', prefix };
+      await cluster.advance(4 * terms.termMilliseconds);
+      expect(first!.leases.incarnation).toBe(incarnation);
+      expect(cluster.isSettled).toBe(true);
+    },
+  );
+
+  it.each(['late', 'lost'] as const)(
+    'leaves no shard behind whose taking was %s when another should hold it by then',
+    async fate => {
+      const cluster = new LeaseCluster([1, 1]);
+      const [first, second] = cluster.nodes;
+      second!.eligible = new Set([first!.name]);
+      first!.nextFate = { count: 1, fate, prefix: 'shard/' };
+      await cluster.advance(terms.renewMilliseconds + 50);
+      expect(first!.nextFate).toBeUndefined();
+      first!.eligible = new Set([second!.name]);
+      second!.eligible = new Set([second!.name]);
+      await cluster.advance(4 * terms.termMilliseconds);
+      for (let shard = 0; shard < SHARD_COUNT; shard++) {
+        expect(cluster.holdersOf(shard as ShardId)).toEqual([second!.name]);
+      }
+    },
+  );
+
+  it('counts its term from before the renewal, however late the answer comes', async () => {
+    const cluster = await settledPair();
+    const [first, second] = cluster.nodes;
+    second!.eligible = new Set([second!.name]);
+    first!.answerMilliseconds = 4_800;
+    await cluster.advance(1_000);
+    first!.tableFaults.set({ outage: 'refuse' });
+    await cluster.advance(4 * terms.termMilliseconds);
+    expect(cluster.holdersOf(0 as ShardId)).toEqual([second!.name]);
+  });
+
+  it('ends its session for good at a planned stop', async () => {
+    const cluster = await settledPair();
+    const [first, second] = cluster.nodes;
+    second!.eligible = new Set([second!.name]);
+    first!.eligible = new Set([second!.name]);
+    const stopped = first!.leases.stop();
+    await cluster.advance(terms.termMilliseconds);
+    await stopped;
+    const sessions = cluster.platform.table.scan({ limit: 10, prefix: 'session/' }).rows;
+    expect(sessions.map(row => row.key)).toEqual([`session/${second!.leases.incarnation}`]);
+  });
+});
+
+describe('time until another instance holds the shards', () => {
+  /** Milliseconds until the second instance holds all shards that the first held. */
+  async function measure(cluster: LeaseCluster): Promise<number> {
+    const [, second] = cluster.nodes;
+    const held = (): number =>
+      second!.leases.heldShards.filter(shard => second!.leases.standing(shard) === 'held').length;
+    for (let passed = 0; ; passed += 50) {
+      if (held() === SHARD_COUNT || passed > 10 * terms.termMilliseconds) {
+        return passed;
+      }
+      await cluster.advance(50);
+    }
+  }
+
+  it('is little above a term after a crash, and little above a renewal after a stop', async () => {
+    const ratios: Record<string, number> = {};
+    for (const kind of ['crash', 'stop'] as const) {
+      const cluster = new LeaseCluster([1, 1]);
+      cluster.healMembership();
+      await cluster.advance(3 * terms.termMilliseconds);
+      const [first, second] = cluster.nodes;
+      second!.eligible = new Set([second!.name]);
+      if (kind === 'crash') {
+        first!.kill();
+      } else {
+        first!.eligible = new Set([second!.name]);
+        void first!.leases.stop();
+      }
+      ratios[kind] = (await measure(cluster)) / terms.termMilliseconds;
+    }
+    console.log(`takeover in lease terms: ${JSON.stringify(ratios)}`);
+    expect(ratios['crash']).toBeLessThanOrEqual(1.5);
+    expect(ratios['stop']).toBeLessThanOrEqual(0.5);
+  });
+});
