--- /dev/null
+++ b/packages/stand-ins/src/experiments/policy/naive/naiveScheduler.ts
@@ -0,0 +1,69 @@
+import type {
+  Dispatch,
+  PushOutcome,
+  ReplicaDescription,
+  ScheduledItem,
+  ServiceScheduler,
+  WorkId,
+} from '@zincring/scheduling';
+
+/** Round robin over the listed replicas, first come, first served, without windows. */
+export class NaiveScheduler<Item extends ScheduledItem> implements ServiceScheduler<Item> {
+  private readonly waiting: Item[] = [];
+  private replicas: readonly ReplicaDescription[] = [];
+  private nextReplica: number;
+
+  /** @param start where the round begins, so that instances do not go in step */
+  public constructor(start: number) {
+    this.nextReplica = start;
+  }
+
+  public get size(): number {
+    return this.waiting.length;
+  }
+
+  public update(replicas: readonly ReplicaDescription[]): void {
+    this.replicas = replicas;
+  }
+
+  public submit(item: Item): PushOutcome {
+    this.waiting.push(item);
+    return 'accepted';
+  }
+
+  public next(): Dispatch<Item> | undefined {
+    const replica = this.replicas[this.nextReplica % Math.max(1, this.replicas.length)];
+    const item = replica === undefined ? undefined : this.waiting.shift();
+    if (replica === undefined || item === undefined) {
+      return undefined;
+    }
+    this.nextReplica++;
+    const placement = { expectedCachedTokens: 0, expectedMilliseconds: 0, replica: replica.id };
+    return { item, placement, priority: 0 };
+  }
+
+  public nextWakeAt(): number | undefined {
+    return undefined;
+  }
+
+  public cancel(id: WorkId): Item | undefined {
+    const position = this.waiting.findIndex(item => item.id === id);
+    return position < 0 ? undefined : this.waiting.splice(position, 1)[0];
+  }
+
+  public noteEnd(): void {
+    // The naive version learns nothing.
+  }
+
+  public observeLoad(): void {
+    // The naive version learns nothing.
+  }
+
+  public observeCacheChange(): void {
+    // The naive version learns nothing.
+  }
+
+  public observeRemoteUse(): void {
+    // The naive version learns nothing.
+  }
+}
