--- a/packages/scheduling/src/queue/fairWorkQueue.ts
+++ b/packages/scheduling/src/queue/fairWorkQueue.ts
@@ -31,8 +31,10 @@
 const ITEMS_PER_WORKSPACE = 4;
 /** Popped items whose true cost is awaited, at most. */
 const MAX_UNSETTLED = 100_000;
-/** Operations between two sweeps of workspaces without work, per workspace kept. */
-const SWEEP_FACTOR = 4;
+/** Workspaces that may be added between two sweeps of those without work, beside as many as were kept. */
+const SWEEP_ALLOWANCE = 16;
+/** Workspaces without work whose use is remembered, at most. */
+const MAX_IDLE_WORKSPACES = 16_384;
 
 interface WaitingEntry<Item extends QueueItem> extends HeapEntry {
   readonly item: Item;
@@ -75,7 +77,7 @@
   private readonly maxLeadTokens: number;
   private virtualTime = 0;
   private nextOrder = 0;
-  private operationsSinceSweep = 0;
+  private flowsAtLastSweep = 0;
 
   public constructor(private readonly options: FairWorkQueueOptions) {
     this.order = options.order ?? new AttainedServiceOrder();
@@ -187,7 +189,8 @@
   }
 
   private advanceTag(flow: Flow<Item>, tokens: number): void {
-    const weight = Math.max(Number.MIN_VALUE, this.options.weightOf(flow.workspace));
+    const wanted = this.options.weightOf(flow.workspace);
+    const weight = wanted > 0 ? wanted : 1;
     if (tokens < 0) {
       flow.finishTag += tokens / weight;
       return;
@@ -238,15 +241,16 @@
 
   /** Drops workspaces that have nothing waiting and no use to be counted against them. */
   private sweepSometimes(): void {
-    if (++this.operationsSinceSweep < SWEEP_FACTOR * (this.flows.size + 1)) {
+    if (this.flows.size <= 2 * this.flowsAtLastSweep + SWEEP_ALLOWANCE) {
       return;
     }
-    this.operationsSinceSweep = 0;
+    const isCrowded = this.flows.size > MAX_IDLE_WORKSPACES;
     for (const [workspace, flow] of this.flows) {
-      if (flow.place === undefined && flow.finishTag <= this.virtualTime) {
+      if (flow.place === undefined && (isCrowded || flow.finishTag <= this.virtualTime)) {
         this.flows.delete(workspace);
       }
     }
+    this.flowsAtLastSweep = Math.min(this.flows.size, MAX_IDLE_WORKSPACES / 2);
   }
 }
 
--- a/packages/scheduling/src/replicas/costReplicaChooser.ts
+++ b/packages/scheduling/src/replicas/costReplicaChooser.ts
@@ -95,24 +95,21 @@
     hasCapacity: CapacityPredicate,
   ): Placement | undefined {
     const cached = this.record.cachedTokens(request.prefixes);
-    let best: Candidate | undefined;
-    let ties = 1;
+    const candidates: Candidate[] = [];
+    let leastMilliseconds = Infinity;
     for (const replica of this.candidates(cached)) {
       if (replica.load.suspectedUntil > now || request.excluded.has(replica.id)) {
         continue;
       }
       const candidate = this.price(replica, request, cached, hasCapacity);
-      const difference = candidate.expectedMilliseconds - (best?.expectedMilliseconds ?? Infinity);
-      const isTie = Math.abs(difference) <= EQUAL_COST_MILLISECONDS;
-      ties = isTie ? ties + 1 : ties;
-      if (difference < -EQUAL_COST_MILLISECONDS) {
-        best = candidate;
-        ties = 1;
-      } else if (isTie && this.options.random() * ties < 1) {
-        best = candidate;
-      }
+      candidates.push(candidate);
+      leastMilliseconds = Math.min(leastMilliseconds, candidate.expectedMilliseconds);
     }
-    return best?.hasCapacity === true ? best : undefined;
+    const good = candidates.filter(
+      ({ expectedMilliseconds, hasCapacity: isOpen }) =>
+        isOpen && expectedMilliseconds <= leastMilliseconds + EQUAL_COST_MILLISECONDS,
+    );
+    return good[Math.floor(this.options.random() * good.length)];
   }
 
   public noteDispatch(replica: UpstreamId, prefixes: PrefixChain, now: number): void {
--- a/packages/stand-ins/src/experiments/policy/main.ts
+++ b/packages/stand-ins/src/experiments/policy/main.ts
@@ -21,11 +21,7 @@
   .usage('$0: runs the scheduling policies on virtual time; the same seeds give the same figures')
   .strict()
   .options({
-    deployment: {
-      choices: deploymentNames,
-      default: 'utility' satisfies DeploymentName,
-      describe: 'shape of the fleet',
-    },
+    deployment: { choices: deploymentNames, describe: 'shape of the fleet; utility by default' },
     plots: { describe: 'directory that gets the plots', type: 'string' },
     policies: {
       default: 'naive,ours',
@@ -89,7 +85,7 @@
 const options = command.parseSync();
 const rows = runAll({
   comparesAlone: options.slowdown,
-  deployment: options.deployment,
+  deployment: options.deployment ?? 'utility',
   isQuick: options.quick,
   policies: select(options.policies, policyNames),
   scenarios: select(options.scenarios, scenarioNames),
