feat(scheduling): let workspaces below their share overflow the window at high priority

Cause: with 16 places and 13 instances a window is about one call, so a call that is bound to the replica with its prefix waited for a call of its own instance to end, though places of other instances came free there all the time. The queue now tells whether a workspace is below its share; then two calls may go beyond the window, first in line at the engine.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -2,6 +2,7 @@
   PushOutcome,
   QueueItem,
   RunnablePredicate,
+  ShareStanding,
   WorkId,
   WorkQueue,
 } from './queue/workQueue.js';
--- a/packages/scheduling/src/queue/fairWorkQueue.ts
+++ b/packages/scheduling/src/queue/fairWorkQueue.ts
@@ -124,7 +124,8 @@
       if (place === undefined) {
         break;
       }
-      found = takeRunnable(place.flow, canRun);
+      const standing = place.key <= this.virtualTime ? 'below-share' : 'at-share';
+      found = takeRunnable(place.flow, item => canRun(item, standing));
       if (found === undefined) {
         skipped.push(place);
       }
@@ -256,7 +257,7 @@
 
 function takeRunnable<Item extends QueueItem>(
   flow: Flow<Item>,
-  canRun: RunnablePredicate<Item>,
+  canRun: (item: Item) => boolean,
 ): WaitingEntry<Item> | undefined {
   const skipped: WaitingEntry<Item>[] = [];
   let found: WaitingEntry<Item> | undefined;
--- a/packages/scheduling/src/queue/workQueue.ts
+++ b/packages/scheduling/src/queue/workQueue.ts
@@ -20,8 +20,14 @@
 /** What became of a push. */
 export type PushOutcome = 'accepted' | 'duplicate' | 'queue-full' | 'workspace-full';
 
+/** Whether a workspace has had less than its share of late, compared with those that compete. */
+export type ShareStanding = 'at-share' | 'below-share';
+
 /** Decides whether an item can start right now; it must not change the queue. */
-export type RunnablePredicate<Item extends QueueItem> = (item: Item) => boolean;
+export type RunnablePredicate<Item extends QueueItem> = (
+  item: Item,
+  standing: ShareStanding,
+) => boolean;
 
 /** Orders the work of one service within one instance. */
 export interface WorkQueue<Item extends QueueItem> {
--- a/packages/scheduling/src/service/serviceScheduler.ts
+++ b/packages/scheduling/src/service/serviceScheduler.ts
@@ -66,6 +66,11 @@
   readonly queue: WorkQueue<Item>;
   readonly chooser: ReplicaChooser;
   readonly window: ConcurrencyWindowOptions;
+  /**
+   * Calls beyond the window of a replica that a workspace below its share may have there. They wait
+   * at the replica before all others, since the next place of any instance is theirs.
+   */
+  readonly belowShareOverflow: number;
   /** Time for which a replica gets no new work after a failure, in milliseconds. */
   readonly suspicionMilliseconds: number;
 }
@@ -127,10 +132,15 @@
       return undefined;
     }
     let placement: Placement | undefined;
-    const hasRoom = (replica: UpstreamId): boolean =>
-      this.windows.get(replica)?.hasRoom(now) === true;
-    const item = this.options.queue.pop(now, candidate => {
-      placement = this.options.chooser.choose(candidate, now, hasRoom);
+    let isBelowShare = false;
+    const item = this.options.queue.pop(now, (candidate, standing) => {
+      isBelowShare = standing === 'below-share';
+      const overflow = isBelowShare ? this.options.belowShareOverflow : 0;
+      placement = this.options.chooser.choose(
+        candidate,
+        now,
+        replica => this.windows.get(replica)?.hasRoom(now, overflow) === true,
+      );
       return placement !== undefined;
     });
     if (item === undefined || placement === undefined) {
@@ -139,7 +149,7 @@
     this.windows.get(placement.replica)?.noteDispatch();
     this.options.chooser.noteDispatch(placement.replica, item.prefixes, now);
     this.sent.set(item.id, { at: now, item, replica: placement.replica });
-    return { item, placement, priority: enginePriority({ ...item, now }) };
+    return { item, placement, priority: enginePriority({ ...item, isBelowShare, now }) };
   }
 
   public nextWakeAt(now: number): number | undefined {
--- a/packages/scheduling/src/windows/concurrencyWindow.ts
+++ b/packages/scheduling/src/windows/concurrencyWindow.ts
@@ -64,8 +64,15 @@
     this.window = this.clamp(this.window);
   }
 
-  /** Tells whether one more call may be sent. */
-  public hasRoom(now: number): boolean {
+  /**
+   * Tells whether one more call may be sent.
+   *
+   * @param overflow calls beyond the window that are allowed for this one
+   */
+  public hasRoom(now: number, overflow = 0): boolean {
+    if (overflow > 0) {
+      return this.inFlight < Math.floor(this.window) + overflow;
+    }
     if (this.window >= 1) {
       return this.inFlight < Math.floor(this.window);
     }
--- a/packages/stand-ins/src/experiments/policy/policies.ts
+++ b/packages/stand-ins/src/experiments/policy/policies.ts
@@ -49,6 +49,7 @@
 
 const MAX_ITEMS = 20_000;
 const MAX_ITEMS_PER_WORKSPACE = 10_000;
+const BELOW_SHARE_OVERFLOW = 2;
 const MAX_PREFIXES = 50_000;
 const SUSPICION_MILLISECONDS = 5_000;
 const PREFILL_MILLISECONDS_PER_TOKEN = 0.17;
@@ -92,6 +93,7 @@
   chooser: ReplicaChooser,
 ): ServiceScheduler<SimulatedCall> {
   return new WindowedServiceScheduler({
+    belowShareOverflow: BELOW_SHARE_OVERFLOW,
     chooser,
     queue,
     suspicionMilliseconds: SUSPICION_MILLISECONDS,
