--- a/packages/scheduling/src/replicas/costReplicaChooser.ts
+++ b/packages/scheduling/src/replicas/costReplicaChooser.ts
@@ -24,6 +24,8 @@
   readonly slotsPerReplica: number;
   /** Time to compute one prompt token, in milliseconds. */
   readonly prefillMillisecondsPerToken: number;
+  /** Time by which one computed prompt token holds up each call of the batch, in milliseconds. */
+  readonly batchDelayMillisecondsPerToken: number;
   /** Expected time of a call before any was measured, in milliseconds. */
   readonly callMilliseconds: number;
   /** Price of leaving the own availability zone, in milliseconds. */
@@ -53,8 +55,8 @@
 }
 
 /**
- * Chooses the replica with the least expected time before the first token: queueing, prompt tokens
- * to compute again, and the way to another availability zone. When a replica without capacity
+ * Chooses the replica with the least cost: queueing, prompt tokens to compute again, which hold up
+ * the other calls of the batch too, and the way to another availability zone. When a replica without capacity
  * would be the better one even after waiting for a place, the call waits.
  *
  * @example
@@ -202,13 +204,16 @@
     const expectedCachedTokens = Math.min(request.promptTokens, cached.get(replica.run) ?? 0);
     const uncachedTokens = request.promptTokens - expectedCachedTokens;
     const millisecondsPerPlace = meanCallMilliseconds / options.slotsPerReplica;
+    const batchSize = Math.min(predictedCalls, options.slotsPerReplica);
+    const millisecondsPerToken =
+      options.prefillMillisecondsPerToken + batchSize * options.batchDelayMillisecondsPerToken;
     const isOpen = hasCapacity(replica.id);
     const placesToWait = Math.max(isOpen ? 0 : 1, predictedCalls - options.slotsPerReplica + 1);
     return {
       expectedCachedTokens,
       expectedMilliseconds:
         placesToWait * millisecondsPerPlace +
-        uncachedTokens * options.prefillMillisecondsPerToken +
+        uncachedTokens * millisecondsPerToken +
         predictedCalls * options.sharingMilliseconds +
         (replica.zone === options.zone ? 0 : options.zoneMilliseconds),
       hasCapacity: isOpen,
--- a/packages/scheduling/tests/chooserDifferential.test.ts
+++ b/packages/scheduling/tests/chooserDifferential.test.ts
@@ -10,6 +10,7 @@
 const PROGRAMS = 4;
 const EQUAL_COST = 20;
 const options = {
+  batchDelayMillisecondsPerToken: 0.05,
   callMilliseconds: 1_000,
   maxPrefixes: 1_000,
   prefillMillisecondsPerToken: 0.2,
@@ -77,7 +78,10 @@
                 const places = Math.max(isClosed ? 1 : 0, calls - options.slotsPerReplica + 1);
                 return (
                   (places * options.callMilliseconds) / options.slotsPerReplica +
-                  (promptTokens - (cached?.tokens ?? 0)) * options.prefillMillisecondsPerToken +
+                  (promptTokens - (cached?.tokens ?? 0)) *
+                    (options.prefillMillisecondsPerToken +
+                      Math.min(calls, options.slotsPerReplica) *
+                        options.batchDelayMillisecondsPerToken) +
                   calls * options.sharingMilliseconds +
                   (zoneOf(index) === options.zone ? 0 : options.zoneMilliseconds)
                 );
--- a/packages/scheduling/tests/costReplicaChooser.test.ts
+++ b/packages/scheduling/tests/costReplicaChooser.test.ts
@@ -11,6 +11,7 @@
 
 function chooserOf(count: number, maxPrefixes = 100) {
   const chooser = new CostReplicaChooser({
+    batchDelayMillisecondsPerToken: 0.01,
     callMilliseconds: 4_000,
     maxPrefixes,
     prefillMillisecondsPerToken: 0.1,
--- a/packages/stand-ins/src/experiments/policy/policies.ts
+++ b/packages/stand-ins/src/experiments/policy/policies.ts
@@ -53,6 +53,7 @@
 const MAX_PREFIXES = 50_000;
 const SUSPICION_MILLISECONDS = 5_000;
 const PREFILL_MILLISECONDS_PER_TOKEN = 0.17;
+const BATCH_DELAY_MILLISECONDS_PER_TOKEN = 0.06;
 const CALL_MILLISECONDS = 4_000;
 const ZONE_MILLISECONDS = 2;
 const SHARING_MILLISECONDS = 50;
@@ -112,6 +113,7 @@
 
 function costChooser({ random, slotsPerReplica, zone }: PolicyContext): ReplicaChooser {
   return new CostReplicaChooser({
+    batchDelayMillisecondsPerToken: BATCH_DELAY_MILLISECONDS_PER_TOKEN,
     callMilliseconds: CALL_MILLISECONDS,
     maxPrefixes: MAX_PREFIXES,
     prefillMillisecondsPerToken: PREFILL_MILLISECONDS_PER_TOKEN,
