feat(stand-ins): run the experiments on several threads; wire the new policy settings

Wiring outside scheduling: upstreams.belowShareOverflow and upstreams.batchDelayMillisecondsPerToken in the instance's settings and service lanes.

--- a/packages/instance/src/lifecycle/settings.ts
+++ b/packages/instance/src/lifecycle/settings.ts
@@ -20,6 +20,8 @@
   );
 
 const upstreamSchema = z.strictObject({
+  batchDelayMillisecondsPerToken: z.number().nonnegative().default(0.05),
+  belowShareOverflow: z.number().int().nonnegative().default(2),
   callMilliseconds: milliseconds.default(1_000),
   maximumPrefixes: z.number().int().positive().default(100_000),
   maximumReleases: z.number().int().positive().default(10_000),
--- a/packages/instance/src/upstreams/serviceLanes.ts
+++ b/packages/instance/src/upstreams/serviceLanes.ts
@@ -34,6 +34,10 @@
   readonly slotsPerReplica: number;
   /** Time to compute one prompt token, in milliseconds. */
   readonly prefillMillisecondsPerToken: number;
+  /** Time by which one computed prompt token holds up each call of the batch, in milliseconds. */
+  readonly batchDelayMillisecondsPerToken: number;
+  /** Calls beyond the window of a replica that a workspace below its share may have there. */
+  readonly belowShareOverflow: number;
   /** Expected time of a call before any was measured, in milliseconds. */
   readonly callMilliseconds: number;
   /** Price of leaving the availability zone, in milliseconds. */
@@ -173,7 +177,9 @@
   private createScheduler(service: ServiceName): WindowedServiceScheduler<WaitingWork> {
     const { settings, zone } = this.options;
     return new WindowedServiceScheduler<WaitingWork>({
+      belowShareOverflow: settings.belowShareOverflow,
       chooser: new CostReplicaChooser({
+        batchDelayMillisecondsPerToken: settings.batchDelayMillisecondsPerToken,
         callMilliseconds: settings.callMilliseconds,
         maxPrefixes: settings.maximumPrefixes,
         prefillMillisecondsPerToken: settings.prefillMillisecondsPerToken,
--- /dev/null
+++ b/packages/stand-ins/src/experiments/policy/experimentJob.ts
@@ -0,0 +1,39 @@
+import type { DeploymentName } from './deployments.js';
+import type { PolicyName } from './policies.js';
+import type { ExperimentFigures } from './runExperiment.js';
+import type { ScenarioName } from './scenarios.js';
+
+import { measureCapacity } from './capacity.js';
+import { deployments } from './deployments.js';
+import { runExperiment } from './runExperiment.js';
+import { createScenario, runLengths } from './scenarios.js';
+
+/** One run, as it is handed to a worker. */
+export interface ExperimentJob {
+  readonly deployment: DeploymentName;
+  readonly scenario: ScenarioName;
+  readonly policy: PolicyName;
+  readonly seed: number;
+  readonly isQuick: boolean;
+  readonly comparesAlone: boolean;
+}
+
+const capacity = measureCapacity();
+
+/**
+ * Runs one job.
+ *
+ * @example
+ * runJob({ ...job, seed: 2 });
+ */
+export function runJob(job: ExperimentJob): ExperimentFigures {
+  const length = job.isQuick ? runLengths.quick : runLengths.full;
+  return runExperiment({
+    comparesAlone: job.comparesAlone,
+    deployment: deployments[job.deployment],
+    length,
+    policy: job.policy,
+    scenario: createScenario(job.scenario, capacity, length),
+    seed: job.seed,
+  });
+}
--- a/packages/stand-ins/src/experiments/policy/main.ts
+++ b/packages/stand-ins/src/experiments/policy/main.ts
@@ -9,12 +9,14 @@
 import type { ScenarioName } from './scenarios.js';
 
 import { measureCapacity } from './capacity.js';
-import { deploymentNames, deployments } from './deployments.js';
+import { deploymentNames } from './deployments.js';
 import { policyNames } from './policies.js';
 import { drawPlots } from './report/drawPlots.js';
 import { formatTable } from './report/formatTable.js';
-import { runExperiment } from './runExperiment.js';
-import { createScenario, runLengths, scenarioNames } from './scenarios.js';
+import { runJobs } from './runJobs.js';
+import { runLengths, scenarioNames } from './scenarios.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
 
 const command = yargs(hideBin(process.argv))
   .scriptName('policy-experiments')
@@ -35,6 +37,7 @@
       type: 'string',
     },
     seeds: { default: 3, describe: 'number of seeds, from 1', type: 'number' },
+    threads: { default: 4, describe: 'threads that run experiments', type: 'number' },
     slowdown: { default: true, describe: 'run each workspace alone too', type: 'boolean' },
   });
 
@@ -59,37 +62,39 @@
   readonly scenarios: readonly ScenarioName[];
   readonly seeds: number;
   readonly comparesAlone: boolean;
+  readonly threads: number;
 }
 
-function runAll(selection: Selection): readonly ResultRow[] {
-  const capacity = measureCapacity();
-  const length = selection.isQuick ? runLengths.quick : runLengths.full;
-  const deployment = deployments[selection.deployment];
+async function runAll(selection: Selection): Promise<readonly ResultRow[]> {
+  const { comparesAlone, deployment, isQuick, policies, scenarios, threads } = selection;
   const seeds = Array.from({ length: selection.seeds }, (_, index) => index + 1);
-  print(
-    `deployment ${deployment.name}, seeds ${seeds.join(' ')}, arrivals over ${length.arrivals / 1_000} s; one engine ` +
-      `${capacity.callsPerSecond.toFixed(2)} calls/s, ${capacity.callsPerProgram.toFixed(2)} calls a program`,
+  const cells = scenarios.flatMap(scenario => policies.map(policy => ({ policy, scenario })));
+  const jobs = cells.flatMap(cell =>
+    seeds.map(seed => ({ ...cell, comparesAlone, deployment, isQuick, seed })),
   );
-  return selection.scenarios.flatMap(name => {
-    const scenario = createScenario(name, capacity, length);
-    return selection.policies.map(policy => {
-      const { comparesAlone } = selection;
-      const runs = seeds.map(seed =>
-        runExperiment({ comparesAlone, deployment, length, policy, scenario, seed }),
-      );
-      return { policy, runs, scenario: name };
-    });
-  });
+  const figures = await runJobs(jobs, threads);
+  return cells.map((cell, index) => ({
+    ...cell,
+    runs: figures.slice(index * seeds.length, (index + 1) * seeds.length),
+  }));
 }
 
 const options = command.parseSync();
-const rows = runAll({
+const capacity = measureCapacity();
+const length = options.quick ? runLengths.quick : runLengths.full;
+print(
+  `one engine: ${capacity.callsPerSecond.toFixed(2)} calls/s; a program: ` +
+    `${capacity.callsPerProgram.toFixed(2)} calls; seeds 1 to ${options.seeds}; ` +
+    `programs arrive over ${length.arrivals / MILLISECONDS_PER_SECOND} s`,
+);
+const rows = await runAll({
   comparesAlone: options.slowdown,
   deployment: options.deployment ?? 'utility',
   isQuick: options.quick,
   policies: select(options.policies, policyNames),
   scenarios: select(options.scenarios, scenarioNames),
   seeds: options.seeds,
+  threads: options.threads,
 });
 print(formatTable(rows));
 if (options.plots !== undefined) {
