--- a/packages/scheduling/src/replicas/costReplicaChooser.ts
+++ b/packages/scheduling/src/replicas/costReplicaChooser.ts
@@ -24,6 +24,8 @@
   readonly slotsPerReplica: number;
   /** Time to compute one prompt token, in milliseconds. */
   readonly prefillMillisecondsPerToken: number;
+  /** Time by which one computed prompt token holds up each call of the batch, in milliseconds. */
+  readonly batchDelayMillisecondsPerToken: number;
   /** Expected time of a call before any was measured, in milliseconds. */
   readonly callMilliseconds: number;
   /** Price of leaving the own availability zone, in milliseconds. */
@@ -53,8 +55,8 @@
 }
 
 /**
- * Chooses the replica with the least expected time before the first token: queueing, prompt tokens
- * to compute again, and the way to another availability zone. When a replica without capacity
+ * Chooses the replica with the least cost: queueing, prompt tokens to compute again, which hold up
+ * the other calls of the batch too, and the way to another availability zone. When a replica without capacity
  * would be the better one even after waiting for a place, the call waits.
  *
  * @example
@@ -95,24 +97,21 @@
     hasCapacity: CapacityPredicate,
   ): Placement | undefined {
     const cached = this.record.cachedTokens(request.prefixes);
-    let best: Candidate | undefined;
-    let ties = 1;
+    const candidates: Candidate[] = [];
+    let leastMilliseconds = Infinity;
     for (const replica of this.candidates(cached)) {
       if (replica.load.suspectedUntil > now || request.excluded.has(replica.id)) {
         continue;
       }
       const candidate = this.price(replica, request, cached, hasCapacity);
-      const difference = candidate.expectedMilliseconds - (best?.expectedMilliseconds ?? Infinity);
-      const isTie = Math.abs(difference) <= EQUAL_COST_MILLISECONDS;
-      ties = isTie ? ties + 1 : ties;
-      if (difference < -EQUAL_COST_MILLISECONDS) {
-        best = candidate;
-        ties = 1;
-      } else if (isTie && this.options.random() * ties < 1) {
-        best = candidate;
-      }
+      candidates.push(candidate);
+      leastMilliseconds = Math.min(leastMilliseconds, candidate.expectedMilliseconds);
     }
-    return best?.hasCapacity === true ? best : undefined;
+    const good = candidates.filter(
+      ({ expectedMilliseconds, hasCapacity: isOpen }) =>
+        isOpen && expectedMilliseconds <= leastMilliseconds + EQUAL_COST_MILLISECONDS,
+    );
+    return good[Math.floor(this.options.random() * good.length)];
   }
 
   public noteDispatch(replica: UpstreamId, prefixes: PrefixChain, now: number): void {
@@ -205,13 +204,16 @@
     const expectedCachedTokens = Math.min(request.promptTokens, cached.get(replica.run) ?? 0);
     const uncachedTokens = request.promptTokens - expectedCachedTokens;
     const millisecondsPerPlace = meanCallMilliseconds / options.slotsPerReplica;
+    const batchSize = Math.min(predictedCalls, options.slotsPerReplica);
+    const millisecondsPerToken =
+      options.prefillMillisecondsPerToken + batchSize * options.batchDelayMillisecondsPerToken;
     const isOpen = hasCapacity(replica.id);
     const placesToWait = Math.max(isOpen ? 0 : 1, predictedCalls - options.slotsPerReplica + 1);
     return {
       expectedCachedTokens,
       expectedMilliseconds:
         placesToWait * millisecondsPerPlace +
-        uncachedTokens * options.prefillMillisecondsPerToken +
+        uncachedTokens * millisecondsPerToken +
         predictedCalls * options.sharingMilliseconds +
         (replica.zone === options.zone ? 0 : options.zoneMilliseconds),
       hasCapacity: isOpen,
