--- /dev/null
+++ b/packages/coordination/tests/limits/faultHistory.ts
@@ -0,0 +1,173 @@
+import type { BucketSize, LeaseTerms } from '@zincring/coordination';
+
+import type { MechanismName } from '../../../stand-ins/src/experiments/limits/mechanisms.js';
+import type { SimulatedInstance } from '../../../stand-ins/src/experiments/limits/simulatedFleet.js';
+
+import { RandomSource } from '../../../stand-ins/src/experiments/limits/randomSource.js';
+import { SimulatedFleet } from '../../../stand-ins/src/experiments/limits/simulatedFleet.js';
+
+export interface FaultHistory {
+  readonly mechanism: MechanismName;
+  readonly seed: number;
+  readonly steps: number;
+  readonly seatTerms: LeaseTerms;
+  readonly instances: number;
+}
+
+export interface HistoryOutcome {
+  readonly granted: number;
+  readonly violations: ReadonlyMap<string, number>;
+  /** Part of the rate that was granted under overload once every fault had ended. */
+  readonly recovered: ReadonlyMap<string, number>;
+}
+
+const sizes: readonly (readonly [string, readonly BucketSize[]])[] = [
+  [
+    'large',
+    [
+      { burst: 40, rate: 20 },
+      { burst: 30, rate: 8 },
+    ],
+  ],
+  [
+    'medium',
+    [
+      { burst: 20, rate: 8 },
+      { burst: 5, rate: 10 },
+    ],
+  ],
+  [
+    'small',
+    [
+      { burst: 2, rate: 1 },
+      { burst: 4, rate: 2 },
+    ],
+  ],
+  ['single', [{ burst: 1, rate: 2 }]],
+];
+
+/** Drives a fleet under five times its rate through random faults, often several together. */
+export async function runFaultHistory(history: FaultHistory): Promise<HistoryOutcome> {
+  const random = new RandomSource(history.seed);
+  const limits = new Map(sizes.map(([name, choices]) => [name, choices[0]!]));
+  const fleet = new SimulatedFleet({ ...history, drift: 0.0005, limits, random });
+  let granted = 0;
+  const offer = (load: number): void => {
+    for (const [workspace, size] of limits) {
+      const instances = random.next() < 0.5 ? fleet.instances : [random.pick(fleet.instances)];
+      for (let count = Math.ceil(size.rate * load); count > 0; count--) {
+        fleet.request(random.pick(instances), workspace, random.below(3_000), outcome => {
+          granted += outcome === 'granted' ? 1 : 0;
+        });
+      }
+    }
+  };
+  for (let step = 0; step < history.steps; step++) {
+    offer(random.next() * 6);
+    // The faults meet messages on their way.
+    await fleet.timers.advance(random.below(6));
+    for (let faults = random.below(4); faults > 0; faults--) {
+      disturb(fleet, random);
+    }
+    offer(random.next() * 2);
+    await fleet.timers.advance(random.next() < 0.5 ? random.below(1_000) : random.below(6_000));
+  }
+  await calm(fleet, history.seatTerms.termMilliseconds, limits);
+  const before = new Map([...fleet.checkers].map(([name, checker]) => [name, checker.grants]));
+  const seconds = 20;
+  for (let second = 0; second < seconds * 4; second++) {
+    offer(1);
+    await fleet.timers.advance(250);
+  }
+  return {
+    granted,
+    recovered: new Map(
+      [...fleet.checkers].map(([name, checker]) => [
+        name,
+        (checker.grants - before.get(name)!) / (limits.get(name)!.rate * seconds),
+      ]),
+    ),
+    violations: new Map([...fleet.checkers].map(([name, checker]) => [name, checker.violations])),
+  };
+}
+
+async function calm(
+  fleet: SimulatedFleet,
+  termMilliseconds: number,
+  limits: ReadonlyMap<string, BucketSize>,
+): Promise<void> {
+  fleet.faults.set({ errors: 0, latencyMilliseconds: 5, lostAnswers: 0, outage: 'none' });
+  fleet.mendAll();
+  for (const instance of fleet.instances) {
+    instance.process.resume();
+    if (instance.process.state === 'dead' || instance.isLeaving) {
+      fleet.restart(instance);
+    }
+    fleet.configure(instance, limits);
+  }
+  await fleet.timers.advance(2 * termMilliseconds + 20_000);
+}
+
+type Disturbance = (
+  fleet: SimulatedFleet,
+  instance: SimulatedInstance,
+  other: SimulatedInstance,
+  random: RandomSource,
+) => void;
+
+const restart: Disturbance = (fleet, instance) => {
+  fleet.restart(instance);
+};
+
+const disturbances: readonly Disturbance[] = [
+  (fleet, instance) => {
+    fleet.crash(instance);
+  },
+  restart,
+  restart,
+  (_fleet, instance) => {
+    instance.process.pause();
+  },
+  (_fleet, instance) => {
+    instance.process.resume();
+  },
+  (_fleet, instance) => {
+    instance.process.resume();
+  },
+  (fleet, instance, other) => {
+    fleet.setCut(instance.name, other.name, true);
+  },
+  fleet => {
+    fleet.mendAll();
+  },
+  (fleet, instance) => {
+    if (instance.process.state === 'running') {
+      void fleet.drain(instance);
+    }
+  },
+  (fleet, instance, _other, random) => {
+    // Versions reach the instances one by one.
+    const changed = sizes.map(([name, choices]) => [name, random.pick(choices)] as const);
+    fleet.configure(instance, new Map(changed));
+  },
+  (fleet, _instance, _other, random) => {
+    fleet.faults.set({ lostAnswers: random.below(3) });
+  },
+  (fleet, _instance, _other, random) => {
+    fleet.faults.set({ errors: random.below(5), latencyMilliseconds: random.below(400) });
+  },
+  fleet => {
+    fleet.faults.set({ outage: 'refuse' });
+  },
+  fleet => {
+    fleet.faults.set({ outage: 'none' });
+  },
+  fleet => {
+    fleet.timers.stepWallClock(-3_600_000);
+  },
+];
+
+function disturb(fleet: SimulatedFleet, random: RandomSource): void {
+  const instance = random.pick(fleet.instances);
+  random.pick(disturbances)(fleet, instance, random.pick(fleet.instances), random);
+}
