--- a/packages/coordination/src/limits/workspaceLimiter.ts
+++ b/packages/coordination/src/limits/workspaceLimiter.ts
@@ -47,7 +47,8 @@
 /** By how much the time to a token may be underestimated, in milliseconds. */
 const WAIT_SLACK_MILLISECONDS = 25;
 const LEAST_PAUSE_MILLISECONDS = 5;
-const LONGEST_PAUSE_MILLISECONDS = 1_000;
+const LONGEST_PAUSE_MILLISECONDS = 250;
+const LONGEST_PROMISE_MILLISECONDS = 60_000;
 /** How long shares are gathered after the last need, in milliseconds. */
 const NEED_MILLISECONDS = 10_000;
 /** The same for bursts that stay whole, which are lost when their shares go back. */
@@ -69,6 +70,8 @@
   private gathering: TimerSubscription | undefined;
   private isAsking = false;
   private nextAskAt = Number.NEGATIVE_INFINITY;
+  /** When the home expects a token for this instance. */
+  private expectedFrom = Number.NEGATIVE_INFINITY;
   private isHintFirm = false;
   private gatheringSince = Number.NEGATIVE_INFINITY;
   /** When a token was last asked for, here or by another instance. */
@@ -115,7 +118,7 @@
   public lend(request: LoanRequest): Loan {
     const now = this.now;
     if (!this.escrow.isSameSize(request.size)) {
-      return noLoan(LONGEST_PAUSE_MILLISECONDS);
+      return { ...noLoan(LONGEST_PAUSE_MILLISECONDS), isGathering: true };
     }
     switch (request.kind) {
       case 'settle':
@@ -171,9 +174,9 @@
     const rate = this.escrow.rate(now) || this.escrow.limits.rate;
     const ahead = (this.promises.size / rate) * 1_000;
     const accrued = this.escrow.millisecondsUntil(now, 1 + this.line.size);
-    const pause = limitPause(accrued + ahead);
-    this.promises.set(borrower, now + pause + PROMISE_MILLISECONDS);
-    return noLoan(pause);
+    const expected = Math.min(accrued + ahead, LONGEST_PROMISE_MILLISECONDS);
+    this.promises.set(borrower, now + limitPause(expected) + PROMISE_MILLISECONDS);
+    return noLoan(expected);
   }
 
   /** Whether shares that lenders can give may still be on their way. */
@@ -203,7 +206,7 @@
       return now + (missing / (this.escrow.rate(now) || rate)) * 1_000;
     }
     const missing = Math.max(0, place - Math.floor(available));
-    return this.nextAskAt + (missing / rate) * 1_000;
+    return this.expectedFrom + (missing / rate) * 1_000;
   }
 
   /** Grants what can be granted and arranges for the rest. */
@@ -242,8 +245,9 @@
     this.spentLoans.delete(home);
     const loan = await this.borrow(home, { ...this.request('tokens', tokens, 0), spentLoans });
     this.isAsking = false;
-    const pause = loan === undefined ? FAILED_PAUSE_MILLISECONDS : loan.retryMilliseconds;
-    this.nextAskAt = this.now + pause;
+    const expected = loan === undefined ? FAILED_PAUSE_MILLISECONDS : loan.retryMilliseconds;
+    this.expectedFrom = this.now + expected;
+    this.nextAskAt = this.now + (loan !== undefined && loan.tokens > 0 ? 0 : limitPause(expected));
     this.isHintFirm = loan?.tokens === 0 && !loan.isGathering;
     if (loan !== undefined && loan.tokens > 0) {
       this.parts.timers.after(loan.validMilliseconds * RETURN_AFTER, () => {
--- a/packages/coordination/tests/limits/escrowedLimiter.test.ts
+++ b/packages/coordination/tests/limits/escrowedLimiter.test.ts
@@ -16,6 +16,8 @@
   ['small', { burst: 2, rate: 1 }],
   ['single', { burst: 1, rate: 2 }],
 ]);
+/** Part of the rate that must be granted under overload after the faults. */
+const LEAST_RECOVERED = 0.8;
 /** More seeds for a longer search: LIMIT_SEEDS=200 npx vitest run escrowedLimiter */
 const seeds = Array.from(
   { length: Number(process.env['LIMIT_SEEDS'] ?? 10) },
@@ -66,9 +68,7 @@
     });
     expect(outcome.granted).toBeGreaterThan(0);
     expect([...outcome.violations.values()]).toEqual([0, 0, 0, 0]);
-    for (const [workspace, part] of outcome.recovered) {
-      expect({ isRecovered: part > 0.8, part, workspace }).toMatchObject({ isRecovered: true });
-    }
+    expect([...outcome.recovered].filter(([, part]) => part < LEAST_RECOVERED)).toEqual([]);
   });
 
   it('are passed by equal shares, which shows that the checker sees it', async () => {
