feat(core): close the table of metrics and keep keys out of logs

Metric names were plain strings and a log line could carry any field.

The names, types, units and tags of metrics now stand in one table; the interface takes only names of the fitting type, so an unknown name does not compile, and a test compares docs/operators/metrics.md with the table row by row. Log fields named key, body, input, token or authorization do not compile; as a second line of defence pino redacts such fields, and keys and bearer tokens are cut out of texts. A filter on texts alone was ruled out: it cannot know a body.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,7 +21,18 @@
   isSameKeyHash,
   sha256Hex,
 } from './hashing/hash.js';
-export type { LogFields, Logger, LogLevel } from './logging/logger.js';
+export type { LogDestination, LogFields, Logger, LogLevel } from './logging/logger.js';
 export { createLogger, failureText, silentLogger } from './logging/logger.js';
+export { redactSecrets } from './logging/redactSecrets.js';
 export type { Metrics, MetricTags, StatsdOptions } from './metrics/metrics.js';
 export { createStatsdMetrics, discardingMetrics } from './metrics/metrics.js';
+export type {
+  CounterName,
+  GaugeName,
+  MetricDescriptor,
+  MetricName,
+  MetricType,
+  TagsOf,
+  TimingName,
+} from './metrics/metricTable.js';
+export { allMetricNames, describeMetric } from './metrics/metricTable.js';
--- /dev/null
+++ b/packages/core/src/metrics/metricTable.ts
@@ -0,0 +1,208 @@
+/** How a metric is sent. */
+export type MetricType = 'counter' | 'gauge' | 'timing';
+
+/** One metric of the closed table. */
+export interface MetricDescriptor {
+  readonly type: MetricType;
+  /** What one of the value is. */
+  readonly unit: string;
+  /** Names of the tags that it may carry. */
+  readonly tags: readonly string[];
+  /** What it tells, for operators. */
+  readonly text: string;
+}
+
+/**
+ * The closed table of metrics; docs/operators/metrics.md shows the same table. Names are sent with
+ * the prefix `zincring.`.
+ */
+export const metricTable = {
+  'calls.active': {
+    type: 'gauge',
+    unit: 'calls',
+    tags: [],
+    text: 'Calls that wait or run at this instance.',
+  },
+  'calls.duration': {
+    type: 'timing',
+    unit: 'milliseconds',
+    tags: ['service'],
+    text: 'Time from the arrival of a call to the end of its answer.',
+  },
+  'calls.finished': {
+    type: 'counter',
+    unit: 'calls',
+    tags: ['service', 'outcome'],
+    text: 'Calls answered, by service and outcome.',
+  },
+  'configuration.blocked_version': {
+    type: 'gauge',
+    unit: 'version',
+    tags: [],
+    text: 'Version that this instance cannot take up; 0 for none.',
+  },
+  'configuration.version': {
+    type: 'gauge',
+    unit: 'version',
+    tags: [],
+    text: 'Version of the rules in force.',
+  },
+  'drain.duration': {
+    type: 'timing',
+    unit: 'milliseconds',
+    tags: [],
+    text: 'Time of a graceful shutdown.',
+  },
+  'engine.release_pending': {
+    type: 'gauge',
+    unit: 'orders',
+    tags: ['service'],
+    text: 'Orders to release engine memory that are not confirmed yet.',
+  },
+  'leases.held': {
+    type: 'gauge',
+    unit: 'shards',
+    tags: [],
+    text: 'Shards held by this instance.',
+  },
+  'leases.lost': {
+    type: 'counter',
+    unit: 'sessions',
+    tags: [],
+    text: 'Lease sessions lost to another instance.',
+  },
+  'leases.takeover': {
+    type: 'timing',
+    unit: 'milliseconds',
+    tags: [],
+    text: 'Time from taking a shard to serving it.',
+  },
+  'limits.granted': {
+    type: 'counter',
+    unit: 'requests',
+    tags: ['workspace'],
+    text: 'Requests admitted under the rate of a workspace.',
+  },
+  'limits.refused': {
+    type: 'counter',
+    unit: 'requests',
+    tags: ['workspace'],
+    text: 'Requests refused by the rate of a workspace.',
+  },
+  'limits.seats': {
+    type: 'gauge',
+    unit: 'seats',
+    tags: [],
+    text: 'Seats of the rate limits that this instance holds.',
+  },
+  'log.group_records': {
+    type: 'gauge',
+    unit: 'records',
+    tags: [],
+    text: 'Records of the last commit group of the write-ahead log.',
+  },
+  'log.group_duration': {
+    type: 'timing',
+    unit: 'milliseconds',
+    tags: [],
+    text: 'Time to store a commit group of the write-ahead log.',
+  },
+  'log.pending': {
+    type: 'gauge',
+    unit: 'records',
+    tags: [],
+    text: 'Records of the write-ahead log that are not durable yet.',
+  },
+  'peers.alive': {
+    type: 'gauge',
+    unit: 'instances',
+    tags: [],
+    text: 'Other instances heard of lately.',
+  },
+  'platform.failures': {
+    type: 'counter',
+    unit: 'operations',
+    tags: ['operation', 'failure'],
+    text: 'Operations on the platform that failed.',
+  },
+  'programs.open': {
+    type: 'gauge',
+    unit: 'programs',
+    tags: [],
+    text: 'Programs whose home is this instance.',
+  },
+  'queue.duration': {
+    type: 'timing',
+    unit: 'milliseconds',
+    tags: ['service'],
+    text: 'Time that a call waited before it was sent to an upstream.',
+  },
+  'queue.length': {
+    type: 'gauge',
+    unit: 'calls',
+    tags: ['service'],
+    text: 'Calls that wait for an upstream.',
+  },
+  'requests.refused': {
+    type: 'counter',
+    unit: 'requests',
+    tags: ['kind'],
+    text: 'Requests refused, by the kind of the error.',
+  },
+  'upstreams.in_flight': {
+    type: 'gauge',
+    unit: 'calls',
+    tags: ['service'],
+    text: 'Calls under way at the upstreams of a service.',
+  },
+  'upstreams.retries': {
+    type: 'counter',
+    unit: 'calls',
+    tags: ['service'],
+    text: 'Calls sent a second time to an upstream.',
+  },
+  'upstreams.tokens_cached': {
+    type: 'counter',
+    unit: 'tokens',
+    tags: ['service'],
+    text: 'Prompt tokens that an engine had in its cache.',
+  },
+  'upstreams.tokens_computed': {
+    type: 'counter',
+    unit: 'tokens',
+    tags: ['service'],
+    text: 'Prompt tokens that an engine had to compute.',
+  },
+} as const satisfies Readonly<Record<string, MetricDescriptor>>;
+
+type MetricTable = typeof metricTable;
+type NameOfType<Type extends MetricType> = {
+  [Name in keyof MetricTable]: MetricTable[Name]['type'] extends Type ? Name : never;
+}[keyof MetricTable];
+
+/** Names of the counters. */
+export type CounterName = NameOfType<'counter'>;
+/** Names of the gauges. */
+export type GaugeName = NameOfType<'gauge'>;
+/** Names of the timings. */
+export type TimingName = NameOfType<'timing'>;
+/** Every name of the table. */
+export type MetricName = keyof MetricTable;
+
+/** Tags that a metric may carry, such as `{ service: 'minutes-llm' }`. */
+export type TagsOf<Name extends MetricName> = Readonly<
+  Partial<Record<MetricTable[Name]['tags'][number], string>>
+>;
+
+/** Every name, in the order of the table. */
+export const allMetricNames = Object.keys(metricTable) as readonly MetricName[];
+
+/**
+ * Looks up what a metric is.
+ *
+ * @example
+ * describeMetric('queue.duration').unit; // 'milliseconds'
+ */
+export function describeMetric(name: MetricName): MetricDescriptor {
+  return metricTable[name];
+}
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -1,16 +1,18 @@
 import hotShots from 'hot-shots';
 
-/** Tags of a metric, such as `{ service: 'minutes-llm' }`. */
+import type { CounterName, GaugeName, TagsOf, TimingName } from './metricTable.js';
+
+/** Tags of any metric, such as `{ zone: 'nelson' }`. */
 export type MetricTags = Readonly<Record<string, string>>;
 
-/** Where measurements go; docs/OPERATORS.md lists the names. */
+/** Where measurements go; the names are those of the closed table. */
 export interface Metrics {
   /** Adds to a counter. */
-  increment(name: string, amount?: number, tags?: MetricTags): void;
+  increment<Name extends CounterName>(name: Name, amount?: number, tags?: TagsOf<Name>): void;
   /** Sets a gauge. */
-  gauge(name: string, value: number, tags?: MetricTags): void;
+  gauge<Name extends GaugeName>(name: Name, value: number, tags?: TagsOf<Name>): void;
   /** Records a duration in milliseconds. */
-  timing(name: string, milliseconds: number, tags?: MetricTags): void;
+  timing<Name extends TimingName>(name: Name, milliseconds: number, tags?: TagsOf<Name>): void;
   /** Sends what is buffered and closes the socket. */
   close(): void;
 }
@@ -49,17 +51,26 @@
     maxBufferSize: 1_400,
   });
   return {
-    increment: (name, amount = 1, tags = {}) => {
-      client.increment(name, amount, { ...tags });
+    increment: (name, amount = 1, tags) => {
+      client.increment(name, amount, toTags(tags));
     },
-    gauge: (name, value, tags = {}) => {
-      client.gauge(name, value, { ...tags });
+    gauge: (name, value, tags) => {
+      client.gauge(name, value, toTags(tags));
     },
-    timing: (name, milliseconds, tags = {}) => {
-      client.timing(name, milliseconds, { ...tags });
+    timing: (name, milliseconds, tags) => {
+      client.timing(name, milliseconds, toTags(tags));
     },
     close: () => {
       client.close(() => undefined);
     },
   };
 }
+
+/** The tags that are set. */
+function toTags(tags: Readonly<Partial<MetricTags>> | undefined): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(tags ?? {}).flatMap(([name, value]) =>
+      value === undefined ? [] : [[name, value]],
+    ),
+  );
+}
