feat(control): versioned rules from the file to every instance, with zincringctl and OperatorService

Cause: the rule file had a first grammar, an instance parsed every rule anew for each change and read every change since version 1, readiness ignored what peers know, and zincringctl knew apply alone.

Rules: errors of a whole file at once, each with line, found, expected and nearest word; bounds on lines, rules, errors; canonical lines; a RuleSet that takes differences and finds broken references from the difference alone. Versions: a row by change id settles lost answers also across processes, large differences and whole versions go to the object store, a conflict shows what was accepted first. Instances: the follower takes changes from the store, or from a peer over OperatorService.ReadConfiguration; versions travel by gossip. An instance is ready while a look at the store, its own or a peer's, vouches for its version within the contact time, or while it hears most instances and none sees the store. A version that it cannot take up leaves the last good one in force, minus the keys that were withdrawn since. KeyWatch tells calls of withdrawn keys. A grace counted from when a newer version was heard was ruled out: added to the contact time it passes the bound. zincringctl: check, diff, apply, show, audit, keys issue, keys withdraw, programs show, status. Settings: unknown keys with the nearest known one, checks between fields.

--- a/packages/control/src/bin.ts
+++ b/packages/control/src/bin.ts
@@ -1,69 +1,89 @@
 #!/usr/bin/env node
+import { randomBytes } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
 
-import { SystemTimerService } from '@zincring/core';
+import type { Result } from '@zincring/core';
+
+import { Err, failureText, SystemTimerService } from '@zincring/core';
 import { VersionedChanges } from '@zincring/coordination';
 import { connectPlatform } from '@zincring/platform';
-import { formatRuleError, parseRules } from '@zincring/rules';
-import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
-import { applyRules } from './applyRules.js';
+import type { CommandRunner, GlobalOptions } from './commandLine.js';
+import type { ControlContext } from './context/controlContext.js';
+import type { ControlSettings } from './controlSettings.js';
+import type { ExitCode } from './exitCode.js';
+
+import { createCommandLine } from './commandLine.js';
+import { ConnectOperatorClients } from './context/operatorClients.js';
+import { Output } from './context/output.js';
+import { parseControlSettings } from './controlSettings.js';
+import { exitCodes } from './exitCode.js';
 
-/** Exit codes; docs/OPERATORS.md lists them. */
-const exitCodes = { conflict: 3, invalid: 2, unavailable: 4 } as const;
+/** Stands for the platform in commands that do not reach it, such as `check`. */
+const NO_PLATFORM = '127.0.0.1:1';
+const COMMANDS_WITHOUT_PLATFORM = new Set(['check']);
 
-const PLATFORM_TIMEOUT_MILLISECONDS = 5_000;
+async function loadSettings(
+  options: GlobalOptions,
+): Promise<Result<ControlSettings, readonly string[]>> {
+  if (options.platform !== undefined) {
+    return parseControlSettings({ platform: { address: options.platform } });
+  }
+  if (options.settings === undefined) {
+    const isNeeded = !COMMANDS_WITHOUT_PLATFORM.has(hideBin(process.argv)[0] ?? '');
+    return isNeeded
+      ? Err(['give --platform or --settings'])
+      : parseControlSettings({ platform: { address: NO_PLATFORM } });
+  }
+  try {
+    return parseControlSettings(JSON.parse(await readFile(options.settings, 'utf8')));
+  } catch (failure) {
+    return Err([`${options.settings}: ${failureText(failure)}`]);
+  }
+}
 
-async function apply(options: {
-  readonly file: string;
-  readonly platform: string;
-  readonly reason: string;
-  readonly requester: string;
-}): Promise<void> {
-  const text = await readFile(options.file, 'utf8');
-  const rules = parseRules(text);
-  if (rules.err) {
-    process.stderr.write(`${rules.val.map(formatRuleError).join('\n')}\n`);
+const run: CommandRunner = async (options, command) => {
+  const output = new Output({
+    errors: process.stderr,
+    isJson: options.json,
+    standard: process.stdout,
+  });
+  const settings = await loadSettings(options);
+  if (settings.err) {
+    output.fail({
+      json: { error: 'invalid', errors: settings.val },
+      text: settings.val.join('\n'),
+    });
     process.exitCode = exitCodes.invalid;
     return;
   }
-  const platform = connectPlatform({
-    address: options.platform,
-    timeoutMilliseconds: PLATFORM_TIMEOUT_MILLISECONDS,
-  });
+  const platform = connectPlatform(settings.val.platform);
+  const operators = new ConnectOperatorClients();
   const timers = new SystemTimerService();
-  const changes = new VersionedChanges({ ...platform, name: 'configuration', timers });
-  const outcome = await applyRules(text, options, { changes, timers });
+  const context: ControlContext = {
+    changes: new VersionedChanges({ ...platform, name: 'configuration', timers }),
+    directory: platform.directory,
+    operators,
+    output,
+    randomBytes,
+    readFile: async path => readFile(path, 'utf8'),
+    timers,
+  };
+  process.exitCode = await guard(output, async () => command(context));
+  operators.close();
   platform.close();
-  if (outcome.err) {
-    process.stderr.write(`${outcome.val.message}\n`);
-    process.exitCode = exitCodes.unavailable;
-    return;
-  }
-  process.stdout.write(`${JSON.stringify(outcome.val)}\n`);
-  if (outcome.val.status === 'conflict') {
-    process.exitCode = exitCodes.conflict;
+};
+
+/** Tells a fault, such as a file that cannot be read, in one line. */
+async function guard(output: Output, action: () => Promise<ExitCode>): Promise<ExitCode> {
+  try {
+    return await action();
+  } catch (failure) {
+    const message = failureText(failure);
+    output.fail({ json: { error: 'failed', message }, text: message });
+    return exitCodes.failed;
   }
 }
 
-await yargs(hideBin(process.argv))
-  .scriptName('zincringctl')
-  .strict()
-  .demandCommand(1)
-  .option('platform', {
-    demandOption: true,
-    describe: 'IP number and port of the platform',
-    type: 'string',
-  })
-  .command(
-    'apply <file>',
-    'put a rule file in force',
-    builder =>
-      builder
-        .positional('file', { demandOption: true, describe: 'rule file', type: 'string' })
-        .option('requester', { demandOption: true, describe: 'who asks', type: 'string' })
-        .option('reason', { demandOption: true, describe: 'why', type: 'string' }),
-    async settings => apply(settings),
-  )
-  .parseAsync();
+await createCommandLine(hideBin(process.argv), run).parseAsync();
--- /dev/null
+++ b/packages/control/tests/configuration.process.test.ts
@@ -0,0 +1,144 @@
+import { Agent, request } from 'node:http';
+
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import { CallerClient } from '../../stand-ins/src/launch/callerClient.js';
+import { Fleet, waitUntil } from '../../stand-ins/src/launch/fleet.js';
+
+/** Within how long a change is to be in force everywhere, in milliseconds. */
+const IN_FORCE_MILLISECONDS = 5_000;
+const INSTANCES = 5;
+
+const rules = `
+workspace utility rate=1000 burst=1000 # dana: the pilot
+service minutes-llm protocol=engine fencing=checked timeout=30 # omar: models
+service ticket-app protocol=plain idempotent=no timeout=10 # omar: work orders
+program trace services=minutes-llm,ticket-app tokens=100000 calls=50 # dana: traces
+`;
+const why = ['--requester', 'dana', '--reason', 'the test'];
+
+/** A caller that keeps its connection open. */
+class OpenConnection {
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  /** Local ports used so far. */
+  public readonly ports = new Set<number | undefined>();
+
+  public constructor(
+    private readonly address: string,
+    private readonly key: string,
+  ) {}
+
+  public async status(): Promise<number> {
+    return await new Promise((resolve, reject) => {
+      const outgoing = request(`http://${this.address}/v1/programs/unknown`, {
+        agent: this.agent,
+        headers: { authorization: `Bearer ${this.key}` },
+      });
+      outgoing.on('error', reject);
+      outgoing.on('response', response => {
+        this.ports.add(outgoing.socket?.localPort);
+        response.resume();
+        response.on('end', () => {
+          resolve(response.statusCode ?? 0);
+        });
+      });
+      outgoing.end();
+    });
+  }
+
+  public close(): void {
+    this.agent.destroy();
+  }
+}
+
+describe('configuration through separate processes', () => {
+  let fleet: Fleet;
+
+  beforeAll(async () => {
+    fleet = await Fleet.start({
+      engines: 1,
+      instances: INSTANCES,
+      plainServices: 1,
+      settings: { logLevel: 'silent' },
+      zones: ['nelson', 'castlegar', 'trail'],
+    });
+    await fleet.applyRules(rules);
+    await fleet.waitUntilReady();
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+  });
+
+  async function control(...commandLine: readonly string[]): Promise<Record<string, unknown>> {
+    const { exitCode, output } = await fleet.control(...commandLine, '--json');
+    expect(exitCode, output).toBe(0);
+    return JSON.parse(output) as Record<string, unknown>;
+  }
+
+  async function issueKey(name: string): Promise<string> {
+    const issued = await control('keys', 'issue', name, '--workspace', 'utility', ...why);
+    expect(issued['lagging']).toEqual([]);
+    return String(issued['key']);
+  }
+
+  it('refuses a withdrawn key everywhere within 5 s, also on connections that are open', async () => {
+    const key = await issueKey('clerk');
+    const callers = fleet.instances.map(each => new OpenConnection(each.callerAddress, key));
+    for (const caller of callers) {
+      expect(await caller.status()).toBe(404);
+    }
+    await control('keys', 'withdraw', 'clerk', ...why, '--wait-seconds', '0');
+    const withdrawnAt = performance.now();
+    await waitUntil(async () => {
+      const statuses = await Promise.all(callers.map(async caller => caller.status()));
+      return statuses.every(status => status === 401);
+    }, IN_FORCE_MILLISECONDS);
+    expect(performance.now() - withdrawnAt).toBeLessThan(IN_FORCE_MILLISECONDS);
+    expect(callers.map(({ ports }) => ports.size)).toEqual(callers.map(() => 1));
+    callers.forEach(caller => {
+      caller.close();
+    });
+  });
+
+  it('tells operators of instances, shards, upstreams and programs', async () => {
+    const client = new CallerClient(await issueKey('crew'));
+    let program = '';
+    await waitUntil(async () => {
+      const opened = await client.openProgram(fleet.instances[0]!.callerAddress, 'trace');
+      program = String(opened.body['program']);
+      return opened.status === 201;
+    });
+    const shown = await control('programs', 'show', program);
+    expect(shown).toMatchObject({ policy: 'trace', program, turn: 0, workspace: 'utility' });
+    interface Status {
+      readonly instances: readonly {
+        readonly ready: boolean;
+        readonly shards: readonly number[];
+        readonly upstreams: readonly unknown[];
+      }[];
+    }
+    await waitUntil(async () => {
+      const { instances } = (await control('status')) as unknown as Status;
+      return (
+        instances.length === INSTANCES &&
+        instances.every(({ ready, upstreams }) => ready && upstreams.length === 2) &&
+        new Set(instances.flatMap(({ shards }) => shards)).size === 256
+      );
+    });
+  });
+
+  it('starts again during an outage of the store with what its peers know', async () => {
+    const key = await issueKey('ranger');
+    await fleet.controlPlatform('faults', { outage: 'refuse' });
+    const instance = fleet.instances[2]!;
+    await instance.process.kill();
+    fleet.restart(instance);
+    await fleet.waitUntilReady();
+    const caller = new OpenConnection(instance.callerAddress, key);
+    expect(await caller.status()).not.toBe(401);
+    caller.close();
+    await fleet.controlPlatform('faults', { outage: 'none' });
+    await waitUntil(async () => (await fleet.control('status')).exitCode === 0);
+  });
+});
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -27,8 +27,17 @@
 export { TokenBucket } from './limits/tokenBucket.js';
 export type {
   Change,
+  ChangeOrigin,
+  ProposedChange,
+  Snapshot,
+  Update,
+  UpdateRequest,
+} from './versions/change.js';
+export { applyChanges } from './versions/change.js';
+export type { Head } from './versions/changeRows.js';
+export type {
   ChangeOutcome,
-  Head,
+  HistoryRequest,
   VersionedChangesOptions,
 } from './versions/versionedChanges.js';
 export { VersionedChanges } from './versions/versionedChanges.js';
--- a/packages/instance/src/bin.ts
+++ b/packages/instance/src/bin.ts
@@ -5,6 +5,8 @@
   createLogger,
   createStatsdMetrics,
   discardingMetrics,
+  Err,
+  failureText,
   SystemTimerService,
 } from '@zincring/core';
 import { connectPlatform } from '@zincring/platform';
@@ -20,7 +22,7 @@
 const EXIT_INVALID_SETTINGS = 2;
 
 async function loadSettings(file: string): Promise<Settings> {
-  const parsed = parseSettings(await readFile(file, 'utf8'));
+  const parsed = await readSettings(file);
   if (parsed.ok) {
     return parsed.val;
   }
@@ -30,6 +32,14 @@
   return process.exit(EXIT_INVALID_SETTINGS);
 }
 
+async function readSettings(file: string): Promise<ReturnType<typeof parseSettings>> {
+  try {
+    return parseSettings(await readFile(file, 'utf8'));
+  } catch (failure) {
+    return Err([{ message: failureText(failure), path: file }]);
+  }
+}
+
 async function serve(file: string): Promise<void> {
   const settings = await loadSettings(file);
   const logger = createLogger(settings.logLevel, { instance: settings.instance });
--- /dev/null
+++ b/packages/instance/src/configuration/followConfiguration.ts
@@ -0,0 +1,47 @@
+import type { InstanceId, Logger, Metrics, TimerService } from '@zincring/core';
+import type { Membership } from '@zincring/coordination';
+import type { Platform } from '@zincring/platform';
+
+import { VersionedChanges } from '@zincring/coordination';
+
+import type { Settings } from '../lifecycle/settings.js';
+import type { ConfigurationSource } from './configurationSource.js';
+
+import { ConfigurationContact } from './configurationContact.js';
+import { ConfigurationFollower } from './configurationFollower.js';
+import { PeerConfigurationSource } from './peerConfigurationSource.js';
+import { StoreConfigurationSource } from './storeConfigurationSource.js';
+
+/** What following the configuration is made of. */
+export interface FollowConfigurationOptions {
+  readonly settings: Settings;
+  readonly platform: Platform;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly membership: Membership;
+}
+
+/** Makes the follower of an instance; it is not started yet. */
+export function followConfiguration(options: FollowConfigurationOptions): ConfigurationFollower {
+  const { logger, membership, metrics, platform, settings, timers } = options;
+  const peer = (instance: InstanceId): ConfigurationSource | undefined => {
+    const known = membership.known.find(({ id }) => id === instance);
+    return known === undefined ? undefined : new PeerConfigurationSource(known.address);
+  };
+  return new ConfigurationFollower({
+    contact: new ConfigurationContact({
+      contactMilliseconds: settings.configurationContactMilliseconds,
+      others: () => membership.known.map(({ id }) => id),
+      timers,
+    }),
+    logger,
+    metrics,
+    peer,
+    pollMilliseconds: settings.configurationPollMilliseconds,
+    store: new StoreConfigurationSource(
+      new VersionedChanges({ ...platform, name: 'configuration', timers }),
+    ),
+    timers,
+  });
+}
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -10,16 +10,21 @@
 import { randomBytes } from 'node:crypto';
 
 import { failureText } from '@zincring/core';
-import { Membership, ShardLeases, VersionedChanges, WriteAheadLog } from '@zincring/coordination';
+import { Membership, ShardLeases, WriteAheadLog } from '@zincring/coordination';
 
+import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import type { OperatorStatusSource } from '../operators/operatorStatus.js';
 import type { Settings } from './settings.js';
 
 import { CallerServer } from '../callers/callerServer.js';
 import { ProgramRoutes } from '../callers/programRoutes.js';
 import { ServiceRoutes } from '../callers/serviceRoutes.js';
-import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { ConfigurationGossip } from '../configuration/configurationGossip.js';
+import { followConfiguration } from '../configuration/followConfiguration.js';
+import { KeyWatch } from '../configuration/keyWatch.js';
 import { StaticAdmission } from '../limits/admission.js';
 import { lendNothing } from '../limits/tokenLender.js';
+import { InstanceStatus } from '../operators/instanceStatus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
 import { PeerClients } from '../peers/peerClients.js';
 import { PeerServer } from '../peers/peerServer.js';
@@ -51,6 +56,8 @@
   private readonly clients = new PeerClients();
   private readonly replicas = new ReplicaTable();
   private readonly configuration: ConfigurationFollower;
+  /** Tells of withdrawn keys. */
+  public readonly keyWatch: KeyWatch;
   private readonly log: WriteAheadLog;
   private readonly home: ProgramHome;
   private readonly leases: ShardLeases;
@@ -69,11 +76,10 @@
       suspectMilliseconds: settings.suspectMilliseconds,
       timers,
     });
-    this.configuration = new ConfigurationFollower({
-      changes: new VersionedChanges({ ...platform, name: 'configuration', timers }),
-      logger,
-      pollMilliseconds: settings.configurationPollMilliseconds,
-      timers,
+    this.configuration = followConfiguration({ ...parts, membership: this.membership });
+    this.keyWatch = new KeyWatch({
+      follower: this.configuration,
+      maximumListeners: settings.maximumKeyListeners,
     });
     this.log = new WriteAheadLog({
       groupMilliseconds: settings.logGroupMilliseconds,
@@ -103,11 +109,12 @@
       heartbeats: this.heartbeats,
       home: this.home,
       lender: lendNothing,
+      operators: this.createOperatorStatus(),
     });
     this.callerServer = new CallerServer({
       admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
       bodyLimitBytes: settings.bodyLimitBytes,
-      configuration: () => this.configuration.current,
+      configuration: () => this.configuration.usable,
       headLimitBytes: settings.headLimitBytes,
       logger,
       programRoutes: new ProgramRoutes(this.createRouting()),
@@ -121,7 +128,7 @@
 
   /** Whether callers' requests are welcome. */
   public get isReady(): boolean {
-    return this.configuration.current !== undefined && this.draining === undefined;
+    return this.configuration.isReady && this.draining === undefined;
   }
 
   /** Listens and takes part. */
@@ -203,11 +210,25 @@
       onDirectory: entries => {
         this.replicas.update(entries);
       },
-      participants: [this.locations],
+      participants: [this.locations, new ConfigurationGossip(this.configuration)],
       timers,
     });
   }
 
+  private createOperatorStatus(): OperatorStatusSource {
+    return new InstanceStatus({
+      configuration: this.configuration,
+      home: this.home,
+      incarnation: () => this.leases.incarnation,
+      isDraining: () => this.draining !== undefined,
+      isReady: () => this.isReady,
+      membership: this.membership,
+      replicas: this.replicas,
+      settings: this.parts.settings,
+      shards: () => this.leases.heldShards,
+    });
+  }
+
   private createRouting(): RoutedProgramService {
     const { settings, timers } = this.parts;
     return new RoutedProgramService({
--- a/packages/instance/src/lifecycle/settings.ts
+++ b/packages/instance/src/lifecycle/settings.ts
@@ -3,9 +3,15 @@
 import { Err, isIdentifier, Ok } from '@zincring/core';
 import { z } from 'zod';
 
+import type { SettingsError } from './settingsErrors.js';
+
+import { describeSettingsIssues } from './settingsErrors.js';
+
+const LARGEST_PORT = 65_535;
+
 const address = z
   .string()
-  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'expected an IP number and a port, as 127.0.0.1:4000');
+  .refine(isAddress, 'expected an IP number and a port, such as 127.0.0.1:4000');
 const milliseconds = z.number().int().positive();
 
 const leaseSchema = z
@@ -19,13 +25,14 @@
     'expected renewMilliseconds + marginMilliseconds below termMilliseconds',
   );
 
-const settingsSchema = z.strictObject({
+const fieldsSchema = z.strictObject({
   bodyLimitBytes: z
     .number()
     .int()
     .positive()
     .default(4 * 1024 * 1024),
   callerAddress: address,
+  configurationContactMilliseconds: milliseconds.default(4_000),
   configurationPollMilliseconds: milliseconds.default(1_000),
   handoverWaitMilliseconds: milliseconds.default(15_000),
   headLimitBytes: z
@@ -41,9 +48,12 @@
   lease: leaseSchema.prefault({}),
   logGroupMilliseconds: milliseconds.default(5),
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+  maximumKeyListeners: z.number().int().positive().default(100_000),
   maximumMailbox: z.number().int().positive().default(64),
   maximumPendingRecords: z.number().int().positive().default(10_000),
-  metrics: z.strictObject({ host: z.ipv4(), port: z.number().int().positive() }).optional(),
+  metrics: z
+    .strictObject({ host: z.ipv4(), port: z.number().int().min(1).max(LARGEST_PORT) })
+    .optional(),
   operatorAddress: address,
   peerAddress: address,
   platform: z.strictObject({
@@ -62,15 +72,50 @@
     .transform(name => name as AvailabilityZone),
 });
 
-/** The settings of an instance; docs/OPERATORS.md explains each. */
-export type Settings = z.infer<typeof settingsSchema>;
+/** Looks between which an instance may lose contact, at least. */
+const LOOKS_PER_CONTACT = 3;
+/** Heartbeats that a peer may miss, at least, before it is suspected. */
+const HEARTBEATS_PER_SUSPICION = 2;
 
-/** A problem with the settings and where it stands. */
-export interface SettingsError {
-  /** JSON path, such as `$.lease.termMilliseconds`. */
-  readonly path: string;
-  readonly message: string;
-}
+/** The checks between fields run whenever the fields that they read are valid themselves. */
+const settingsSchema = fieldsSchema
+  .refine(
+    settings =>
+      settings.configurationContactMilliseconds >=
+      settings.configurationPollMilliseconds * LOOKS_PER_CONTACT,
+    {
+      error: `expected at least ${LOOKS_PER_CONTACT} times configurationPollMilliseconds`,
+      path: ['configurationContactMilliseconds'],
+      when: areValid(['configurationContactMilliseconds', 'configurationPollMilliseconds']),
+    },
+  )
+  .refine(
+    settings =>
+      settings.suspectMilliseconds >= settings.heartbeatMilliseconds * HEARTBEATS_PER_SUSPICION,
+    {
+      error: `expected at least ${HEARTBEATS_PER_SUSPICION} times heartbeatMilliseconds`,
+      path: ['suspectMilliseconds'],
+      when: areValid(['heartbeatMilliseconds', 'suspectMilliseconds']),
+    },
+  )
+  .refine(settings => settings.peerAddress !== settings.callerAddress, {
+    error: 'expected another address than callerAddress',
+    path: ['peerAddress'],
+    when: areValid(['callerAddress', 'peerAddress']),
+  })
+  .refine(
+    settings =>
+      settings.operatorAddress !== settings.callerAddress &&
+      settings.operatorAddress !== settings.peerAddress,
+    {
+      error: 'expected another address than callerAddress and peerAddress',
+      path: ['operatorAddress'],
+      when: areValid(['callerAddress', 'operatorAddress', 'peerAddress']),
+    },
+  );
+
+/** The settings of an instance; docs/operators/settings.md explains each. */
+export type Settings = z.infer<typeof settingsSchema>;
 
 /**
  * Checks settings in JSON.
@@ -90,10 +135,21 @@
   if (parsed.success) {
     return Ok(parsed.data);
   }
-  return Err(
-    parsed.error.issues.map(issue => ({
-      message: issue.message,
-      path: ['$', ...issue.path.map(String)].join('.'),
-    })),
-  );
+  return Err(describeSettingsIssues(fieldsSchema, parsed.error.issues));
+}
+
+type FieldName = keyof typeof fieldsSchema.shape;
+
+/** Tells for a check whether the fields that it reads are valid. */
+function areValid(names: readonly FieldName[]): (payload: z.core.ParsePayload) => boolean {
+  return ({ issues }) =>
+    issues.every(
+      ({ code, path = [] }) =>
+        code === 'unrecognized_keys' || (path.length > 0 && !names.some(name => name === path[0])),
+    );
+}
+
+function isAddress(text: string): boolean {
+  const match = /^([\d.]+):([1-9]\d{0,4})$/.exec(text);
+  return match !== null && z.ipv4().safeParse(match[1]).success && Number(match[2]) <= LARGEST_PORT;
 }
--- /dev/null
+++ b/packages/instance/src/operators/instanceStatus.ts
@@ -0,0 +1,89 @@
+import type { IncarnationId, ProgramId, ShardId } from '@zincring/core';
+import type { Membership, Update } from '@zincring/coordination';
+
+import { shardOf } from '@zincring/coordination';
+
+import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import type { Settings } from '../lifecycle/settings.js';
+import type { ProgramHome } from '../programs/programHome.js';
+import type { ReplicaTable } from '../upstreams/replicaTable.js';
+import type {
+  InstanceReport,
+  OperatorStatusSource,
+  ProgramReport,
+  UpstreamReport,
+} from './operatorStatus.js';
+
+/** The parts of an instance that operators may ask about. */
+export interface InstanceStatusOptions {
+  readonly settings: Settings;
+  readonly configuration: ConfigurationFollower;
+  readonly home: ProgramHome;
+  readonly membership: Membership;
+  readonly replicas: ReplicaTable;
+  readonly incarnation: () => IncarnationId;
+  readonly shards: () => readonly ShardId[];
+  readonly isReady: () => boolean;
+  readonly isDraining: () => boolean;
+}
+
+/** Tells operators what an instance holds and sees. */
+export class InstanceStatus implements OperatorStatusSource {
+  public constructor(private readonly options: InstanceStatusOptions) {}
+
+  public describeInstance(): InstanceReport {
+    const { configuration, home, incarnation, isDraining, isReady, membership, settings, shards } =
+      this.options;
+    const { blocked, newestVersion, storeAgeMilliseconds, version } = configuration;
+    return {
+      configuration: { blocked, newestVersion, storeAgeMilliseconds, version },
+      incarnation: incarnation(),
+      instance: settings.instance,
+      isDraining: isDraining(),
+      isReady: isReady(),
+      limits: [],
+      peersAlive: membership.alive.length,
+      programs: home.programCount,
+      shards: shards(),
+      upstreams: this.describeUpstreams(),
+      zone: settings.zone,
+    };
+  }
+
+  public describeProgram(program: ProgramId): ProgramReport | undefined {
+    const state = this.options.home.inspect(program);
+    if (state === undefined) {
+      return undefined;
+    }
+    const { callsLeft, digest, durableTurn, hasEnded, policy, tokensLeft, turn } = state.summary;
+    return {
+      callsLeft,
+      digest,
+      durableTurn,
+      hasEnded,
+      policy,
+      shard: shardOf(program, this.options.settings.shardCount),
+      tokensLeft,
+      turn,
+      workspace: state.opened.workspace,
+    };
+  }
+
+  public configurationAfter(version: number): Update {
+    return this.options.configuration.updateAfter(version);
+  }
+
+  private describeUpstreams(): readonly UpstreamReport[] {
+    const services = [...(this.options.configuration.current?.services.keys() ?? [])];
+    return services.flatMap(service =>
+      this.options.replicas.of(service).map(({ id, zone }) => ({
+        id,
+        inFlight: 0,
+        service,
+        state: 'live',
+        window: 0,
+        zone,
+      })),
+    );
+  }
+}
--- /dev/null
+++ b/packages/instance/src/operators/operatorService.ts
@@ -0,0 +1,26 @@
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { ProgramId } from '@zincring/core';
+
+import { OperatorService } from '@zincring/protocol';
+
+import type { OperatorStatusSource } from './operatorStatus.js';
+
+import { instanceToMessage, programToMessage, updateToMessage } from './operatorConversions.js';
+
+/**
+ * Serves operators, and peers that cannot reach the store, beside the other services of a router.
+ *
+ * @example
+ * registerOperatorService(router, statusSource);
+ */
+export function registerOperatorService(router: ConnectRouter, source: OperatorStatusSource): void {
+  router.service(OperatorService, {
+    readConfiguration: ({ after }) => updateToMessage(source.configurationAfter(Number(after))),
+    showProgram: ({ program }) =>
+      programToMessage(
+        source.describeInstance().instance,
+        source.describeProgram(program as ProgramId),
+      ),
+    status: () => instanceToMessage(source.describeInstance()),
+  });
+}
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -18,8 +18,10 @@
 import type { LoanRequest, TokenLender } from '../limits/tokenLender.js';
 import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
 import type { ProgramService, ProgramSummary } from '../programs/programMessages.js';
+import type { OperatorStatusSource } from '../operators/operatorStatus.js';
 import type { Heartbeats } from './heartbeats.js';
 
+import { registerOperatorService } from '../operators/operatorService.js';
 import {
   callFromMessage,
   errorToMessage,
@@ -33,6 +35,7 @@
   readonly heartbeats: Heartbeats;
   readonly lender: TokenLender;
   readonly copies: CopyKeeper;
+  readonly operators: OperatorStatusSource;
 }
 
 /** Serves other instances over HTTP/2. */
@@ -43,6 +46,7 @@
     this.server = createServer(
       connectNodeAdapter({
         routes: router => {
+          registerOperatorService(router, options.operators);
           router.service(PeerService, {
             borrow: message => options.lender.lend(loanRequest(message)),
             call: async function* call(message) {
--- a/packages/instance/src/programs/programHome.ts
+++ b/packages/instance/src/programs/programHome.ts
@@ -96,6 +96,11 @@
     return [...this.shards.values()].reduce((sum, shard) => sum + shard.programs.size, 0);
   }
 
+  /** The state of a program that is held here, whatever its workspace, for operators. */
+  public inspect(program: ProgramId): ProgramState | undefined {
+    return this.shards.get(this.shardOf(program))?.programs.find(program);
+  }
+
   public async recover(
     shard: ShardId,
     epoch: Epoch,
--- /dev/null
+++ b/packages/instance/tests/configuration/fleetModel.ts
@@ -0,0 +1,158 @@
+import type { InstanceId, Result } from '@zincring/core';
+import type { Update, UpdateRequest } from '@zincring/coordination';
+import type {
+  ConfigurationSource,
+  SourceFailure,
+} from '../../src/configuration/configurationSource.js';
+
+import { VersionedChanges } from '@zincring/coordination';
+import { discardingMetrics, Err, ManualTimerService, Ok, silentLogger } from '@zincring/core';
+import {
+  FaultSwitch,
+  MemoryObjects,
+  MemoryObjectStore,
+  MemoryTable,
+  MemoryTableService,
+} from '@zincring/stand-ins';
+
+import { ConfigurationContact } from '../../src/configuration/configurationContact.js';
+import { ConfigurationFollower } from '../../src/configuration/configurationFollower.js';
+import { ConfigurationGossip } from '../../src/configuration/configurationGossip.js';
+import { StoreConfigurationSource } from '../../src/configuration/storeConfigurationSource.js';
+
+const HEARTBEAT_MILLISECONDS = 500;
+export const POLL_MILLISECONDS = 1_000;
+export const CONTACT_MILLISECONDS = 4_000;
+
+/** One follower with its way to the store and to its peers. */
+export class ModelInstance {
+  public readonly id: InstanceId;
+  public readonly faults: FaultSwitch;
+  public isRunning = true;
+  /** Whether it gets an answer when it asks a peer for the configuration. */
+  public canAskPeers = true;
+  /** Instances in another group cannot be reached. */
+  public group = 0;
+  public follower: ConfigurationFollower;
+  private gossip: ConfigurationGossip;
+
+  public constructor(
+    private readonly fleet: FleetModel,
+    index: number,
+  ) {
+    this.id = `entry-${index + 1}` as InstanceId;
+    this.faults = new FaultSwitch(fleet.timers);
+    this.follower = this.createFollower();
+    this.gossip = new ConfigurationGossip(this.follower);
+    this.follower.start();
+  }
+
+  /** Ends the follower and starts another, which knows nothing. */
+  public restart(): void {
+    this.follower.stop();
+    this.follower = this.createFollower();
+    this.gossip = new ConfigurationGossip(this.follower);
+    this.isRunning = true;
+    this.follower.start();
+  }
+
+  /** Ends the follower until the next restart. */
+  public crash(): void {
+    this.follower.stop();
+    this.isRunning = false;
+  }
+
+  public reaches(other: ModelInstance): boolean {
+    return this.isRunning && other.isRunning && this.group === other.group;
+  }
+
+  /** Exchanges heartbeats with a peer. */
+  public exchange(other: ModelInstance): void {
+    const told = this.gossip.tell();
+    const answer = other.gossip.tell();
+    other.gossip.hear(this.id, told);
+    this.gossip.hear(other.id, answer);
+  }
+
+  private createFollower(): ConfigurationFollower {
+    const { fleet } = this;
+    return new ConfigurationFollower({
+      contact: new ConfigurationContact({
+        contactMilliseconds: CONTACT_MILLISECONDS,
+        others: () => fleet.instances.filter(each => each !== this).map(({ id }) => id),
+        timers: fleet.timers,
+      }),
+      logger: silentLogger,
+      metrics: discardingMetrics,
+      peer: id => this.peerSource(id),
+      pollMilliseconds: POLL_MILLISECONDS,
+      store: new StoreConfigurationSource(fleet.changesThrough(this.faults)),
+      timers: fleet.timers,
+    });
+  }
+
+  private peerSource(id: InstanceId): ConfigurationSource {
+    return {
+      read: async ({ after }: UpdateRequest): Promise<Result<Update, SourceFailure>> => {
+        const peer = this.fleet.instances.find(each => each.id === id);
+        const isReached = peer !== undefined && this.canAskPeers && this.reaches(peer);
+        return await Promise.resolve(
+          isReached ? Ok(peer.follower.updateAfter(after)) : Err({ message: 'not reached' }),
+        );
+      },
+    };
+  }
+}
+
+/** Followers before one store, on manual time. */
+export class FleetModel {
+  public readonly timers = new ManualTimerService();
+  private readonly table = new MemoryTable();
+  private readonly objects = new MemoryObjects();
+  public readonly instances: ModelInstance[] = [];
+  public readonly operatorFaults = new FaultSwitch(this.timers);
+  public readonly operator = this.changesThrough(this.operatorFaults);
+
+  public constructor(count: number) {
+    for (let index = 0; index < count; index++) {
+      this.instances.push(new ModelInstance(this, index));
+    }
+    this.timers.every(HEARTBEAT_MILLISECONDS, () => {
+      this.beat();
+    });
+  }
+
+  public changesThrough(faults: FaultSwitch): VersionedChanges {
+    return new VersionedChanges({
+      name: 'configuration',
+      objects: new MemoryObjectStore(this.objects, faults),
+      table: new MemoryTableService(this.table, faults),
+      timers: this.timers,
+    });
+  }
+
+  /** Accepts one change; gives its version, or `undefined` when the store gave no answer. */
+  public async accept(
+    changeId: string,
+    added: readonly string[],
+    removed: readonly string[] = [],
+  ): Promise<number | undefined> {
+    const head = await this.operator.readHead();
+    if (head.err) {
+      return undefined;
+    }
+    const origin = { at: 0, changeId, reason: 'why', requester: 'who' };
+    const outcome = await this.operator.accept(head.val, { ...origin, added, removed }, []);
+    return outcome.ok && outcome.val.status === 'accepted' ? outcome.val.version : undefined;
+  }
+
+  private beat(): void {
+    for (const [index, instance] of this.instances.entries()) {
+      for (const other of this.instances.slice(index + 1)) {
+        if (instance.reaches(other)) {
+          instance.exchange(other);
+        }
+      }
+    }
+  }
+}
--- a/packages/rules/src/configuration.ts
+++ b/packages/rules/src/configuration.ts
@@ -2,10 +2,11 @@
 
 import type { KeyRule, ProgramRule, RouteRule, Rule, ServiceRule, WorkspaceRule } from './rule.js';
 
-/** One version of the rules, indexed for look-ups. */
+import { ConfigurationBuilder } from './configurationBuilder.js';
+
+/** One version of the rules, indexed for look-ups. It never changes. */
 export interface Configuration {
   readonly version: ConfigurationVersion;
-  readonly rules: readonly Rule[];
   readonly workspaces: ReadonlyMap<WorkspaceName, WorkspaceRule>;
   readonly keys: ReadonlyMap<KeyHash, KeyRule>;
   readonly programs: ReadonlyMap<string, ProgramRule>;
@@ -25,30 +26,9 @@
   version: ConfigurationVersion,
   rules: readonly Rule[],
 ): Configuration {
-  const workspaces = new Map<WorkspaceName, WorkspaceRule>();
-  const keys = new Map<KeyHash, KeyRule>();
-  const programs = new Map<string, ProgramRule>();
-  const services = new Map<ServiceName, ServiceRule>();
-  const routes: RouteRule[] = [];
+  const builder = new ConfigurationBuilder();
   for (const rule of rules) {
-    switch (rule.kind) {
-      case 'key':
-        keys.set(rule.hash, rule);
-        break;
-      case 'program':
-        programs.set(rule.name, rule);
-        break;
-      case 'route':
-        routes.push(rule);
-        break;
-      case 'service':
-        services.set(rule.name, rule);
-        break;
-      case 'workspace':
-        workspaces.set(rule.name, rule);
-        break;
-    }
+    builder.insert(rule);
   }
-  routes.sort((left, right) => right.path.length - left.path.length);
-  return { keys, programs, routes, rules, services, version, workspaces };
+  return builder.build(version);
 }
--- a/packages/rules/src/nearestWord.ts
+++ b/packages/rules/src/nearestWord.ts
@@ -2,6 +2,8 @@
 
 /** Most edits between a misspelt word and the word that is suggested for it. */
 const LARGEST_SUGGESTED_DISTANCE = 3;
+/** Longer words get no suggestion, which bounds the time that a broken file costs. */
+const LONGEST_WORD = 64;
 
 /**
  * Finds the known word nearest to a misspelt one; `undefined` when none is near.
@@ -10,7 +12,7 @@
  * nearestWord('workspcae', ['workspace', 'key']); // 'workspace'
  */
 export function nearestWord(word: string, known: readonly string[]): string | undefined {
-  if (known.length === 0) {
+  if (known.length === 0 || word.length > LONGEST_WORD) {
     return undefined;
   }
   const candidate = closest(word, known);
--- a/packages/rules/src/rule.ts
+++ b/packages/rules/src/rule.ts
@@ -82,3 +82,6 @@
 
 /** The kinds of rule. */
 export type RuleKind = Rule['kind'];
+
+/** The rule of a kind. */
+export type RuleOf<Kind extends RuleKind> = Extract<Rule, { readonly kind: Kind }>;
--- a/packages/rules/src/ruleError.ts
+++ b/packages/rules/src/ruleError.ts
@@ -10,8 +10,12 @@
   readonly suggestion?: string;
 }
 
+/** Longest quotation of what was read, in characters. */
+const LONGEST_QUOTATION = 80;
+
 /**
- * One line of text for a person.
+ * One line of text for a person. What was read is shortened and escaped, so that a broken file
+ * cannot write control sequences to a terminal.
  *
  * @example
  * formatRuleError({ line: 3, found: 'ratte', expected: 'a setting of workspace', suggestion: 'rate' });
@@ -19,5 +23,13 @@
  */
 export function formatRuleError(error: RuleError): string {
   const hint = error.suggestion === undefined ? '' : `; did you mean "${error.suggestion}"?`;
-  return `line ${error.line}: found "${error.found}", expected ${error.expected}${hint}`;
+  return `line ${error.line}: found "${quote(error.found)}", expected ${error.expected}${hint}`;
+}
+
+function quote(text: string): string {
+  const escaped = text.slice(0, LONGEST_QUOTATION).replace(/[\p{C}\p{Zl}\p{Zp}]/gu, character => {
+    const codePoint = character.codePointAt(0) ?? 0;
+    return `<U+${codePoint.toString(16).toUpperCase().padStart(4, '0')}>`;
+  });
+  return text.length > LONGEST_QUOTATION ? `${escaped}…` : escaped;
 }
--- a/packages/rules/src/settingReader.ts
+++ b/packages/rules/src/settingReader.ts
@@ -1,28 +1,43 @@
 import { isIdentifier } from '@zincring/core';
 
+/** A setting that was found wrong. */
+export interface SettingFailure {
+  /** What was read. */
+  readonly found: string;
+  /** What was expected instead. */
+  readonly expected: string;
+}
+
+/** Bounds of a number, and what stands for it when the setting is left out. */
+export interface NumberBounds {
+  readonly minimum: number;
+  readonly maximum: number;
+  /** Without one the setting is required. */
+  readonly fallback?: number;
+}
+
+/** Most digits of a number, before and after the point together. */
+const LONGEST_NUMBER = 16;
+
 /** The settings of one rule while they are read; what fails is collected, nothing is thrown. */
 export class SettingReader {
-  private readonly failures: { readonly found: string; readonly expected: string }[] = [];
+  private readonly failures: SettingFailure[] = [];
 
   public constructor(private readonly settings: ReadonlyMap<string, string>) {}
 
   /** What was found wrong so far. */
-  public get errors(): readonly { readonly found: string; readonly expected: string }[] {
+  public get errors(): readonly SettingFailure[] {
     return this.failures;
   }
 
-  /** Reads a number within bounds. */
-  public number(name: string, minimum: number, maximum: number, fallback?: number): number {
-    const text = this.settings.get(name);
-    if (text === undefined) {
-      return this.missing(name, fallback) ?? minimum;
-    }
-    const value = /^\d+(\.\d+)?$/.test(text) ? Number(text) : Number.NaN;
-    if (!(value >= minimum && value <= maximum)) {
-      this.fail(`${name}=${text}`, `${name}=NUMBER from ${minimum} to ${maximum}`);
-      return minimum;
-    }
-    return value;
+  /** Reads a number, with decimals or without. */
+  public decimal(name: string, bounds: NumberBounds): number {
+    return this.number(name, bounds, /^\d+(\.\d+)?$/, 'NUMBER');
+  }
+
+  /** Reads a number without decimals. */
+  public integer(name: string, bounds: NumberBounds): number {
+    return this.number(name, bounds, /^\d+$/, 'INTEGER');
   }
 
   /** Reads one of several words. */
@@ -43,12 +58,12 @@
     return this.matching(name, isIdentifier, 'an identifier');
   }
 
-  /** Reads identifiers separated by commas. */
+  /** Reads different identifiers separated by commas. */
   public identifiers(name: string): readonly string[] {
     const text = this.matching(
       name,
-      list => list.split(',').every(isIdentifier),
-      'identifiers separated by commas',
+      list => isListOfIdentifiers(list.split(',')),
+      'different identifiers separated by commas',
     );
     return text.split(',');
   }
@@ -57,7 +72,7 @@
   public matching(name: string, isValid: (text: string) => boolean, expected: string): string {
     const text = this.settings.get(name);
     if (text === undefined) {
-      this.missing(name, undefined);
+      this.missing(name);
       return '';
     }
     if (!isValid(text)) {
@@ -66,14 +81,33 @@
     return text;
   }
 
-  private missing(name: string, fallback: number | undefined): number | undefined {
-    if (fallback === undefined) {
-      this.fail('nothing', `the setting ${name}=`);
+  private number(name: string, bounds: NumberBounds, pattern: RegExp, sort: string): number {
+    const text = this.settings.get(name);
+    if (text === undefined) {
+      if (bounds.fallback === undefined) {
+        this.missing(name);
+      }
+      return bounds.fallback ?? bounds.minimum;
+    }
+    const isNumber = text.length <= LONGEST_NUMBER && pattern.test(text);
+    const value = isNumber ? Number(text) : Number.NaN;
+    if (!(value >= bounds.minimum && value <= bounds.maximum)) {
+      const expected = `${name}=${sort} from ${bounds.minimum} to ${bounds.maximum}`;
+      this.fail(`${name}=${text}`, expected);
+      return bounds.minimum;
     }
-    return fallback;
+    return value;
+  }
+
+  private missing(name: string): void {
+    this.fail('nothing', `the setting ${name}=`);
   }
 
   private fail(found: string, expected: string): void {
     this.failures.push({ expected, found });
   }
 }
+
+function isListOfIdentifiers(words: readonly string[]): boolean {
+  return words.every(isIdentifier) && new Set(words).size === words.length;
+}
