--- a/packages/core/src/metrics/metricTable.ts
+++ b/packages/core/src/metrics/metricTable.ts
@@ -53,11 +53,17 @@
     tags: [],
     text: 'Time of a graceful shutdown.',
   },
-  'engine.release_pending': {
-    type: 'gauge',
+  'engine_memory.dropped': {
+    type: 'counter',
     unit: 'orders',
-    tags: ['service'],
-    text: 'Orders to release engine memory that are not confirmed yet.',
+    tags: [],
+    text: 'Orders to release engine memory that were dropped because too many waited.',
+  },
+  'engine_memory.released': {
+    type: 'counter',
+    unit: 'orders',
+    tags: [],
+    text: 'Orders to release engine memory that were confirmed.',
   },
   'leases.held': {
     type: 'gauge',
@@ -149,25 +155,25 @@
     tags: ['kind'],
     text: 'Requests refused, by the kind of the error.',
   },
-  'upstreams.in_flight': {
+  'upstream.in_flight': {
     type: 'gauge',
     unit: 'calls',
     tags: ['service'],
     text: 'Calls under way at the upstreams of a service.',
   },
-  'upstreams.retries': {
+  'upstream.retries': {
     type: 'counter',
     unit: 'calls',
     tags: ['service'],
     text: 'Calls sent a second time to an upstream.',
   },
-  'upstreams.tokens_cached': {
+  'upstream.tokens_cached': {
     type: 'counter',
     unit: 'tokens',
     tags: ['service'],
     text: 'Prompt tokens that an engine had in its cache.',
   },
-  'upstreams.tokens_computed': {
+  'upstream.tokens_computed': {
     type: 'counter',
     unit: 'tokens',
     tags: ['service'],
--- a/packages/instance/src/operators/instanceStatus.ts
+++ b/packages/instance/src/operators/instanceStatus.ts
@@ -1,12 +1,13 @@
-import type { IncarnationId, ProgramId, ShardId } from '@zincring/core';
+import type { IncarnationId, ProgramId, ShardId, UpstreamId } from '@zincring/core';
 import type { Membership, Update } from '@zincring/coordination';
+import type { DirectoryEntry } from '@zincring/platform';
 
 import { shardOf } from '@zincring/coordination';
 
 import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import type { Settings } from '../lifecycle/settings.js';
 import type { ProgramHome } from '../programs/programHome.js';
-import type { ReplicaTable } from '../upstreams/replicaTable.js';
+import type { ReplicaStatus } from '../upstreams/serviceLanes.js';
 import type {
   InstanceReport,
   OperatorStatusSource,
@@ -20,7 +21,8 @@
   readonly configuration: ConfigurationFollower;
   readonly home: ProgramHome;
   readonly membership: Membership;
-  readonly replicas: ReplicaTable;
+  /** Upstream replicas with what this instance has in flight there. */
+  readonly upstreams: () => readonly ReplicaStatus[];
   readonly incarnation: () => IncarnationId;
   readonly shards: () => readonly ShardId[];
   readonly isReady: () => boolean;
@@ -29,8 +31,15 @@
 
 /** Tells operators what an instance holds and sees. */
 export class InstanceStatus implements OperatorStatusSource {
+  private entries: readonly DirectoryEntry[] = [];
+
   public constructor(private readonly options: InstanceStatusOptions) {}
 
+  /** Takes over the platform's list. */
+  public updateDirectory(entries: readonly DirectoryEntry[]): void {
+    this.entries = entries;
+  }
+
   public describeInstance(): InstanceReport {
     const { configuration, home, incarnation, isDraining, isReady, membership, settings, shards } =
       this.options;
@@ -74,16 +83,13 @@
   }
 
   private describeUpstreams(): readonly UpstreamReport[] {
-    const services = [...(this.options.configuration.current?.services.keys() ?? [])];
-    return services.flatMap(service =>
-      this.options.replicas.of(service).map(({ id, zone }) => ({
-        id,
-        inFlight: 0,
-        service,
-        state: 'live',
-        window: 0,
-        zone,
-      })),
-    );
+    const inUse = new Map(this.options.upstreams().map(each => [each.replica.id, each]));
+    return this.entries.flatMap(({ id, role, state, zone }) => {
+      if (role.kind !== 'upstream') {
+        return [];
+      }
+      const { inFlight = 0, window = 0 } = inUse.get(id as UpstreamId) ?? {};
+      return [{ id: id as UpstreamId, inFlight, service: role.service, state, window, zone }];
+    });
   }
 }
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -19,6 +19,7 @@
 import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
 import type { ProgramService, ProgramSummary } from '../programs/programMessages.js';
 import type { OperatorStatusSource } from '../operators/operatorStatus.js';
+import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { Heartbeats } from './heartbeats.js';
 
 import { registerOperatorService } from '../operators/operatorService.js';
@@ -33,6 +34,8 @@
 export interface PeerServerOptions {
   readonly home: ProgramService;
   readonly heartbeats: Heartbeats;
+  /** Programs that are gone, of those whose shards are held here. */
+  readonly findGone: (programs: readonly ProgramId[]) => readonly GoneProgram[];
   readonly lender: TokenLender;
   readonly copies: CopyKeeper;
   readonly operators: OperatorStatusSource;
@@ -59,6 +62,11 @@
             endProgram: async message =>
               summaryResponse(await options.home.end(reference(message))),
             exchange: message => options.heartbeats.answer(message),
+            findGone: message => ({
+              gone: options
+                .findGone(message.programs as readonly string[] as readonly ProgramId[])
+                .map(({ fence, program }) => ({ epoch: BigInt(fence), program })),
+            }),
             keepCopy: message => ({ kept: options.copies.keep(copyRequest(message)) }),
             openProgram: async message =>
               summaryResponse(
