--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -2,7 +2,7 @@
 export { Instance } from './lifecycle/instance.js';
 export type { Settings } from './lifecycle/settings.js';
 export type { SettingsError } from './lifecycle/settingsErrors.js';
-export { parseSettings } from './lifecycle/settings.js';
+export { describeSettings, parseSettings } from './lifecycle/settings.js';
 export { KeyWatch } from './configuration/keyWatch.js';
 export { registerOperatorService } from './operators/operatorService.js';
 export type { OperatorStatusSource } from './operators/operatorStatus.js';
--- a/packages/instance/src/lifecycle/settings.ts
+++ b/packages/instance/src/lifecycle/settings.ts
@@ -3,8 +3,10 @@
 import { Err, isIdentifier, Ok } from '@zincring/core';
 import { z } from 'zod';
 
+import type { SettingDescription } from './describeSettings.js';
 import type { SettingsError } from './settingsErrors.js';
 
+import { describeSchema } from './describeSettings.js';
 import { describeSettingsIssues } from './settingsErrors.js';
 
 const LARGEST_PORT = 65_535;
@@ -160,6 +162,11 @@
   return Err(describeSettingsIssues(fieldsSchema, parsed.error.issues));
 }
 
+/** Every setting with its default, in the order of the operators' page. */
+export function describeSettings(): readonly SettingDescription[] {
+  return describeSchema(fieldsSchema);
+}
+
 type FieldName = keyof typeof fieldsSchema.shape;
 
 /** Tells for a check whether the fields that it reads are valid. */
--- a/packages/instance/tests/lifecycle/settings.test.ts
+++ b/packages/instance/tests/lifecycle/settings.test.ts
@@ -1,6 +1,8 @@
+import { readFileSync } from 'node:fs';
+
 import { describe, expect, it } from 'vitest';
 
-import { parseSettings } from '../../src/lifecycle/settings.js';
+import { describeSettings, parseSettings } from '../../src/lifecycle/settings.js';
 
 const valid = {
   callerAddress: '127.0.0.1:4000',
@@ -96,3 +98,19 @@
     ]);
   });
 });
+
+describe('the operators’ page of settings', () => {
+  it('lists every setting with its default, and nothing else', () => {
+    const file = new URL('../../../../docs/operators/settings.md', import.meta.url);
+    const rows = readFileSync(file, 'utf8')
+      .split('\n')
+      .filter(line => line.startsWith('| `'));
+    const told = rows.map(row => row.split('|').map(cell => cell.trim()));
+    const expected = describeSettings().map(({ fallback, path }) => [
+      `\`${path}\``,
+      fallback === undefined ? 'none' : `\`${fallback}\``,
+    ]);
+    expect(told.map(cells => cells.slice(1, 3))).toEqual(expected);
+    expect(told.every(cells => (cells[3] ?? '') !== '')).toBe(true);
+  });
+});
--- a/packages/rules/tests/parseRules.test.ts
+++ b/packages/rules/tests/parseRules.test.ts
@@ -1,9 +1,12 @@
+import { readFileSync } from 'node:fs';
+
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
 import type { Rule } from '../src/rule.js';
 
 import { parseRules } from '../src/parseRules.js';
+import { ruleGrammars } from '../src/ruleGrammar.js';
 import { printRule, printRules } from '../src/printRule.js';
 import { formatRuleError } from '../src/ruleError.js';
 
@@ -212,6 +215,32 @@
   });
 });
 
+describe('docs/RULES.md', () => {
+  const page = readFileSync(new URL('../../../docs/RULES.md', import.meta.url), 'utf8');
+  const examples = [...page.matchAll(/```rules\n(.*?)```/gs)].map(match => match[1]).join('');
+
+  it('has examples that are valid together and show every kind and setting', () => {
+    expect(errorsOf(examples)).toEqual([]);
+    for (const [kind, grammar] of Object.entries(ruleGrammars)) {
+      const lines = examples.split('\n').filter(line => line.startsWith(`${kind} `));
+      for (const setting of grammar.settings) {
+        expect(
+          lines.some(line => line.includes(` ${setting}=`)),
+          `${kind} ${setting}`,
+        ).toBe(true);
+      }
+    }
+  });
+
+  it('lists the settings of each kind in the order of the grammar', () => {
+    for (const [kind, grammar] of Object.entries(ruleGrammars)) {
+      const section = page.split(`\n## ${kind}\n`)[1]?.split('\n## ')[0] ?? '';
+      const listed = [...section.matchAll(/^\| `([a-z]+)`/gm)].map(match => match[1]);
+      expect(listed).toEqual(grammar.settings);
+    }
+  });
+});
+
 const name = fc.stringMatching(/^[A-Za-z0-9][A-Za-z0-9._:-]{0,12}$/);
 const digits = fc.stringMatching(/^\d{1,7}(\.\d{1,4})?$/);
 const word = fc.oneof(
