--- /dev/null
+++ b/packages/instance/src/lifecycle/settingsErrors.ts
@@ -0,0 +1,42 @@
+import type { z } from 'zod';
+
+import { nearestWord } from '@zincring/rules';
+
+import { knownKeysAt } from './describeSettings.js';
+
+/** A problem with the settings and where it stands. */
+export interface SettingsError {
+  /** JSON path, such as `$.lease.termMilliseconds`. */
+  readonly path: string;
+  readonly message: string;
+}
+
+/**
+ * Describes what is wrong with settings, in the order of their paths; an unknown key comes with
+ * the nearest known one.
+ */
+export function describeSettingsIssues(
+  schema: z.ZodType,
+  issues: readonly z.core.$ZodIssue[],
+): readonly SettingsError[] {
+  return issues
+    .flatMap(issue => describeIssue(schema, issue))
+    .sort((left, right) => (left.path < right.path ? -1 : 1));
+}
+
+function describeIssue(schema: z.ZodType, issue: z.core.$ZodIssue): readonly SettingsError[] {
+  const path = toJsonPath(issue.path);
+  if (issue.code !== 'unrecognized_keys') {
+    return [{ message: issue.message, path }];
+  }
+  const names = knownKeysAt(schema, issue.path);
+  return issue.keys.map(key => {
+    const nearest = nearestWord(key, names);
+    const hint = nearest === undefined ? '' : `; did you mean "${nearest}"?`;
+    return { message: `unknown setting${hint}`, path: toJsonPath([...issue.path, key]) };
+  });
+}
+
+function toJsonPath(path: readonly PropertyKey[]): string {
+  return ['$', ...path.map(String)].join('.');
+}
