--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -110,6 +110,7 @@
     this.home = new ProgramHome({
       configuration: () => this.configuration.current,
       dispatcher,
+      endListener: this.upstreams.memory,
       log: this.log,
       logger,
       maximumMailbox: settings.maximumMailbox,
--- a/packages/instance/src/upstreams/engineMemory.ts
+++ b/packages/instance/src/upstreams/engineMemory.ts
@@ -8,6 +8,9 @@
   UpstreamId,
 } from '@zincring/core';
 
+import { failureText } from '@zincring/core';
+
+import type { ProgramEndListener } from '../programs/programEndListener.js';
 import type { EngineOrders } from './engineOrders.js';
 import type { ReplicaTable } from './replicaTable.js';
 
@@ -35,7 +38,7 @@
  * Releases what engines hold for programs that are gone. An order is repeated until the engine
  * confirms it, refuses it for a newer fencing number, or has left the platform's list.
  */
-export class EngineMemory {
+export class EngineMemory implements ProgramEndListener {
   private readonly enginesOf = new Map<ProgramId, Set<UpstreamId>>();
   private readonly pending = new Map<string, PendingRelease>();
   private subscription: TimerSubscription | undefined;
@@ -72,6 +75,12 @@
     this.enginesOf.delete(program);
   }
 
+  public onProgramEnd(program: ProgramId, epoch: Epoch): void {
+    this.releaseProgram(program, epoch).catch((failure: unknown) => {
+      this.options.logger.warn({ failure: failureText(failure), program }, 'release failed');
+    });
+  }
+
   /** Orders every engine that has worked for a program to drop what it holds. */
   public async releaseProgram(program: ProgramId, fence: Epoch): Promise<void> {
     for (const engine of this.enginesOf.get(program) ?? []) {
