feat(callers): whole answers over broken streams, graceful drain, strict requests

Cause: a frame after a gap was dropped silently, so a closed answer could miss bytes; after an interrupted attempt a later refusal still said ran=no; a home that made an answer anew was joined to the beginning of another; UTF-8 characters were split at frame limits; a stopped peer held its streams for ever; streams that were not read to their end kept a draining instance from exiting.

Change: frames are checked by offset and the closing frame carries the length; each attempt begins at the start of the answer and its beginning is compared by digest; only transport failures and shard-unavailable are followed by another look for the home, and the wait starts over when the answer grows; refusals after an interrupted attempt say ran=maybe; HTTP/2 pings find dead peers; text events hold whole characters. Drain: announce, notice while accepting, hand over, answer callers, end peers' streams, close. Callers' targets, headers, bodies and connections are checked strictly; a program may be opened under a name.

Ruled out: resuming by offset alone, which cannot tell a remade answer.

Each of digest comparison, gap check, weakened refusal, attach-only and held-back bytes was removed once and its test failed.

--- a/packages/instance/src/callers/callerMessages.ts
+++ b/packages/instance/src/callers/callerMessages.ts
@@ -1,25 +1,37 @@
 import { isIdentifier, ZincringError } from '@zincring/core';
 import { z } from 'zod';
 
+import { parseRequestTarget } from './requestTarget.js';
+
 const identifier = z.string().refine(isIdentifier, 'not an identifier');
 
+/** Longest deadline of a program: a year, in seconds. */
+const LONGEST_DEADLINE_SECONDS = 31_536_000;
+
+const upstreamPath = z
+  .string()
+  .startsWith('/')
+  .max(2_048)
+  .refine(isRequestTarget, 'not a path without dot segments');
+
 /** Body of a request that opens a program. */
 export const openProgramSchema = z.strictObject({
-  deadlineSeconds: z.number().positive().optional(),
+  deadlineSeconds: z.number().positive().max(LONGEST_DEADLINE_SECONDS).optional(),
   policy: identifier,
+  program: identifier.optional(),
 });
 
 /** Body of a call. */
 export const callSchema = z.strictObject({
   call: identifier,
-  input: z.unknown(),
+  input: z.unknown().refine(input => input !== undefined, 'expected a value'),
   maxTokens: z.number().int().min(1).max(100_000).default(256),
   method: z.enum(['DELETE', 'GET', 'PATCH', 'POST', 'PUT']).default('POST'),
   parentCall: identifier.optional(),
-  path: z.string().startsWith('/').max(2_048).default('/'),
+  path: upstreamPath.default('/'),
   service: identifier,
   timeoutSeconds: z.number().positive().max(86_400).optional(),
-  turn: z.number().int().min(1),
+  turn: z.number().int().min(1).max(1_000_000),
 });
 
 /** Checks a body against its schema; throws the kind `bad-request` with every problem. */
@@ -33,3 +45,12 @@
     .join('; ');
   throw new ZincringError('bad-request', { detail });
 }
+
+function isRequestTarget(text: string): boolean {
+  try {
+    parseRequestTarget(text);
+    return true;
+  } catch {
+    return false;
+  }
+}
--- a/packages/instance/src/callers/programRoutes.ts
+++ b/packages/instance/src/callers/programRoutes.ts
@@ -1,9 +1,16 @@
-import type { CallId, ProgramId, Result, ServiceName, ZincringError } from '@zincring/core';
+import type {
+  CallId,
+  ProgramId,
+  Result,
+  ServiceName,
+  WorkspaceName,
+  ZincringError,
+} from '@zincring/core';
 import type { ServerResponse } from 'node:http';
 
 import { randomBytes } from 'node:crypto';
 
-import { parseProgramId, ZincringError as ZincringErrorClass } from '@zincring/core';
+import { parseProgramId, sha256Hex, ZincringError as ZincringErrorClass } from '@zincring/core';
 
 import type { CallRequest, ProgramService, ProgramSummary } from '../programs/programMessages.js';
 import type { Caller } from './authentication.js';
@@ -11,6 +18,7 @@
 import { sendError, sendFrames, sendJson } from './answers.js';
 import { callSchema, checkBody, openProgramSchema } from './callerMessages.js';
 import { parseJson } from './readBody.js';
+import { refuseMethod } from './refuseMethod.js';
 
 /** One request about programs, authenticated and read. */
 export interface ProgramRouteRequest {
@@ -19,6 +27,17 @@
   readonly segments: readonly string[];
   readonly caller: Caller;
   readonly body: Buffer;
+  /** Aborts when the caller's key is withdrawn. */
+  readonly keyWithdrawn: AbortSignal;
+}
+
+/** What serving programs needs. */
+export interface ProgramRoutesOptions {
+  readonly programs: ProgramService;
+  /** Deepest JSON accepted. */
+  readonly bodyDepthLimit: number;
+  /** How long a caller may read nothing, in milliseconds. */
+  readonly readerTimeoutMilliseconds: number;
 }
 
 const PROGRAM_ID_BYTES = 16;
@@ -26,18 +45,28 @@
 
 /** Serves `/v1/programs` and what is below it. */
 export class ProgramRoutes {
-  public constructor(private readonly programs: ProgramService) {}
+  public constructor(private readonly options: ProgramRoutesOptions) {}
+
+  /** Checks route and method, which needs no body; throws the refusal. */
+  public checkRoute(
+    { method, segments }: Pick<ProgramRouteRequest, 'method' | 'segments'>,
+    response: ServerResponse,
+  ): void {
+    const [program, calls, ...rest] = segments;
+    if (rest.length > 0 || (calls !== undefined && calls !== 'calls')) {
+      throw new ZincringErrorClass('not-found');
+    }
+    const isProgram = program !== undefined && calls === undefined;
+    refuseMethod(method, isProgram ? ['DELETE', 'GET'] : ['POST'], response);
+  }
 
   /** Answers one request. */
   public async handle(request: ProgramRouteRequest, response: ServerResponse): Promise<void> {
-    const [program, calls, ...rest] = request.segments;
+    const [program, calls] = request.segments;
     if (program === undefined) {
       await this.open(request, response);
       return;
     }
-    if (rest.length > 0 || (calls !== undefined && calls !== 'calls')) {
-      throw new ZincringErrorClass('not-found');
-    }
     const id = parseProgramId(program);
     if (id === undefined) {
       throw new ZincringErrorClass('program-not-found');
@@ -50,13 +79,12 @@
   }
 
   private async open(request: ProgramRouteRequest, response: ServerResponse): Promise<void> {
-    requireMethod(request, ['POST']);
-    const body = checkBody(openProgramSchema, parseJson(request.body));
-    const opened = await this.programs.open({
+    const body = checkBody(openProgramSchema, parseJson(request.body, this.options.bodyDepthLimit));
+    const opened = await this.options.programs.open({
       deadlineMilliseconds:
         body.deadlineSeconds === undefined ? undefined : body.deadlineSeconds * 1_000,
       policy: body.policy,
-      program: randomBytes(PROGRAM_ID_BYTES).toString('hex') as ProgramId,
+      program: createProgramId(request.caller.workspace.name, body.program),
       workspace: request.caller.workspace.name,
     });
     sendSummary(response, 201, opened);
@@ -67,12 +95,11 @@
     program: ProgramId,
     response: ServerResponse,
   ): Promise<void> {
-    requireMethod(request, ['GET', 'DELETE']);
     const reference = { program, workspace: request.caller.workspace.name };
     const result =
       request.method === 'GET'
-        ? await this.programs.describe(reference)
-        : await this.programs.end(reference);
+        ? await this.options.programs.describe(reference)
+        : await this.options.programs.end(reference);
     sendSummary(response, 200, result);
   }
 
@@ -81,8 +108,7 @@
     program: ProgramId,
     response: ServerResponse,
   ): Promise<void> {
-    requireMethod(request, ['POST']);
-    const body = checkBody(callSchema, parseJson(request.body));
+    const body = checkBody(callSchema, parseJson(request.body, this.options.bodyDepthLimit));
     const call: CallRequest = {
       body: Buffer.from(typeof body.input === 'string' ? body.input : JSON.stringify(body.input)),
       call: body.call as CallId,
@@ -102,14 +128,25 @@
       turn: body.turn,
       workspace: request.caller.workspace.name,
     };
-    await sendFrames(response, this.programs.call(call));
+    await sendFrames({
+      frames: this.options.programs.call(call),
+      keyWithdrawn: request.keyWithdrawn,
+      readerTimeoutMilliseconds: this.options.readerTimeoutMilliseconds,
+      response,
+    });
   }
 }
 
-function requireMethod(request: ProgramRouteRequest, allowed: readonly string[]): void {
-  if (!allowed.includes(request.method)) {
-    throw new ZincringErrorClass('method-not-allowed');
-  }
+/**
+ * A random identifier, or the one that belongs to a name. Names of different workspaces never give
+ * the same identifier, and no identifier tells its name.
+ */
+function createProgramId(workspace: WorkspaceName, name: string | undefined): ProgramId {
+  const id =
+    name === undefined
+      ? randomBytes(PROGRAM_ID_BYTES).toString('hex')
+      : sha256Hex(`program name\n${workspace}\n${name}`).slice(0, 2 * PROGRAM_ID_BYTES);
+  return id as ProgramId;
 }
 
 function sendSummary(
--- a/packages/instance/src/callers/readBody.ts
+++ b/packages/instance/src/callers/readBody.ts
@@ -8,23 +8,72 @@
  * @param limitBytes largest body accepted, in bytes
  */
 export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer> {
+  if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
+    throw tooLarge(limitBytes);
+  }
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > limitBytes) {
-      throw new ZincringError('body-too-large', { detail: `the limit is ${limitBytes} bytes` });
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
+  return await new Promise((resolve, reject) => {
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > limitBytes) {
+        chunks.length = 0;
+        reject(tooLarge(limitBytes));
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.once('end', () => {
+      resolve(Buffer.concat(chunks));
+    });
+    request.once('error', () => {
+      reject(new ZincringError('bad-request', { detail: 'the body was cut off' }));
+    });
+  });
 }
 
-/** Parses a JSON body; throws the kind `bad-request`. */
-export function parseJson(body: Buffer): unknown {
+/** Parses a JSON body; throws the kinds `bad-request` and `body-too-deep`. */
+export function parseJson(body: Buffer, depthLimit: number): unknown {
+  if (isDeeperThan(body, depthLimit)) {
+    throw new ZincringError('body-too-deep', { detail: `the limit is ${depthLimit} levels` });
+  }
   try {
     return JSON.parse(body.toString('utf8'));
   } catch {
     throw new ZincringError('bad-request', { detail: 'the body is not JSON' });
   }
 }
+
+const QUOTE = 0x22;
+const BACKSLASH = 0x5c;
+const OPENING: ReadonlySet<number> = new Set([0x5b, 0x7b]);
+const CLOSING: ReadonlySet<number> = new Set([0x5d, 0x7d]);
+
+/**
+ * Tells whether JSON text nests deeper than a limit, without parsing it.
+ *
+ * @example
+ * isDeeperThan(Buffer.from('[[1]]'), 1); // true
+ */
+export function isDeeperThan(text: Uint8Array, limit: number): boolean {
+  let depth = 0;
+  let isString = false;
+  for (let index = 0; index < text.length; index++) {
+    const byte = text[index] ?? 0;
+    if (isString) {
+      index += byte === BACKSLASH ? 1 : 0;
+      isString = byte !== QUOTE;
+      continue;
+    }
+    isString = byte === QUOTE;
+    depth += OPENING.has(byte) ? 1 : CLOSING.has(byte) ? -1 : 0;
+    if (depth > limit) {
+      return true;
+    }
+  }
+  return false;
+}
+
+function tooLarge(limitBytes: number): ZincringError {
+  return new ZincringError('body-too-large', { detail: `the limit is ${limitBytes} bytes` });
+}
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -12,9 +12,12 @@
 import { failureText } from '@zincring/core';
 import { Membership, ShardLeases, VersionedChanges, WriteAheadLog } from '@zincring/coordination';
 
+import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
 import type { Settings } from './settings.js';
 
+import { CallerRouter } from '../callers/callerRouter.js';
 import { CallerServer } from '../callers/callerServer.js';
+import { watchNoKeys } from '../callers/keyWatch.js';
 import { ProgramRoutes } from '../callers/programRoutes.js';
 import { ServiceRoutes } from '../callers/serviceRoutes.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
@@ -30,6 +33,7 @@
 import { DirectDispatcher } from '../upstreams/directDispatcher.js';
 import { ReplicaTable } from '../upstreams/replicaTable.js';
 import { splitAddress } from '../util/splitAddress.js';
+import { drain } from './drainSteps.js';
 import { OperatorServer } from './operatorServer.js';
 
 /** What an instance is made of. */
@@ -103,16 +107,9 @@
       heartbeats: this.heartbeats,
       home: this.home,
       lender: lendNothing,
+      timers,
     });
-    this.callerServer = new CallerServer({
-      admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
-      bodyLimitBytes: settings.bodyLimitBytes,
-      configuration: () => this.configuration.current,
-      headLimitBytes: settings.headLimitBytes,
-      logger,
-      programRoutes: new ProgramRoutes(this.createRouting()),
-      serviceRoutes: new ServiceRoutes(dispatcher),
-    });
+    this.callerServer = this.createCallerServer(dispatcher);
     this.operatorServer = new OperatorServer({
       drain: () => void this.stop(),
       isReady: () => this.isReady,
@@ -145,22 +142,38 @@
   }
 
   private async drain(): Promise<void> {
-    this.parts.logger.info({}, 'drain started');
-    this.membership.leave();
-    this.heartbeats.beat();
-    await this.leases.stop();
-    this.heartbeats.beat();
-    await this.callerServer.drain();
-    this.renewals?.stop();
+    const { logger, settings, timers } = this.parts;
+    await drain(
+      {
+        announce: () => {
+          this.membership.leave();
+          this.heartbeats.beat();
+        },
+        close: () => {
+          this.close();
+        },
+        closeConnectionsAfterAnswers: () => {
+          this.callerServer.closeConnectionsAfterAnswers();
+        },
+        drainCallers: async () => this.callerServer.drain(),
+        drainPeers: async () => this.peerServer.drain(),
+        handOver: async () => {
+          this.renewals?.stop();
+          await this.leases.stop();
+        },
+      },
+      { logger, noticeMilliseconds: settings.drainNoticeMilliseconds, timers },
+    );
+  }
+
+  private close(): void {
     this.configuration.stop();
     this.heartbeats.stop();
     this.log.close();
-    this.peerServer.close();
     this.clients.close();
     this.operatorServer.close();
     this.parts.platform.close();
     this.parts.metrics.close();
-    this.parts.logger.info({}, 'drain finished');
   }
 
   private renewLeases(): void {
@@ -208,6 +221,24 @@
     });
   }
 
+  private createCallerServer(dispatcher: UpstreamDispatcher): CallerServer {
+    const { logger, settings, timers } = this.parts;
+    return new CallerServer({
+      ...settings,
+      logger,
+      router: new CallerRouter({
+        admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
+        bodyLimitBytes: settings.bodyLimitBytes,
+        configuration: () => this.configuration.current,
+        keyWatch: watchNoKeys,
+        now: () => timers.now(),
+        programRoutes: new ProgramRoutes({ ...settings, programs: this.createRouting() }),
+        serviceRoutes: new ServiceRoutes({ ...settings, dispatcher }),
+      }),
+      timers,
+    });
+  }
+
   private createRouting(): RoutedProgramService {
     const { settings, timers } = this.parts;
     return new RoutedProgramService({
--- a/packages/instance/src/lifecycle/settings.ts
+++ b/packages/instance/src/lifecycle/settings.ts
@@ -20,6 +20,7 @@
   );
 
 const settingsSchema = z.strictObject({
+  bodyDepthLimit: z.number().int().positive().default(64),
   bodyLimitBytes: z
     .number()
     .int()
@@ -27,6 +28,7 @@
     .default(4 * 1024 * 1024),
   callerAddress: address,
   configurationPollMilliseconds: milliseconds.default(1_000),
+  drainNoticeMilliseconds: milliseconds.default(5_000),
   handoverWaitMilliseconds: milliseconds.default(15_000),
   headLimitBytes: z
     .number()
@@ -41,6 +43,7 @@
   lease: leaseSchema.prefault({}),
   logGroupMilliseconds: milliseconds.default(5),
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+  maximumConnections: z.number().int().positive().default(10_000),
   maximumMailbox: z.number().int().positive().default(64),
   maximumPendingRecords: z.number().int().positive().default(10_000),
   metrics: z.strictObject({ host: z.ipv4(), port: z.number().int().positive() }).optional(),
@@ -50,6 +53,8 @@
     address,
     timeoutMilliseconds: milliseconds.default(2_000),
   }),
+  readerTimeoutMilliseconds: milliseconds.default(60_000),
+  senderTimeoutMilliseconds: milliseconds.default(30_000),
   shardCount: z
     .number()
     .int()
--- a/packages/instance/src/peers/peerClients.ts
+++ b/packages/instance/src/peers/peerClients.ts
@@ -12,6 +12,12 @@
   readonly sessions: Http2SessionManager;
 }
 
+/** Silence on a connection with open streams after which it is checked, in milliseconds. */
+const PING_INTERVAL_MILLISECONDS = 1_000;
+
+/** How long a check may take before the connection counts as broken, in milliseconds. */
+const PING_TIMEOUT_MILLISECONDS = 3_000;
+
 /** One HTTP/2 connection to every instance that is spoken to. */
 export class PeerClients {
   private readonly connections = new Map<string, Connection>();
@@ -23,7 +29,10 @@
       return known.client;
     }
     const baseUrl = `http://${address}`;
-    const sessions = new Http2SessionManager(baseUrl);
+    const sessions = new Http2SessionManager(baseUrl, {
+      pingIntervalMs: PING_INTERVAL_MILLISECONDS,
+      pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+    });
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: '2',
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -1,4 +1,5 @@
-import type { Http2Server } from 'node:http2';
+import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import type { Socket } from 'node:net';
 
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { PeerService } from '@zincring/protocol';
@@ -11,13 +12,20 @@
   ProgramId,
   Result,
   ShardId,
+  TimerService,
   WorkspaceName,
   ZincringError,
 } from '@zincring/core';
-import type { BorrowRequest, KeepCopyRequest } from '@zincring/protocol';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type {
+  BorrowRequest,
+  CallFrameSchema,
+  CallRequest,
+  KeepCopyRequest,
+} from '@zincring/protocol';
 import type { LoanRequest, TokenLender } from '../limits/tokenLender.js';
 import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
-import type { ProgramService, ProgramSummary } from '../programs/programMessages.js';
+import type { CallFrame, ProgramService, ProgramSummary } from '../programs/programMessages.js';
 import type { Heartbeats } from './heartbeats.js';
 
 import {
@@ -33,22 +41,27 @@
   readonly heartbeats: Heartbeats;
   readonly lender: TokenLender;
   readonly copies: CopyKeeper;
+  readonly timers: TimerService;
 }
 
+/** How long peers may take to read the ends of their streams while draining, in milliseconds. */
+const OPEN_STREAM_MILLISECONDS = 15_000;
+
 /** Serves other instances over HTTP/2. */
 export class PeerServer {
   private readonly server: Http2Server;
+  private readonly sessions = new Set<ServerHttp2Session>();
+  private readonly sockets = new Set<Socket>();
+  private isDraining = false;
 
-  public constructor(options: PeerServerOptions) {
+  public constructor(private readonly options: PeerServerOptions) {
     this.server = createServer(
       connectNodeAdapter({
         routes: router => {
           router.service(PeerService, {
             borrow: message => options.lender.lend(loanRequest(message)),
             call: async function* call(message) {
-              for await (const frame of options.home.call(callFromMessage(message))) {
-                yield frameToMessage(frame);
-              }
+              yield* answerMessages(options.home.call(callFromMessage(message)), message);
             },
             describeProgram: async message =>
               summaryResponse(await options.home.describe(reference(message))),
@@ -71,6 +84,17 @@
         },
       }),
     );
+    this.server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    this.server.on('session', session => {
+      this.sessions.add(session);
+      session.once('close', () => {
+        this.sessions.delete(session);
+        this.closeUnused();
+      });
+    });
   }
 
   /** Listens on an IP number and port. */
@@ -81,9 +105,47 @@
     });
   }
 
-  /** Stops listening. */
-  public close(): void {
-    this.server.close();
+  /**
+   * Takes no new streams, lets the open ones end and then closes the connections. A peer that reads
+   * nothing more is not waited for long: the work on every stream has finished by then.
+   */
+  public async drain(): Promise<void> {
+    this.isDraining = true;
+    const closed = new Promise<void>(resolve => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
+    this.sessions.forEach(session => {
+      session.close();
+    });
+    this.closeUnused();
+    const limit = this.options.timers.after(OPEN_STREAM_MILLISECONDS, () => {
+      this.sockets.forEach(socket => socket.destroy());
+    });
+    await closed;
+    limit.stop();
+  }
+
+  /** Closes connections that carry no session, or none any more, once the last session has ended. */
+  private closeUnused(): void {
+    if (this.isDraining && this.sessions.size === 0) {
+      this.sockets.forEach(socket => socket.destroy());
+    }
+  }
+}
+
+/** The frames of an answer; the closing one carries the length of the answer as its offset. */
+async function* answerMessages(
+  frames: AsyncIterable<CallFrame>,
+  { fromOffset }: Pick<CallRequest, 'fromOffset'>,
+): AsyncGenerator<MessageInitShape<typeof CallFrameSchema>> {
+  let end = fromOffset;
+  for await (const frame of frames) {
+    if (frame.kind === 'data') {
+      end = BigInt(frame.offset + frame.data.length);
+    }
+    yield { ...frameToMessage(frame), ...(frame.kind === 'closed' ? { offset: end } : {}) };
   }
 }
 
--- a/packages/instance/src/peers/remoteProgramService.ts
+++ b/packages/instance/src/peers/remoteProgramService.ts
@@ -1,3 +1,4 @@
+import type { CallOptions } from '@connectrpc/connect';
 import type { Result } from '@zincring/core';
 
 import { Code, ConnectError } from '@connectrpc/connect';
@@ -14,16 +15,16 @@
 import type { PeerClient } from './peerClients.js';
 import type { DescribeProgramResponse } from '@zincring/protocol';
 
-import {
-  callToMessage,
-  errorFromMessage,
-  frameFromMessage,
-  summaryFromMessage,
-} from './peerConversions.js';
+import { FrameSequence } from './frameSequence.js';
+import { HomeUnreachableError } from './homeUnreachableError.js';
+import { callToMessage, errorFromMessage, summaryFromMessage } from './peerConversions.js';
 
 /** Time allowed for a short request to another instance, in milliseconds. */
 const SHORT_REQUEST_MILLISECONDS = 10_000;
 
+/** How much longer than the call itself its stream is waited for, in milliseconds. */
+const DEADLINE_SLACK_MILLISECONDS = 2_000;
+
 /** Programs whose home is another instance. */
 export class RemoteProgramService implements ProgramService {
   public constructor(private readonly client: PeerClient) {}
@@ -58,16 +59,36 @@
   }
 
   public async *call(request: CallRequest): AsyncGenerator<CallFrame> {
+    const sequence = new FrameSequence(request.fromOffset);
+    const finished = new AbortController();
+    const options: CallOptions = {
+      signal: finished.signal,
+      timeoutMs: request.timeoutMilliseconds + DEADLINE_SLACK_MILLISECONDS,
+    };
+    let end: CallFrame | undefined;
     try {
-      for await (const message of this.client.call(callToMessage(request))) {
-        yield frameFromMessage(message);
+      for await (const message of this.client.call(callToMessage(request), options)) {
+        const frame = end === undefined ? sequence.accept(message) : undefined;
+        if (frame?.kind === 'data') {
+          yield frame;
+        } else {
+          end ??= frame;
+        }
       }
+      yield end ?? unreachable('the stream ended early');
     } catch (failure) {
-      yield { error: classifyPeerFailure(failure), kind: 'failed' };
+      yield end ?? { error: classifyPeerFailure(failure), kind: 'failed' };
+    } finally {
+      // A stream that is not read to its end stays open and keeps the home from shutting down.
+      finished.abort();
     }
   }
 }
 
+function unreachable(detail: string): CallFrame {
+  return { error: new HomeUnreachableError(true, detail), kind: 'failed' };
+}
+
 function pick({ program, workspace }: ProgramReference): ProgramReference {
   return { program, workspace };
 }
@@ -91,10 +112,14 @@
 }
 
 function classifyPeerFailure(failure: unknown): ZincringError {
+  if (failure instanceof ZincringError) {
+    return failure;
+  }
   const error = ConnectError.from(failure);
+  if (error.code === Code.DeadlineExceeded) {
+    return new ZincringError('deadline-exceeded');
+  }
   const cause = error.cause as { readonly code?: unknown } | undefined;
   const isRefused = error.code === Code.Unavailable && cause?.code === 'ECONNREFUSED';
-  return isRefused
-    ? new ZincringError('shard-unavailable')
-    : new ZincringError('call-interrupted', { detail: 'the home of the program did not answer' });
+  return new HomeUnreachableError(!isRefused, 'the home of the program did not answer');
 }
--- a/packages/instance/src/peers/routedProgramService.ts
+++ b/packages/instance/src/peers/routedProgramService.ts
@@ -15,6 +15,9 @@
 import type { PeerClients } from './peerClients.js';
 import type { ShardLocations } from './shardLocations.js';
 
+import { AnswerRelay } from './answerRelay.js';
+import { HomeSearch } from './homeSearch.js';
+import { HomeUnreachableError } from './homeUnreachableError.js';
 import { RemoteProgramService } from './remoteProgramService.js';
 
 /** What routing to the homes of programs needs. */
@@ -53,62 +56,85 @@
   }
 
   /**
-   * Follows a call at its home. While no byte has come, a home that is gone is looked for anew;
-   * after that the stream is resumed where it broke, and never started again.
+   * Follows a call at its home. A home that is gone is looked for anew, and a stream that broke is
+   * continued where it broke. Once a byte has come, no attempt may start the call again.
    */
   public async *call(request: CallRequest): AsyncGenerator<CallFrame> {
-    const giveUpAt = this.options.timers.now() + this.waitLimit(request.timeoutMilliseconds);
-    let offset = request.fromOffset;
+    const deadline = this.options.timers.now() + request.timeoutMilliseconds;
+    const relay = new AnswerRelay();
+    const search = this.startSearch(deadline);
     for (;;) {
-      const attempt: CallRequest = {
-        ...request,
-        fromOffset: offset,
-        isAttachOnly: request.isAttachOnly || offset > request.fromOffset,
-      };
-      let end: CallFrame | undefined;
-      for await (const frame of this.homeOf(request.program).call(attempt)) {
-        if (frame.kind !== 'data') {
-          end = frame;
-          break;
-        }
-        if (frame.offset === offset) {
-          offset += frame.data.length;
-          yield frame;
-        }
+      const end = yield* this.attempt(request, relay, deadline);
+      if (relay.length > search.lengthSeen) {
+        search.restart(relay.length);
       }
-      const failed: CallFrame = end ?? {
-        error: new ZincringError('call-interrupted'),
-        kind: 'failed',
-      };
-      if (failed.kind !== 'failed' || !this.shouldLookAgain(failed.error, giveUpAt)) {
-        yield failed;
+      if (end.kind !== 'failed') {
+        yield end;
+        return;
+      }
+      const refusal = search.note(end.error);
+      if (refusal !== undefined) {
+        yield { error: refusal, kind: 'failed' };
         return;
       }
       await sleep(this.options.timers, LOOK_PAUSE_MILLISECONDS);
+      relay.restart();
+    }
+  }
+
+  private async *attempt(
+    request: CallRequest,
+    relay: AnswerRelay,
+    deadline: number,
+  ): AsyncGenerator<CallFrame, Exclude<CallFrame, { kind: 'data' }>> {
+    const attempt: CallRequest = {
+      ...request,
+      isAttachOnly: request.isAttachOnly || relay.length > 0,
+      timeoutMilliseconds: Math.max(1, Math.ceil(deadline - this.options.timers.now())),
+    };
+    for await (const frame of this.homeOf(request.program).call(attempt)) {
+      if (frame.kind === 'failed') {
+        return frame;
+      }
+      if (frame.kind === 'closed') {
+        return relay.hasCaughtUp ? frame : answerDiffers();
+      }
+      const outcome = relay.accept(frame);
+      if (outcome.kind === 'differs') {
+        return answerDiffers();
+      }
+      if (outcome.kind === 'passed') {
+        yield outcome.frame;
+      }
     }
+    return { error: new HomeUnreachableError(true, 'the stream ended early'), kind: 'failed' };
   }
 
   private async retryAtHome(
     program: ProgramId,
     operation: (home: ProgramService) => Promise<Result<ProgramSummary, ZincringError>>,
   ): Promise<Result<ProgramSummary, ZincringError>> {
-    const giveUpAt = this.options.timers.now() + this.options.handoverWaitMilliseconds;
+    const search = this.startSearch(Number.POSITIVE_INFINITY);
     for (;;) {
       const result = await operation(this.homeOf(program));
-      if (result.ok || !this.shouldLookAgain(result.val, giveUpAt)) {
-        return result.ok ? result : Err(result.val);
+      if (result.ok) {
+        return result;
+      }
+      const refusal = search.note(result.val);
+      if (refusal !== undefined) {
+        return Err(refusal);
       }
       await sleep(this.options.timers, LOOK_PAUSE_MILLISECONDS);
     }
   }
 
-  private shouldLookAgain(error: ZincringError, giveUpAt: number): boolean {
-    const isPassing = error.kind === 'shard-unavailable' || error.kind === 'call-interrupted';
-    return isPassing && this.options.timers.now() < giveUpAt;
-  }
-
-  private waitLimit(timeoutMilliseconds: number): number {
-    return Math.min(timeoutMilliseconds, this.options.handoverWaitMilliseconds);
+  private startSearch(deadline: number): HomeSearch {
+    const { handoverWaitMilliseconds, timers } = this.options;
+    return new HomeSearch({
+      deadline,
+      now: () => timers.now(),
+      waitMilliseconds: handoverWaitMilliseconds,
+    });
   }
 
   private homeOf(program: ProgramId): ProgramService {
@@ -125,3 +151,10 @@
     return new RemoteProgramService(clients.at(peer.address));
   }
 }
+
+function answerDiffers(): Extract<CallFrame, { kind: 'failed' }> {
+  return {
+    error: new ZincringError('call-interrupted', { detail: 'the answer was made anew' }),
+    kind: 'failed',
+  };
+}
