--- a/packages/stand-ins/src/launch/callerClient.ts
+++ b/packages/stand-ins/src/launch/callerClient.ts
@@ -18,9 +18,10 @@
 export class CallerClient {
   public constructor(private readonly key: string) {}
 
-  /** Opens a program. */
-  public async openProgram(address: string, policy: string): Promise<JsonAnswer> {
-    return await this.send(address, 'POST', '/v1/programs', { policy });
+  /** Opens a program; with a name, repeating it opens no other. */
+  public async openProgram(address: string, policy: string, name?: string): Promise<JsonAnswer> {
+    const body = { policy, ...(name === undefined ? {} : { program: name }) };
+    return await this.send(address, 'POST', '/v1/programs', body);
   }
 
   /** Reads the state of a program. */
--- a/packages/stand-ins/src/launch/fleet.ts
+++ b/packages/stand-ins/src/launch/fleet.ts
@@ -41,6 +41,8 @@
   readonly settings?: Readonly<Record<string, unknown>>;
   /** Command lines of the engines beside their role. */
   readonly engineCommandLine?: readonly string[];
+  /** Lag of the platform's list of instances, in milliseconds. */
+  readonly directoryLagMilliseconds?: number;
   /** Called with every log line of every instance. */
   readonly onLog?: (instance: string, line: string) => void;
 }
@@ -61,7 +63,10 @@
 
   /** Starts everything and waits until the platform's list shows it. */
   public static async start(options: FleetOptions): Promise<Fleet> {
-    const platform = await launchStandIn('platform', ['--lag-milliseconds', '100']);
+    const platform = await launchStandIn('platform', [
+      '--lag-milliseconds',
+      String(options.directoryLagMilliseconds ?? 100),
+    ]);
     const directory = await mkdtemp(join(tmpdir(), 'zincring-'));
     const fleet = new Fleet(platform, directory, options);
     for (let index = 0; index < options.engines; index++) {
--- /dev/null
+++ b/packages/stand-ins/tests/plannedStop.process.test.ts
@@ -0,0 +1,126 @@
+import { hashKey } from '@zincring/core';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import { CallerClient } from '../src/launch/callerClient.js';
+import { controlStandIn, Fleet, waitUntil } from '../src/launch/fleet.js';
+import { ReadyBalancer } from '../src/launch/readyBalancer.js';
+import { SteadyLoad } from '../src/launch/steadyLoad.js';
+
+const KEY = 'planned-stop-key';
+
+const rules = `
+workspace utility rate=100000 burst=100000 # dana: the pilot
+key clerk workspace=utility hash=${hashKey(KEY)} # dana: clerks
+service minutes-llm protocol=engine fencing=checked timeout=30 # omar: models
+service ticket-app protocol=plain idempotent=no timeout=10 # omar: work orders
+program trace services=minutes-llm,ticket-app tokens=100000 calls=50 # dana: traces
+`;
+
+interface Executions {
+  readonly executions: readonly { readonly call: string }[];
+}
+
+describe('a planned stop', () => {
+  let fleet: Fleet;
+  const client = new CallerClient(KEY);
+
+  beforeAll(async () => {
+    fleet = await Fleet.start({
+      directoryLagMilliseconds: 1_000,
+      engines: 2,
+      instances: 3,
+      plainServices: 2,
+      settings: { drainNoticeMilliseconds: 1_500, logLevel: 'silent' },
+      zones: ['nelson', 'castlegar', 'trail'],
+    });
+    await fleet.applyRules(rules);
+    await fleet.waitUntilReady();
+    await waitUntil(async () => {
+      const opened = await client.openProgram(fleet.instances[0]!.callerAddress, 'trace');
+      return opened.status === 201;
+    });
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+  });
+
+  async function executions(): Promise<readonly string[]> {
+    const services = fleet.upstreams.filter(upstream => upstream.service === 'ticket-app');
+    const seen = await Promise.all(
+      services.map(async ({ standIn }) => controlStandIn(standIn.address, 'executions')),
+    );
+    return seen.flatMap(each => (each as Executions).executions.map(({ call }) => call));
+  }
+
+  const undurable: string[] = [];
+
+  it('of every instance in turn cuts off nothing, refuses nothing and loses no history', async () => {
+    const balancer = new ReadyBalancer(fleet.instances);
+    await balancer.start();
+    const load = new SteadyLoad({
+      client,
+      maxTokens: 40,
+      pickAddress: () => balancer.pick(),
+      policy: 'trace',
+      programs: 6,
+      turns: 4,
+    });
+    load.start();
+    const exitCodes: (number | null)[] = [];
+    for (const instance of fleet.instances) {
+      const finished = load.finished.length;
+      await waitUntil(async () =>
+        Promise.resolve(load.failures.length > 0 || load.finished.length >= finished + 6),
+      );
+      instance.process.signal('SIGTERM');
+      exitCodes.push(await instance.process.waitForExit());
+      fleet.restart(instance);
+      await fleet.waitUntilReady();
+    }
+    await load.stop();
+    balancer.stop();
+    undurable.push(...load.undurable);
+
+    expect(load.failures).toEqual([]);
+    expect(exitCodes).toEqual([0, 0, 0]);
+    const orders = (await executions()).map(call => call.slice(call.lastIndexOf('/') + 1));
+    expect([...orders].sort()).toEqual([...load.orders].sort());
+    await checkHistories(load);
+  });
+
+  it('tells every turn durable that it answers while shards are handed over', () => {
+    expect(undurable).toEqual([]);
+  });
+
+  async function checkHistories(load: SteadyLoad): Promise<void> {
+    for (const { answers, program } of load.finished) {
+      const address = fleet.instances[0]!.callerAddress;
+      const state = await client.describeProgram(address, program);
+      expect(state.body).toMatchObject({ durableTurn: answers.length, turn: answers.length });
+    }
+  }
+
+  it('of an upstream gives it nothing new after 3 s, though the list lags', async () => {
+    const leaving = fleet.upstreams.find(upstream => upstream.service === 'ticket-app')!;
+    const seenBy = async (): Promise<number> => {
+      const seen = await controlStandIn(leaving.standIn.address, 'executions');
+      return (seen as Executions).executions.length;
+    };
+    const order = async (index: number): Promise<void> => {
+      const instance = fleet.instances[index % 3]!;
+      const response = await fetch(
+        `http://${instance.callerAddress}/v1/services/ticket-app/orders`,
+        { body: '{}', headers: { authorization: `Bearer ${KEY}` }, method: 'POST' },
+      );
+      expect(response.status).toBe(200);
+    };
+    await fleet.markLeaving(leaving.id);
+    await new Promise(resolve => setTimeout(resolve, 3_000));
+    const before = await seenBy();
+    for (let index = 0; index < 30; index++) {
+      await order(index);
+    }
+    expect(await seenBy()).toBe(before);
+  });
+});
