--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -1,5 +1,7 @@
 import type {
   IncarnationId,
+  InstanceId,
+  ShardId,
   Logger,
   Metrics,
   TimerService,
@@ -10,9 +12,17 @@
 import { randomBytes } from 'node:crypto';
 
 import { failureText } from '@zincring/core';
-import { Membership, ShardLeases, VersionedChanges, WriteAheadLog } from '@zincring/coordination';
+import {
+  LogSweeper,
+  Membership,
+  preferredHolder,
+  ShardLeases,
+  VersionedChanges,
+  WriteAheadLog,
+} from '@zincring/coordination';
 
 import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
+import type { ShardHolder } from '../peers/fleetCensus.js';
 import type { Settings } from './settings.js';
 
 import { CallerRouter } from '../callers/callerRouter.js';
@@ -23,6 +33,7 @@
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import { StaticAdmission } from '../limits/admission.js';
 import { lendNothing } from '../limits/tokenLender.js';
+import { FleetCensus } from '../peers/fleetCensus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
 import { PeerClients } from '../peers/peerClients.js';
 import { PeerServer } from '../peers/peerServer.js';
@@ -30,8 +41,9 @@
 import { ShardLocations } from '../peers/shardLocations.js';
 import { keepNoCopies } from '../programs/copyKeeper.js';
 import { ProgramHome } from '../programs/programHome.js';
-import { DirectDispatcher } from '../upstreams/directDispatcher.js';
-import { ReplicaTable } from '../upstreams/replicaTable.js';
+import { HttpEngineOrders } from '../upstreams/engineOrders.js';
+import { HttpReplicaSender } from '../upstreams/replicaSender.js';
+import { Upstreams } from '../upstreams/upstreams.js';
 import { splitAddress } from '../util/splitAddress.js';
 import { drain } from './drainSteps.js';
 import { OperatorServer } from './operatorServer.js';
@@ -47,13 +59,16 @@
 
 const INCARNATION_BYTES = 6;
 const LOG_RETRY_MILLISECONDS = 200;
+/** How often the holder of the first shard deletes log objects that no shard needs. */
+const LOG_SWEEP_MILLISECONDS = 60_000;
+const FIRST_SHARD = 0 as ShardId;
 
 /** One running instance: every slice, connected. */
 export class Instance {
   private readonly membership: Membership;
   private readonly locations = new ShardLocations(() => this.leases.heldShards);
   private readonly clients = new PeerClients();
-  private readonly replicas = new ReplicaTable();
+  private readonly upstreams: Upstreams;
   private readonly configuration: ConfigurationFollower;
   private readonly log: WriteAheadLog;
   private readonly home: ProgramHome;
@@ -63,6 +78,7 @@
   private readonly peerServer: PeerServer;
   private readonly operatorServer: OperatorServer;
   private renewals: TimerSubscription | undefined;
+  private sweeps: TimerSubscription | undefined;
   private draining: Promise<void> | undefined;
 
   public constructor(private readonly parts: InstanceParts) {
@@ -88,7 +104,8 @@
       retryMilliseconds: LOG_RETRY_MILLISECONDS,
       timers,
     });
-    const dispatcher = new DirectDispatcher(this.replicas);
+    this.upstreams = this.createUpstreams();
+    const { dispatcher } = this.upstreams;
     this.home = new ProgramHome({
       configuration: () => this.configuration.current,
       dispatcher,
@@ -100,10 +117,10 @@
       timers,
     });
     this.leases = this.createLeases();
-    this.home.attach(this.leases);
     this.heartbeats = this.createHeartbeats();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
+      findGone: programs => this.home.findGone(programs),
       heartbeats: this.heartbeats,
       home: this.home,
       lender: lendNothing,
@@ -128,6 +145,14 @@
     await this.peerServer.listen(...splitAddress(settings.peerAddress));
     this.configuration.start();
     this.heartbeats.start();
+    this.home.start();
+    this.sweeps = timers.every(LOG_SWEEP_MILLISECONDS, () => {
+      this.sweepLogs();
+    });
+    this.upstreams.start();
+    this.configuration.subscribe(configuration => {
+      this.upstreams.updateConfiguration(configuration);
+    });
     this.renewals = timers.every(settings.lease.renewMilliseconds, () => {
       this.renewLeases();
     });
@@ -158,8 +183,9 @@
         drainCallers: async () => this.callerServer.drain(),
         drainPeers: async () => this.peerServer.drain(),
         handOver: async () => {
-          this.renewals?.stop();
+          // Renewed until the last call has finished: its turn needs a lease that holds.
           await this.leases.stop();
+          this.renewals?.stop();
         },
       },
       { logger, noticeMilliseconds: settings.drainNoticeMilliseconds, timers },
@@ -167,8 +193,11 @@
   }
 
   private close(): void {
+    this.sweeps?.stop();
+    this.home.stop();
     this.configuration.stop();
     this.heartbeats.stop();
+    this.upstreams.stop();
     this.log.close();
     this.clients.close();
     this.operatorServer.close();
@@ -182,6 +211,17 @@
     });
   }
 
+  private sweepLogs(): void {
+    if (this.leases.standing(FIRST_SHARD) !== 'held') {
+      return;
+    }
+    const { objects, table } = this.parts.platform;
+    const { shardCount } = this.parts.settings;
+    new LogSweeper({ objects, shardCount, table }).sweep().catch((failure: unknown) => {
+      this.parts.logger.warn({ failure: failureText(failure) }, 'log sweep failed');
+    });
+  }
+
   private createLeases(): ShardLeases {
     const { logger, platform, settings, timers } = this.parts;
     return new ShardLeases({
@@ -214,9 +254,9 @@
       logger,
       membership: this.membership,
       onDirectory: entries => {
-        this.replicas.update(entries);
+        this.upstreams.updateDirectory(entries);
       },
-      participants: [this.locations],
+      participants: [this.locations, ...this.upstreams.participants],
       timers,
     });
   }
@@ -239,6 +279,44 @@
     });
   }
 
+  private createUpstreams(): Upstreams {
+    const { logger, metrics, settings, timers } = this.parts;
+    return new Upstreams({
+      census: new FleetCensus({
+        clients: this.clients,
+        findGoneHere: programs => this.home.findGone(programs),
+        holderOf: shard => this.findHolder(shard),
+        self: settings.instance,
+        shardCount: settings.shardCount,
+      }),
+      configuration: () => this.configuration.current,
+      instances: () => new Set([settings.instance, ...this.membership.alive.map(peer => peer.id)]),
+      logger,
+      metrics,
+      orders: new HttpEngineOrders(),
+      self: settings.instance,
+      sender: new HttpReplicaSender({
+        stallMilliseconds: settings.upstreams.stallMilliseconds,
+        timers,
+      }),
+      settings: settings.upstreams,
+      spreadNews: async () => this.heartbeats.spread(),
+      timers,
+      zone: settings.zone,
+    });
+  }
+
+  private findHolder(shard: ShardId): ShardHolder | undefined {
+    const { settings } = this.parts;
+    if (this.leases.standing(shard) === 'held') {
+      return { address: settings.peerAddress, instance: settings.instance };
+    }
+    const holder =
+      this.locations.holderOf(shard) ?? preferredHolder(shard, this.membership.eligible());
+    const peer = holder === undefined ? undefined : this.membership.find(holder as InstanceId);
+    return peer === undefined ? undefined : { address: peer.address, instance: peer.id };
+  }
+
   private createRouting(): RoutedProgramService {
     const { settings, timers } = this.parts;
     return new RoutedProgramService({
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -26,6 +26,7 @@
 import type { LoanRequest, TokenLender } from '../limits/tokenLender.js';
 import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
 import type { CallFrame, ProgramService, ProgramSummary } from '../programs/programMessages.js';
+import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { Heartbeats } from './heartbeats.js';
 
 import {
@@ -39,6 +40,8 @@
 export interface PeerServerOptions {
   readonly home: ProgramService;
   readonly heartbeats: Heartbeats;
+  /** Programs that are gone, of those whose shards are held here. */
+  readonly findGone: (programs: readonly ProgramId[]) => readonly GoneProgram[];
   readonly lender: TokenLender;
   readonly copies: CopyKeeper;
   readonly timers: TimerService;
@@ -68,6 +71,11 @@
             endProgram: async message =>
               summaryResponse(await options.home.end(reference(message))),
             exchange: message => options.heartbeats.answer(message),
+            findGone: message => ({
+              gone: options
+                .findGone(message.programs as readonly string[] as readonly ProgramId[])
+                .map(({ fence, program }) => ({ epoch: BigInt(fence), program })),
+            }),
             keepCopy: message => ({ kept: options.copies.keep(copyRequest(message)) }),
             openProgram: async message =>
               summaryResponse(
