--- a/packages/instance/src/lifecycle/settings.ts
+++ b/packages/instance/src/lifecycle/settings.ts
@@ -51,6 +51,7 @@
 });
 
 const fieldsSchema = z.strictObject({
+  bodyDepthLimit: z.number().int().positive().default(64),
   bodyLimitBytes: z
     .number()
     .int()
@@ -59,6 +60,7 @@
   callerAddress: address,
   configurationContactMilliseconds: milliseconds.default(4_000),
   configurationPollMilliseconds: milliseconds.default(1_000),
+  drainNoticeMilliseconds: milliseconds.default(5_000),
   handoverWaitMilliseconds: milliseconds.default(15_000),
   headLimitBytes: z
     .number()
@@ -73,6 +75,7 @@
   lease: leaseSchema.prefault({}),
   logGroupMilliseconds: milliseconds.default(5),
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
+  maximumConnections: z.number().int().positive().default(10_000),
   maximumKeyListeners: z.number().int().positive().default(100_000),
   maximumMailbox: z.number().int().positive().default(64),
   maximumPendingRecords: z.number().int().positive().default(10_000),
@@ -85,6 +88,8 @@
     address,
     timeoutMilliseconds: milliseconds.default(2_000),
   }),
+  readerTimeoutMilliseconds: milliseconds.default(60_000),
+  senderTimeoutMilliseconds: milliseconds.default(30_000),
   shardCount: z
     .number()
     .int()
