--- a/packages/scheduling/src/service/serviceScheduler.ts
+++ b/packages/scheduling/src/service/serviceScheduler.ts
@@ -15,6 +15,7 @@
 
 import { enginePriority } from '../priority/enginePriority.js';
 import { ConcurrencyWindow } from '../windows/concurrencyWindow.js';
+import { WakeTimes } from './wakeTimes.js';
 
 /** Work that waits for a replica of one service. */
 export interface ScheduledItem extends PlacementRequest, QueueItem {
@@ -107,7 +108,7 @@
 > implements ServiceScheduler<Item> {
   private readonly windows = new Map<UpstreamId, ConcurrencyWindow>();
   private readonly sent = new Map<WorkId, Sent<Item>>();
-
+  private readonly wakeTimes = new WakeTimes();
   private windowOptions: ConcurrencyWindowOptions;
 
   public constructor(private readonly options: WindowedServiceSchedulerOptions<Item>) {
@@ -185,14 +186,7 @@
     if (this.options.queue.size === 0) {
       return undefined;
     }
-    let earliest: number | undefined;
-    for (const window of this.windows.values()) {
-      const at = window.nextRoomAt(now);
-      if (at !== undefined && at > now) {
-        earliest = Math.min(earliest ?? at, at);
-      }
-    }
-    return earliest;
+    return this.wakeTimes.peekAfter(now);
   }
 
   public cancel(id: WorkId): Item | undefined {
@@ -213,6 +207,7 @@
     const outcome = { durationMilliseconds, end, prefixes, replica };
     this.options.chooser.noteOutcome(outcome, now);
     this.noteWindowEnd(replica, end, durationMilliseconds, now);
+    this.wakeTimes.add(this.windows.get(replica)?.nextRoomAt(now) ?? now, now);
   }
 
   public observeLoad(replica: UpstreamId, report: LoadReport, now: number): void {
@@ -241,11 +236,17 @@
         return;
       case 'failed':
         window?.noteFailure(now);
-        this.options.chooser.suspectUntil(replica, now + this.options.suspicionMilliseconds);
+        this.suspect(replica, now);
         return;
       case 'succeeded':
         window?.noteSuccess(duration, now);
         return;
     }
   }
+
+  private suspect(replica: UpstreamId, now: number): void {
+    const until = now + this.options.suspicionMilliseconds;
+    this.options.chooser.suspectUntil(replica, until);
+    this.wakeTimes.add(until, now);
+  }
 }
