fix(scheduling): grow windows by time, so that small ones catch up

Cause: windows below one grew with each call that ended, so large ones grew faster: of thirteen instances before eight places the worst-served got 0.39 of the mean (new test). Growth by time passes it. Tried growth of 0.5, 0.2 and 0.1 calls over the time of a call, and a target of 1 or 2 waiting calls. Kept 0.2 and 2.

--- a/packages/scheduling/src/windows/concurrencyWindow.ts
+++ b/packages/scheduling/src/windows/concurrencyWindow.ts
@@ -14,8 +14,10 @@
 const SMALLEST_WINDOW = 0.1;
 /** Longest time between two calls of a window below one, in milliseconds. */
 const LONGEST_PROBE_INTERVAL_MILLISECONDS = 5_000;
-/** Calls by which the window grows over the time of one window of calls. */
-const GROWTH = 0.5;
+/** Calls by which the window grows over the time of one call. */
+const GROWTH = 0.2;
+/** Times of a call that one growth makes up for at most. */
+const MAX_ROUNDS_PER_GROWTH = 2;
 /** What is left of the window after a report of too many calls waiting. */
 const CONGESTION_FACTOR = 0.8;
 /** What is left of the window after a failure. */
@@ -40,6 +42,7 @@
   private callMilliseconds: number;
   private nextDispatchAt = -Infinity;
   private lastDecreaseAt = -Infinity;
+  private lastGrowthAt = -Infinity;
   /** Whether the last report told of too many calls waiting. */
   private isCongested = false;
 
@@ -98,7 +101,7 @@
     const isLimiting = this.inFlight >= Math.floor(this.window);
     this.noteEnd(now);
     if (isLimiting && !this.isCongested) {
-      this.window = this.clamp(this.window + GROWTH / Math.max(1, this.window));
+      this.grow(now);
     }
   }
 
@@ -129,6 +132,16 @@
     }
   }
 
+  /**
+   * Grows by the time that has passed and not by the calls that have ended, so that small windows
+   * catch up with large ones.
+   */
+  private grow(now: number): void {
+    const elapsed = (now - this.lastGrowthAt) / this.callMilliseconds;
+    this.window = this.clamp(this.window + GROWTH * Math.min(MAX_ROUNDS_PER_GROWTH, elapsed));
+    this.lastGrowthAt = now;
+  }
+
   /** Shrinks once per round of calls at most, since reports lag behind. */
   private decrease(factor: number, now: number): void {
     if (now - this.lastDecreaseAt < this.callMilliseconds) {
--- a/packages/scheduling/tests/windowsAndRetries.test.ts
+++ b/packages/scheduling/tests/windowsAndRetries.test.ts
@@ -50,6 +50,45 @@
   });
 });
 
+describe('ConcurrencyWindow, thirteen instances before eight places', () => {
+  test('every instance gets places, and the places are used', () => {
+    const places = 8;
+    const callMilliseconds = 1_000;
+    const windows = Array.from({ length: 13 }, () => new ConcurrencyWindow(windowOptions));
+    const served = windows.map(() => 0);
+    const waiting: number[] = [];
+    const running: { endsAt: number; instance: number; sentAt: number }[] = [];
+    const sentAt = windows.map(() => [] as number[]);
+    let reported = 0;
+    for (let now = 0; now < 600_000; now += 50) {
+      for (const call of running.filter(({ endsAt }) => endsAt <= now)) {
+        running.splice(running.indexOf(call), 1);
+        served[call.instance]!++;
+        windows[call.instance]!.noteSuccess(now - call.sentAt, now);
+      }
+      for (const [instance, window] of windows.entries()) {
+        if (now % 1_000 === 0) {
+          window.observeWaiting(reported, now);
+        }
+        while (window.hasRoom(now)) {
+          window.noteDispatch();
+          waiting.push(instance);
+          sentAt[instance]!.push(now);
+        }
+      }
+      while (running.length < places && waiting.length > 0) {
+        const instance = waiting.shift()!;
+        const sent = sentAt[instance]!.shift()!;
+        running.push({ endsAt: now + callMilliseconds, instance, sentAt: sent });
+      }
+      reported = now % 1_000 === 0 ? waiting.length : reported;
+    }
+    const total = served.reduce((sum, count) => sum + count, 0);
+    expect(Math.min(...served)).toBeGreaterThan(total / windows.length / 2);
+    expect(total).toBeGreaterThan((600_000 / callMilliseconds) * places * 0.8);
+  });
+});
+
 describe('RetryBudget', () => {
   test('retries stay within the share of first attempts and the reserve', () => {
     const budget = new RetryBudget({
