--- a/packages/stand-ins/src/soak/faultInjector.ts
+++ b/packages/stand-ins/src/soak/faultInjector.ts
@@ -34,12 +34,16 @@
   readonly isOver: () => boolean;
   /** Called with every fault. */
   readonly report: (fault: SoakFault, detail: string) => void;
+  /** Called with an instance whose planned stop did not end. */
+  readonly reportEndlessStop: (instance: string) => void;
 }
 
 const LONGEST_PAUSE_MILLISECONDS = 4_000;
 const LONGEST_FREEZE_MILLISECONDS = 12_000;
 const LONGEST_OUTAGE_MILLISECONDS = 10_000;
 const MOST_LOST_ANSWERS = 5;
+/** Longest call, longest outage and handover together, in milliseconds. */
+const LONGEST_PLANNED_STOP_MILLISECONDS = 60_000;
 
 /** Injects random faults, sometimes two at a time, until the run is over. */
 export class FaultInjector {
@@ -87,7 +91,7 @@
       case 'instance-replacement':
         await this.withInstance(fault, async instance => {
           instance.process.signal('SIGTERM');
-          await instance.process.waitForExit();
+          await this.waitForPlannedStop(instance);
           fleet.restart(instance);
         });
         return;
@@ -124,6 +128,18 @@
     await act(instance).finally(() => this.busy.delete(instance));
   }
 
+  /** A planned stop that does not end is reported and ended, so that the run can go on. */
+  private async waitForPlannedStop(instance: FleetInstance): Promise<void> {
+    const hasEnded = await Promise.race([
+      instance.process.waitForExit().then(() => true),
+      pause(LONGEST_PLANNED_STOP_MILLISECONDS).then(() => false),
+    ]);
+    if (!hasEnded) {
+      this.options.reportEndlessStop(instance.id);
+      await instance.process.kill();
+    }
+  }
+
   private async platformOutage(fault: SoakFault, outage: 'hang' | 'refuse'): Promise<void> {
     const { fleet, random, report } = this.options;
     report(fault, '');
--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -4,7 +4,7 @@
 
 import { Fleet } from '../launch/fleet.js';
 import { FaultInjector, type SoakFault } from './faultInjector.js';
-import { findViolations } from './invariants.js';
+import { findViolations, type Violation } from './invariants.js';
 import { pause, ProgramDriver } from './programDriver.js';
 import { RandomSource } from './randomSource.js';
 
@@ -49,6 +49,7 @@
   const endsAt = performance.now() + settings.seconds * 1_000;
   const isOver = (): boolean => performance.now() >= endsAt;
   const faults = new Map<SoakFault, number>();
+  const endlessStops: Violation[] = [];
   const drivers = Array.from(
     { length: settings.drivers },
     (_, index) =>
@@ -68,12 +69,15 @@
       faults.set(fault, (faults.get(fault) ?? 0) + 1);
       print(`${fault} ${detail}`);
     },
+    reportEndlessStop: instance => {
+      endlessStops.push({ detail: instance, invariant: 'a planned stop ends' });
+    },
   });
   await Promise.all([injector.run(), ...drivers.map(async driver => driver.run())]);
   await fleet.waitUntilReady();
   await pause(SETTLE_MILLISECONDS);
   const programs = drivers.flatMap(driver => driver.programs);
-  const violations = await findViolations({ fleet, key: KEY, programs });
+  const violations = [...endlessStops, ...(await findViolations({ fleet, key: KEY, programs }))];
   const calls = programs.flatMap(driven => driven.calls);
   const answered = calls.filter(call => call.text !== undefined).length;
   print(`faults: ${JSON.stringify(Object.fromEntries(faults))}`);
