--- a/packages/stand-ins/src/experiments/policy/policies.ts
+++ b/packages/stand-ins/src/experiments/policy/policies.ts
@@ -20,7 +20,12 @@
 import { NaiveScheduler } from './naive/naiveScheduler.js';
 import { DeficitRoundRobinQueue } from './rivals/deficitRoundRobinQueue.js';
 import { FirstComeQueue } from './rivals/firstComeQueue.js';
-import { FirstComeOrder, ShortestTurnOrder } from './rivals/orders.js';
+import {
+  CallAgeOrder,
+  FirstComeOrder,
+  OldestProgramOrder,
+  ShortestTurnOrder,
+} from './rivals/orders.js';
 import { ConsistentHashChooser, LeastLoadedChooser } from './rivals/trackedChooser.js';
 
 /** What a scheduler of one instance and service is built from. */
@@ -39,6 +44,8 @@
   'order: first come in all',
   'order: first come per workspace',
   'order: shortest turn first',
+  'order: call age',
+  'order: oldest program first',
   'order: deficit round robin',
   'choice: consistent hashing',
   'choice: least loaded',
@@ -79,6 +86,10 @@
       return windowed(context, fairQueue(new FirstComeOrder()), costChooser(context));
     case 'order: shortest turn first':
       return windowed(context, fairQueue(new ShortestTurnOrder()), costChooser(context));
+    case 'order: call age':
+      return windowed(context, fairQueue(new CallAgeOrder()), costChooser(context));
+    case 'order: oldest program first':
+      return windowed(context, fairQueue(new OldestProgramOrder()), costChooser(context));
     case 'order: deficit round robin':
       return windowed(context, new DeficitRoundRobinQueue(), costChooser(context));
     case 'choice: consistent hashing':
