--- /dev/null
+++ b/packages/stand-ins/src/experiments/policy/main.ts
@@ -0,0 +1,105 @@
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+import type { DeploymentName } from './deployments.js';
+import type { ResultRow } from './report/resultRow.js';
+import type { PolicyName } from './policies.js';
+import type { ScenarioName } from './scenarios.js';
+
+import { measureCapacity } from './capacity.js';
+import { deploymentNames } from './deployments.js';
+import { policyNames } from './policies.js';
+import { drawPlots } from './report/drawPlots.js';
+import { formatTable } from './report/formatTable.js';
+import { runJobs } from './runJobs.js';
+import { runLengths, scenarioNames } from './scenarios.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+const command = yargs(hideBin(process.argv))
+  .scriptName('policy-experiments')
+  .usage('$0: runs the scheduling policies on virtual time; the same seeds give the same figures')
+  .strict()
+  .options({
+    deployment: { choices: deploymentNames, describe: 'shape of the fleet; utility by default' },
+    plots: { describe: 'directory that gets the plots', type: 'string' },
+    policies: {
+      default: 'naive,ours',
+      describe: `policies, separated by commas, or "all": ${policyNames.join(', ')}`,
+      type: 'string',
+    },
+    quick: { default: false, describe: 'runs of a third of the length', type: 'boolean' },
+    scenarios: {
+      default: 'all',
+      describe: `scenarios, separated by commas, or "all": ${scenarioNames.join(', ')}`,
+      type: 'string',
+    },
+    seeds: { default: 3, describe: 'number of seeds, from 1', type: 'number' },
+    threads: { default: 4, describe: 'threads that run experiments', type: 'number' },
+    slowdown: { default: true, describe: 'run each workspace alone too', type: 'boolean' },
+  });
+
+function select<Name extends string>(text: string, names: readonly Name[]): readonly Name[] {
+  const wanted = text.split(',').map(part => part.trim());
+  const unknown = wanted.filter(part => part !== 'all' && !names.some(name => name === part));
+  if (unknown.length > 0) {
+    throw new Error(`unknown: ${unknown.join(', ')}; known are: ${names.join(', ')}`);
+  }
+  return names.filter(name => wanted.includes('all') || wanted.includes(name));
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+/** What one call of the command runs. */
+interface Selection {
+  readonly deployment: DeploymentName;
+  readonly isQuick: boolean;
+  readonly policies: readonly PolicyName[];
+  readonly scenarios: readonly ScenarioName[];
+  readonly seeds: number;
+  readonly comparesAlone: boolean;
+  readonly threads: number;
+}
+
+async function runAll(selection: Selection): Promise<readonly ResultRow[]> {
+  const { comparesAlone, deployment, isQuick, policies, scenarios, threads } = selection;
+  const seeds = Array.from({ length: selection.seeds }, (_, index) => index + 1);
+  const cells = scenarios.flatMap(scenario => policies.map(policy => ({ policy, scenario })));
+  const jobs = cells.flatMap(cell =>
+    seeds.map(seed => ({ ...cell, comparesAlone, deployment, isQuick, seed })),
+  );
+  const figures = await runJobs(jobs, threads);
+  return cells.map((cell, index) => ({
+    ...cell,
+    runs: figures.slice(index * seeds.length, (index + 1) * seeds.length),
+  }));
+}
+
+const options = command.parseSync();
+const capacity = measureCapacity();
+const length = options.quick ? runLengths.quick : runLengths.full;
+print(
+  `one engine: ${capacity.callsPerSecond.toFixed(2)} calls/s; a program: ` +
+    `${capacity.callsPerProgram.toFixed(2)} calls; seeds 1 to ${options.seeds}; ` +
+    `programs arrive over ${length.arrivals / MILLISECONDS_PER_SECOND} s`,
+);
+const rows = await runAll({
+  comparesAlone: options.slowdown,
+  deployment: options.deployment ?? 'utility',
+  isQuick: options.quick,
+  policies: select(options.policies, policyNames),
+  scenarios: select(options.scenarios, scenarioNames),
+  seeds: options.seeds,
+  threads: options.threads,
+});
+print(formatTable(rows));
+if (options.plots !== undefined) {
+  mkdirSync(options.plots, { recursive: true });
+  for (const { name, svg } of drawPlots(rows)) {
+    writeFileSync(join(options.plots, name), svg);
+  }
+}
