--- a/packages/coordination/src/leases/leaseRows.ts
+++ b/packages/coordination/src/leases/leaseRows.ts
@@ -46,9 +46,12 @@
   return `shard/${String(shard).padStart(SHARD_DIGITS, '0')}`;
 }
 
+/** Prefix of the rows of all sessions. */
+export const SESSION_ROOT = 'session/';
+
 /** Key of the row of a session. */
 export function sessionRowKey(incarnation: IncarnationId): string {
-  return `session/${incarnation}`;
+  return `${SESSION_ROOT}${incarnation}`;
 }
 
 /** Reads the row of a shard; an absent row stands for a shard that nobody has held. */
--- a/packages/coordination/src/leases/shardLeases.ts
+++ b/packages/coordination/src/leases/shardLeases.ts
@@ -10,7 +10,7 @@
 import { preferredHolder } from '../shards/shardMap.js';
 import { ExpiredSessions } from './expiredSessions.js';
 import { HeldShard } from './heldShard.js';
-import { parseShardRow, shardRowKey } from './leaseRows.js';
+import { parseShardRow, SESSION_ROOT, shardRowKey } from './leaseRows.js';
 import { Session } from './session.js';
 
 /** Who takes part: instances that should hold shards. */
@@ -43,6 +43,7 @@
 
 /** Most shards that are taken in one transaction. */
 const SHARDS_PER_TRANSACTION = 32;
+const SESSIONS_PER_PAGE = 200;
 /** Pause before a failed recovery or release is tried again. */
 const RETRY_PAUSE_MILLISECONDS = 500;
 
@@ -53,6 +54,7 @@
 export class ShardLeases {
   private session: Session;
   private readonly expiredSessions: ExpiredSessions;
+  private readonly abandonedSessions: ExpiredSessions;
   private readonly held = new Map<ShardId, HeldShard>();
   /**
    * Shards whose taking had no answer, with the version of the row that it expected: the row may
@@ -67,10 +69,9 @@
 
   public constructor(private readonly options: ShardLeasesOptions) {
     this.session = this.openSession();
-    this.expiredSessions = new ExpiredSessions({
-      ...options,
-      termMilliseconds: options.terms.termMilliseconds,
-    });
+    const { termMilliseconds } = options.terms;
+    this.expiredSessions = new ExpiredSessions({ ...options, termMilliseconds });
+    this.abandonedSessions = new ExpiredSessions({ ...options, termMilliseconds });
   }
 
   /** The running incarnation; a new one begins when the session was lost. */
@@ -102,6 +103,31 @@
     }
   }
 
+  /**
+   * Ends the sessions of incarnations that are gone, also of those that held no shard, so that
+   * their rows do not add up. To be called now and then, at intervals longer than a term.
+   */
+  public async endAbandonedSessions(): Promise<void> {
+    const incarnations = new Set<IncarnationId>();
+    let after: string | undefined;
+    do {
+      const page = await this.options.table.scan({
+        limit: SESSIONS_PER_PAGE,
+        prefix: SESSION_ROOT,
+        ...(after === undefined ? {} : { after }),
+      });
+      if (page.err) {
+        return;
+      }
+      for (const { key } of page.val.rows) {
+        incarnations.add(key.slice(SESSION_ROOT.length) as IncarnationId);
+      }
+      after = page.val.next;
+    } while (after !== undefined);
+    incarnations.delete(this.incarnation);
+    await this.abandonedSessions.find(incarnations);
+  }
+
   /** Hands over every shard and ends the session. Renewals go on until then. */
   public async stop(): Promise<void> {
     const renewals = this.options.timers.every(this.options.terms.renewMilliseconds, () => {
--- a/packages/coordination/tests/leases/shardLeases.test.ts
+++ b/packages/coordination/tests/leases/shardLeases.test.ts
@@ -269,6 +269,27 @@
   });
 });
 
+describe('sessions of instances that are gone', () => {
+  it('are ended although they held nothing, and those of live ones are not', async () => {
+    const cluster = new LeaseCluster([1, 1, 1]);
+    const [first, second, third] = cluster.nodes;
+    for (const each of cluster.nodes) {
+      each.eligible = new Set([first!.name]);
+    }
+    await cluster.advance(3 * terms.termMilliseconds);
+    third!.kill();
+    for (let round = 0; round < 3; round++) {
+      const ended = first!.leases.endAbandonedSessions();
+      await cluster.advance(2 * terms.termMilliseconds);
+      await ended;
+    }
+    const { rows } = cluster.platform.table.scan({ limit: 10, prefix: 'session/' });
+    expect(rows.map(row => row.key)).toEqual(
+      [first!, second!].map(each => `session/${each.leases.incarnation}`),
+    );
+  });
+});
+
 describe('time until another instance holds the shards', () => {
   /** Milliseconds until the second instance holds all shards that the first held. */
   async function measure(cluster: LeaseCluster): Promise<number> {
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -37,6 +37,7 @@
 import { RoutedProgramService } from '../peers/routedProgramService.js';
 import { ShardLocations } from '../peers/shardLocations.js';
 import { keepNoCopies } from '../programs/copyKeeper.js';
+import { OpenProgramCounts } from '../programs/openProgramCounts.js';
 import { ProgramHome } from '../programs/programHome.js';
 import { HttpEngineOrders } from '../upstreams/engineOrders.js';
 import { HttpReplicaSender } from '../upstreams/replicaSender.js';
@@ -55,8 +56,8 @@
 
 const INCARNATION_BYTES = 6;
 const LOG_RETRY_MILLISECONDS = 200;
-/** How often the holder of the first shard deletes log objects that no shard needs. */
-const LOG_SWEEP_MILLISECONDS = 60_000;
+/** How often the holder of the first shard deletes log objects and sessions that nobody needs. */
+const SWEEP_MILLISECONDS = 60_000;
 const FIRST_SHARD = 0 as ShardId;
 
 /** One running instance: every slice, connected. */
@@ -68,6 +69,7 @@
   private readonly configuration: ConfigurationFollower;
   private readonly log: WriteAheadLog;
   private readonly home: ProgramHome;
+  private readonly openPrograms: OpenProgramCounts;
   private readonly leases: ShardLeases;
   private readonly heartbeats: Heartbeats;
   private readonly callerServer: CallerServer;
@@ -102,14 +104,10 @@
     });
     this.upstreams = this.createUpstreams();
     const { dispatcher } = this.upstreams;
-    this.home = new ProgramHome({
-      configuration: () => this.configuration.current,
-      dispatcher,
-      log: this.log,
-      logger,
-      maximumMailbox: settings.maximumMailbox,
-      objects: platform.objects,
-      shardCount: settings.shardCount,
+    this.home = this.createHome();
+    this.openPrograms = new OpenProgramCounts({
+      countHere: () => this.home.countOpenByWorkspace(),
+      keepMilliseconds: settings.lease.termMilliseconds,
       timers,
     });
     this.leases = this.createLeases();
@@ -149,8 +147,8 @@
     this.configuration.start();
     this.heartbeats.start();
     this.home.start();
-    this.sweeps = timers.every(LOG_SWEEP_MILLISECONDS, () => {
-      this.sweepLogs();
+    this.sweeps = timers.every(SWEEP_MILLISECONDS, () => {
+      this.sweep();
     });
     this.upstreams.start();
     this.configuration.subscribe(configuration => {
@@ -197,10 +195,13 @@
     });
   }
 
-  private sweepLogs(): void {
+  private sweep(): void {
     if (this.leases.standing(FIRST_SHARD) !== 'held') {
       return;
     }
+    this.leases.endAbandonedSessions().catch((failure: unknown) => {
+      this.parts.logger.warn({ failure: failureText(failure) }, 'session sweep failed');
+    });
     const { objects, table } = this.parts.platform;
     const { shardCount } = this.parts.settings;
     new LogSweeper({ objects, shardCount, table }).sweep().catch((failure: unknown) => {
@@ -208,6 +209,26 @@
     });
   }
 
+  private createHome(): ProgramHome {
+    const { logger, platform, settings, timers } = this.parts;
+    return new ProgramHome({
+      configuration: () => this.configuration.current,
+      countElsewhere: workspace => this.openPrograms.countElsewhere(workspace),
+      dispatcher: this.upstreams.dispatcher,
+      endListener: {
+        onProgramEnd: (program, epoch) => {
+          void this.upstreams.memory.releaseProgram(program, epoch);
+        },
+      },
+      log: this.log,
+      logger,
+      maximumMailbox: settings.maximumMailbox,
+      objects: platform.objects,
+      shardCount: settings.shardCount,
+      timers,
+    });
+  }
+
   private createLeases(): ShardLeases {
     const { logger, platform, settings, timers } = this.parts;
     return new ShardLeases({
@@ -242,7 +263,7 @@
       onDirectory: entries => {
         this.upstreams.updateDirectory(entries);
       },
-      participants: [this.locations, ...this.upstreams.participants],
+      participants: [this.locations, this.openPrograms, ...this.upstreams.participants],
       timers,
     });
   }
--- a/packages/instance/src/programs/homeShard.ts
+++ b/packages/instance/src/programs/homeShard.ts
@@ -137,8 +137,9 @@
   public async createReference(isHandedOver: boolean): Promise<ShardStateReference> {
     const { lease, log, programs, store } = this.options;
     const from = log.upcomingSequence;
-    this.recordsSinceSnapshot = 0;
+    const contained = this.recordsSinceSnapshot;
     const snapshot = await store.save(lease.shard, lease.epoch, programs, isHandedOver);
+    this.recordsSinceSnapshot -= contained;
     const reference: ShardStateReference = {
       log: { epoch: lease.epoch, from, incarnation: log.incarnation },
       snapshot,
--- a/packages/instance/src/programs/programHome.ts
+++ b/packages/instance/src/programs/programHome.ts
@@ -107,6 +107,19 @@
     );
   }
 
+  /** Number of programs held here that have not ended, by workspace. */
+  public countOpenByWorkspace(): ReadonlyMap<WorkspaceName, number> {
+    const counts = new Map<WorkspaceName, number>();
+    for (const shard of this.shards.values()) {
+      for (const { hasEnded, opened } of shard.programs.all()) {
+        if (!hasEnded) {
+          counts.set(opened.workspace, (counts.get(opened.workspace) ?? 0) + 1);
+        }
+      }
+    }
+    return counts;
+  }
+
   public async recover(
     lease: ShardLease,
     state: ShardStateReference,
--- /dev/null
+++ b/packages/instance/tests/programs/openProgramCounts.test.ts
@@ -0,0 +1,27 @@
+import type { InstanceId, WorkspaceName } from '@zincring/core';
+
+import { ManualTimerService } from '@zincring/core';
+import { expect, it } from 'vitest';
+
+import { OpenProgramCounts } from '../../src/programs/openProgramCounts.js';
+
+const utility = 'utility' as WorkspaceName;
+
+it('adds up what other instances tell, until they fall silent', () => {
+  const timers = new ManualTimerService();
+  const create = (count: number): OpenProgramCounts =>
+    new OpenProgramCounts({
+      countHere: () => new Map([[utility, count]]),
+      keepMilliseconds: 5_000,
+      timers,
+    });
+  const counts = create(1);
+  counts.hear('entry-2' as InstanceId, create(2).tell());
+  counts.hear('entry-2' as InstanceId, create(3).tell());
+  timers.skip(3_000);
+  counts.hear('entry-3' as InstanceId, create(4).tell());
+  expect(counts.countElsewhere(utility)).toBe(7);
+  expect(counts.countElsewhere('other' as WorkspaceName)).toBe(0);
+  timers.skip(3_000);
+  expect(counts.countElsewhere(utility)).toBe(4);
+});
