--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -17,19 +17,24 @@
   Membership,
   preferredHolder,
   ShardLeases,
-  VersionedChanges,
   WriteAheadLog,
 } from '@zincring/coordination';
 
+import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
 import type { ShardHolder } from '../peers/fleetCensus.js';
 import type { Settings } from './settings.js';
 
+import { CallerRouter } from '../callers/callerRouter.js';
 import { CallerServer } from '../callers/callerServer.js';
 import { ProgramRoutes } from '../callers/programRoutes.js';
 import { ServiceRoutes } from '../callers/serviceRoutes.js';
-import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { ConfigurationGossip } from '../configuration/configurationGossip.js';
+import { followConfiguration } from '../configuration/followConfiguration.js';
+import { KeyWatch } from '../configuration/keyWatch.js';
 import { StaticAdmission } from '../limits/admission.js';
 import { lendNothing } from '../limits/tokenLender.js';
+import { InstanceStatus } from '../operators/instanceStatus.js';
 import { FleetCensus } from '../peers/fleetCensus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
 import { PeerClients } from '../peers/peerClients.js';
@@ -43,6 +48,7 @@
 import { HttpReplicaSender } from '../upstreams/replicaSender.js';
 import { Upstreams } from '../upstreams/upstreams.js';
 import { splitAddress } from '../util/splitAddress.js';
+import { drain } from './drainSteps.js';
 import { OperatorServer } from './operatorServer.js';
 
 /** What an instance is made of. */
@@ -67,12 +73,15 @@
   private readonly clients = new PeerClients();
   private readonly upstreams: Upstreams;
   private readonly configuration: ConfigurationFollower;
+  /** Tells of withdrawn keys. */
+  public readonly keyWatch: KeyWatch;
   private readonly log: WriteAheadLog;
   private readonly home: ProgramHome;
   private readonly openPrograms: OpenProgramCounts;
   private readonly leases: ShardLeases;
   private readonly heartbeats: Heartbeats;
   private readonly callerServer: CallerServer;
+  private readonly operatorStatus: InstanceStatus;
   private readonly peerServer: PeerServer;
   private readonly operatorServer: OperatorServer;
   private renewals: TimerSubscription | undefined;
@@ -87,11 +96,10 @@
       suspectMilliseconds: settings.suspectMilliseconds,
       timers,
     });
-    this.configuration = new ConfigurationFollower({
-      changes: new VersionedChanges({ ...platform, name: 'configuration', timers }),
-      logger,
-      pollMilliseconds: settings.configurationPollMilliseconds,
-      timers,
+    this.configuration = followConfiguration({ ...parts, membership: this.membership });
+    this.keyWatch = new KeyWatch({
+      follower: this.configuration,
+      maximumListeners: settings.maximumKeyListeners,
     });
     this.log = new WriteAheadLog({
       groupMilliseconds: settings.logGroupMilliseconds,
@@ -112,22 +120,17 @@
     });
     this.leases = this.createLeases();
     this.heartbeats = this.createHeartbeats();
+    this.operatorStatus = this.createOperatorStatus();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
       findGone: programs => this.home.findGone(programs),
       heartbeats: this.heartbeats,
       home: this.home,
       lender: lendNothing,
+      operators: this.operatorStatus,
+      timers,
     });
-    this.callerServer = new CallerServer({
-      admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
-      bodyLimitBytes: settings.bodyLimitBytes,
-      configuration: () => this.configuration.current,
-      headLimitBytes: settings.headLimitBytes,
-      logger,
-      programRoutes: new ProgramRoutes(this.createRouting()),
-      serviceRoutes: new ServiceRoutes(dispatcher),
-    });
+    this.callerServer = this.createCallerServer(dispatcher);
     this.operatorServer = new OperatorServer({
       drain: () => void this.stop(),
       isReady: () => this.isReady,
@@ -136,7 +139,7 @@
 
   /** Whether callers' requests are welcome. */
   public get isReady(): boolean {
-    return this.configuration.current !== undefined && this.draining === undefined;
+    return this.configuration.isReady && this.draining === undefined;
   }
 
   /** Listens and takes part. */
@@ -168,25 +171,42 @@
   }
 
   private async drain(): Promise<void> {
-    this.parts.logger.info({}, 'drain started');
-    this.membership.leave();
-    this.heartbeats.beat();
-    await this.leases.stop();
-    this.heartbeats.beat();
-    await this.callerServer.drain();
-    this.renewals?.stop();
+    const { logger, settings, timers } = this.parts;
+    await drain(
+      {
+        announce: () => {
+          this.membership.leave();
+          this.heartbeats.beat();
+        },
+        close: () => {
+          this.close();
+        },
+        closeConnectionsAfterAnswers: () => {
+          this.callerServer.closeConnectionsAfterAnswers();
+        },
+        drainCallers: async () => this.callerServer.drain(),
+        drainPeers: async () => this.peerServer.drain(),
+        handOver: async () => {
+          // Renewed until the last call has finished: its turn needs a lease that holds.
+          await this.leases.stop();
+          this.renewals?.stop();
+        },
+      },
+      { logger, noticeMilliseconds: settings.drainNoticeMilliseconds, timers },
+    );
+  }
+
+  private close(): void {
     this.sweeps?.stop();
     this.home.stop();
     this.configuration.stop();
     this.heartbeats.stop();
     this.upstreams.stop();
     this.log.close();
-    this.peerServer.close();
     this.clients.close();
     this.operatorServer.close();
     this.parts.platform.close();
     this.parts.metrics.close();
-    this.parts.logger.info({}, 'drain finished');
   }
 
   private renewLeases(): void {
@@ -215,11 +235,7 @@
       configuration: () => this.configuration.current,
       countElsewhere: workspace => this.openPrograms.countElsewhere(workspace),
       dispatcher: this.upstreams.dispatcher,
-      endListener: {
-        onProgramEnd: (program, epoch) => {
-          void this.upstreams.memory.releaseProgram(program, epoch);
-        },
-      },
+      endListener: this.upstreams.memory,
       log: this.log,
       logger,
       maximumMailbox: settings.maximumMailbox,
@@ -262,8 +278,46 @@
       membership: this.membership,
       onDirectory: entries => {
         this.upstreams.updateDirectory(entries);
+        this.operatorStatus.updateDirectory(entries);
       },
-      participants: [this.locations, this.openPrograms, ...this.upstreams.participants],
+      participants: [
+        this.locations,
+        this.openPrograms,
+        new ConfigurationGossip(this.configuration),
+        ...this.upstreams.participants,
+      ],
+      timers,
+    });
+  }
+
+  private createOperatorStatus(): InstanceStatus {
+    return new InstanceStatus({
+      configuration: this.configuration,
+      home: this.home,
+      incarnation: () => this.leases.incarnation,
+      isDraining: () => this.draining !== undefined,
+      isReady: () => this.isReady,
+      membership: this.membership,
+      settings: this.parts.settings,
+      shards: () => this.leases.heldShards,
+      upstreams: () => this.upstreams.describe(),
+    });
+  }
+
+  private createCallerServer(dispatcher: UpstreamDispatcher): CallerServer {
+    const { logger, settings, timers } = this.parts;
+    return new CallerServer({
+      ...settings,
+      logger,
+      router: new CallerRouter({
+        admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
+        bodyLimitBytes: settings.bodyLimitBytes,
+        configuration: () => this.configuration.usable,
+        keyWatch: this.keyWatch,
+        now: () => timers.now(),
+        programRoutes: new ProgramRoutes({ ...settings, programs: this.createRouting() }),
+        serviceRoutes: new ServiceRoutes({ ...settings, dispatcher }),
+      }),
       timers,
     });
   }
