--- a/packages/instance/src/programs/programHome.ts
+++ b/packages/instance/src/programs/programHome.ts
@@ -54,6 +54,10 @@
   readonly configuration: () => Configuration | undefined;
   /** Most calls of one branch of a program that wait. */
   readonly maximumMailbox: number;
+  /** Records of a shard since its last snapshot after which a new one is made. */
+  readonly recordsPerSnapshot?: number;
+  /** Commit groups of the log after which a shard moves its place in the log on. */
+  readonly groupsPerReference?: number;
   /** Hears of programs that have ended. */
   readonly endListener?: ProgramEndListener;
   /** Number of a workspace's open programs at the other instances, as far as is known. */
@@ -103,6 +107,19 @@
     );
   }
 
+  /** Number of programs held here that have not ended, by workspace. */
+  public countOpenByWorkspace(): ReadonlyMap<WorkspaceName, number> {
+    const counts = new Map<WorkspaceName, number>();
+    for (const shard of this.shards.values()) {
+      for (const { hasEnded, opened } of shard.programs.all()) {
+        if (!hasEnded) {
+          counts.set(opened.workspace, (counts.get(opened.workspace) ?? 0) + 1);
+        }
+      }
+    }
+    return counts;
+  }
+
   /** The state of a program that is held here, whatever its workspace, for operators. */
   public inspect(program: ProgramId): ProgramState | undefined {
     return this.shards.get(this.shardOf(program))?.programs.find(program);
