feat(configuration): tell every listener of a change, and prove the way through a peer with processes

One listener that threw kept the later ones from hearing of a withdrawn key; each is now called for itself, in the follower and in KeyWatch. A store whose configuration cannot be read is logged as a warning when it begins and ends, where before each failure was a debug line. apply says 'unchanged' when there is nothing to do.

A process test cuts one instance from the store by a proxy and withdraws a key: the instance takes the change from a peer and refuses the key within 5 s.

--- a/packages/control/src/commands/apply.ts
+++ b/packages/control/src/commands/apply.ts
@@ -73,7 +73,7 @@
   };
   if (difference.added.length + difference.removed.length === 0 && head.version > 0) {
     const unchanged = { isRepeated: true, status: 'accepted', version: head.version } as const;
-    return await finishChange(context, unchanged, options, report);
+    return await finishChange(context, unchanged, options, { ...report, state: 'unchanged' });
   }
   const { changeId, reason, requester } = options;
   const at = context.timers.wallClock();
--- a/packages/control/src/finishChange.ts
+++ b/packages/control/src/finishChange.ts
@@ -10,6 +10,8 @@
 
 /** What a command tells beside the version. */
 export interface ChangeReport {
+  /** What became of the change; told from the outcome where it is left out. */
+  readonly state?: 'unchanged';
   /** Fields for scripts. */
   readonly json: Readonly<Record<string, unknown>>;
   /** Lines for people. */
@@ -42,7 +44,7 @@
     options.waitSeconds === 0
       ? undefined
       : await waitInForce(context, version, options.waitSeconds);
-  const state = isRepeated ? 'had been accepted before' : 'accepted';
+  const state = report.state ?? (isRepeated ? 'had been accepted before' : 'accepted');
   context.output.report({
     json: {
       ...report.json,
@@ -50,7 +52,7 @@
       inForce: waited?.inForce,
       isRepeated,
       lagging: waited?.lagging,
-      status: 'accepted',
+      status: report.state ?? 'accepted',
       version,
     },
     text: [`version ${version} ${state}`, ...report.lines, ...describeWait(waited)].join('\n'),
--- a/packages/control/tests/configuration.process.test.ts
+++ b/packages/control/tests/configuration.process.test.ts
@@ -1,9 +1,11 @@
+import { readFile, writeFile } from 'node:fs/promises';
 import { Agent, request } from 'node:http';
 
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { CallerClient } from '../../stand-ins/src/launch/callerClient.js';
 import { Fleet, waitUntil } from '../../stand-ins/src/launch/fleet.js';
+import { CuttableProxy } from './cuttableProxy.js';
 
 /** Within how long a change is to be in force everywhere, in milliseconds. */
 const IN_FORCE_MILLISECONDS = 5_000;
@@ -128,6 +130,31 @@
     });
   });
 
+  it('stops a withdrawn key within 5 s at an instance that is cut off from the store', async () => {
+    const key = await issueKey('pilot');
+    const proxy = await CuttableProxy.to(fleet.platform.address);
+    const instance = fleet.instances[1]!;
+    const settings = JSON.parse(await readFile(instance.settingsFile, 'utf8')) as object;
+    const proxied = { ...settings, platform: { address: proxy.address } };
+    await writeFile(instance.settingsFile, JSON.stringify(proxied));
+    await instance.process.kill();
+    fleet.restart(instance);
+    await fleet.waitUntilReady();
+    const caller = new OpenConnection(instance.callerAddress, key);
+    await waitUntil(async () => (await caller.status()) !== 503);
+    proxy.cut();
+    await control('keys', 'withdraw', 'pilot', ...why, '--wait-seconds', '0');
+    await waitUntil(async () => (await caller.status()) === 401, IN_FORCE_MILLISECONDS);
+    await fleet.waitUntilReady();
+    proxy.heal();
+    caller.close();
+    await writeFile(instance.settingsFile, JSON.stringify(settings));
+    await instance.process.kill();
+    fleet.restart(instance);
+    await fleet.waitUntilReady();
+    proxy.close();
+  });
+
   it('starts again during an outage of the store with what its peers know', async () => {
     const key = await issueKey('ranger');
     await fleet.controlPlatform('faults', { outage: 'refuse' });
--- a/packages/instance/src/configuration/configurationFollower.ts
+++ b/packages/instance/src/configuration/configurationFollower.ts
@@ -49,6 +49,7 @@
   private readonly listeners = new Set<ConfigurationListener>();
   private newest = 0;
   private hasBeenReady = false;
+  private isStoreReadable = true;
   private isPolling = false;
   private isAskingPeer = false;
   private pollRequests = 0;
@@ -183,8 +184,8 @@
   private async readStore(): Promise<void> {
     const sentAt = this.options.timers.now();
     const read = await this.options.store.read(this.request);
+    this.reportStore(read.err ? read.val.message : undefined);
     if (read.err) {
-      this.options.logger.debug({ failure: read.val.message }, 'configuration not read');
       return;
     }
     this.newest = Math.max(this.newest, read.val.newest);
@@ -225,10 +226,35 @@
     this.options.metrics.gauge('configuration.version', current.version);
     this.options.logger.info({ version: current.version }, 'configuration in force');
     for (const listener of this.listeners) {
-      listener(current, difference);
+      this.tell(listener, current, difference);
     }
   }
 
+  /** Calls a listener; its failure does not keep the others from being told. */
+  private tell(
+    listener: ConfigurationListener,
+    configuration: Configuration,
+    difference: ConfigurationDifference,
+  ): void {
+    try {
+      listener(configuration, difference);
+    } catch (failure) {
+      const fields = { failure: failureText(failure), version: configuration.version };
+      this.options.logger.error(fields, 'a listener of the configuration failed');
+    }
+  }
+
+  /** Logs when the configuration in the store ceases to be readable, and when it is again. */
+  private reportStore(failure: string | undefined): void {
+    if (failure !== undefined && this.isStoreReadable) {
+      this.options.logger.warn({ failure }, 'the configuration cannot be read from the store');
+    }
+    if (failure === undefined && !this.isStoreReadable) {
+      this.options.logger.info({}, 'the configuration can be read from the store again');
+    }
+    this.isStoreReadable = failure === undefined;
+  }
+
   private reportBlocked(blockedBefore: number | undefined): void {
     const { blocked } = this.rules;
     this.options.metrics.gauge('configuration.blocked_version', blocked?.version ?? 0);
--- a/packages/instance/src/configuration/keyWatch.ts
+++ b/packages/instance/src/configuration/keyWatch.ts
@@ -27,9 +27,7 @@
 
   public constructor(private readonly options: KeyWatchOptions) {
     options.follower.subscribe((_, { withdrawnKeys }) => {
-      withdrawnKeys.forEach(keyHash => {
-        this.tell(keyHash);
-      });
+      this.tellAll(withdrawnKeys);
     });
   }
 
@@ -70,10 +68,21 @@
     };
   }
 
-  private tell(keyHash: KeyHash): void {
-    for (const listener of [...(this.listeners.get(keyHash) ?? [])]) {
-      this.remove(keyHash, listener);
-      listener();
+  /** Tells every listener, although some may fail. */
+  private tellAll(keyHashes: readonly KeyHash[]): void {
+    const failures: unknown[] = [];
+    for (const keyHash of keyHashes) {
+      for (const listener of [...(this.listeners.get(keyHash) ?? [])]) {
+        this.remove(keyHash, listener);
+        try {
+          listener();
+        } catch (failure) {
+          failures.push(failure);
+        }
+      }
+    }
+    if (failures.length > 0) {
+      throw new AggregateError(failures, `${failures.length} listeners failed`);
     }
   }
 
--- a/packages/instance/tests/configuration/configurationFollower.test.ts
+++ b/packages/instance/tests/configuration/configurationFollower.test.ts
@@ -3,6 +3,7 @@
 
 import type { ModelInstance } from './fleetModel.js';
 
+import { ConfigurationGossip } from '../../src/configuration/configurationGossip.js';
 import { FleetModel } from './fleetModel.js';
 
 const SEED = 140_000;
@@ -72,6 +73,29 @@
     expect(versionsOf(fleet)).toEqual([2]);
   });
 
+  it('passes over gossip that it does not understand', async () => {
+    const fleet = await startFleet();
+    const { follower, id } = fleet.instances[0]!;
+    const gossip = new ConfigurationGossip(follower);
+    for (const text of ['', '{', 'null', '[]', '{"version":"9"}', '{"newest":-1,"version":2}']) {
+      gossip.hear(id, text);
+    }
+    expect([follower.newestVersion, follower.isReady]).toEqual([1, true]);
+  });
+
+  it('tells every listener although one fails', async () => {
+    const fleet = await startFleet();
+    const { follower } = fleet.instances[0]!;
+    const told: number[] = [];
+    follower.subscribe(() => {
+      throw new Error('broken');
+    });
+    follower.subscribe(({ version }) => told.push(version));
+    await fleet.accept('next', ['service s # a: b']);
+    await fleet.timers.advance(IN_FORCE_MILLISECONDS);
+    expect(told).toEqual([2]);
+  });
+
   it('stops an instance that sees neither the store nor a peer that does, and only that', async () => {
     const fleet = await startFleet();
     const [lonely, ...others] = fleet.instances;
--- a/packages/instance/tests/configuration/keyWatch.test.ts
+++ b/packages/instance/tests/configuration/keyWatch.test.ts
@@ -65,6 +65,19 @@
     expect(watch.size).toBe(0);
   });
 
+  it('tells the others although one fails', () => {
+    const { watch, withdraw } = setUp();
+    let isTold = false;
+    watch.onWithdrawn(first, () => {
+      throw new Error('broken');
+    });
+    watch.onWithdrawn(first, () => (isTold = true));
+    expect(() => {
+      withdraw(first, configurationOf(second));
+    }).toThrow('1 listeners failed');
+    expect([isTold, watch.size]).toEqual([true, 0]);
+  });
+
   it('holds no more listeners than its bound, and takes new ones after some have stopped', () => {
     const { watch } = setUp(2);
     const one = watch.onWithdrawn(first, () => undefined);
