perf(configuration): keep the cost of hearing a peer free of the number of peers

Every heartbeat heard built a set of all known peers to drop strangers; at 380 instances that is work for each pair of them. Strangers are now looked for only above 1,024 entries, which is the bound as well. The process test asks for a change in force within 5 s rather than zincringctl's default of 10.

--- a/packages/control/tests/configuration.process.test.ts
+++ b/packages/control/tests/configuration.process.test.ts
@@ -79,7 +79,8 @@
   }
 
   async function issueKey(name: string): Promise<string> {
-    const issued = await control('keys', 'issue', name, '--workspace', 'utility', ...why);
+    const wait = ['--wait-seconds', String(IN_FORCE_MILLISECONDS / 1_000)];
+    const issued = await control('keys', 'issue', name, '--workspace', 'utility', ...why, ...wait);
     expect(issued['lagging']).toEqual([]);
     return String(issued['key']);
   }
--- a/packages/instance/src/configuration/configurationContact.ts
+++ b/packages/instance/src/configuration/configurationContact.ts
@@ -11,6 +11,8 @@
 
 /** How long peers are not believed after a pause of this process, in milliseconds. */
 const DISTRUST_MILLISECONDS = 1_000;
+/** Peers heard of before those that are no longer known are looked for. */
+const PEERS_KEPT_UNCHECKED = 1_024;
 
 /**
  * Judges whether the configuration in force is current: a look at the store, by this instance or
@@ -104,10 +106,10 @@
   }
 
   private forgetStrangers(): void {
-    const others = new Set(this.options.others());
-    if (this.heardAt.size <= others.size) {
+    if (this.heardAt.size <= PEERS_KEPT_UNCHECKED) {
       return;
     }
+    const others = new Set(this.options.others());
     for (const peer of this.heardAt.keys()) {
       if (!others.has(peer)) {
         this.heardAt.delete(peer);
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -266,6 +266,7 @@
       incarnation: () => this.leases.incarnation,
       isDraining: () => this.draining !== undefined,
       isReady: () => this.isReady,
+      limits: () => [],
       membership: this.membership,
       settings: this.parts.settings,
       shards: () => this.leases.heldShards,
--- a/packages/instance/src/operators/instanceStatus.ts
+++ b/packages/instance/src/operators/instanceStatus.ts
@@ -10,6 +10,7 @@
 import type { ReplicaStatus } from '../upstreams/serviceLanes.js';
 import type {
   InstanceReport,
+  LimitReport,
   OperatorStatusSource,
   ProgramReport,
   UpstreamReport,
@@ -24,6 +25,7 @@
   /** Upstream replicas with what this instance has in flight there. */
   readonly upstreams: () => readonly ReplicaStatus[];
   readonly incarnation: () => IncarnationId;
+  readonly limits: () => readonly LimitReport[];
   readonly shards: () => readonly ShardId[];
   readonly isReady: () => boolean;
   readonly isDraining: () => boolean;
@@ -41,8 +43,8 @@
   }
 
   public describeInstance(): InstanceReport {
-    const { configuration, home, incarnation, isDraining, isReady, membership, settings, shards } =
-      this.options;
+    const { configuration, home, incarnation, isDraining, isReady } = this.options;
+    const { limits, membership, settings, shards } = this.options;
     const { blocked, newestVersion, storeAgeMilliseconds, version } = configuration;
     return {
       configuration: { blocked, newestVersion, storeAgeMilliseconds, version },
@@ -50,7 +52,7 @@
       instance: settings.instance,
       isDraining: isDraining(),
       isReady: isReady(),
-      limits: [],
+      limits: limits(),
       peersAlive: membership.alive.length,
       programs: home.programCount,
       shards: shards(),
