--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -21,9 +21,11 @@
 } from '@zincring/coordination';
 
 import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
 import type { ShardHolder } from '../peers/fleetCensus.js';
 import type { Settings } from './settings.js';
 
+import { CallerRouter } from '../callers/callerRouter.js';
 import { CallerServer } from '../callers/callerServer.js';
 import { ProgramRoutes } from '../callers/programRoutes.js';
 import { ServiceRoutes } from '../callers/serviceRoutes.js';
@@ -45,6 +47,7 @@
 import { HttpReplicaSender } from '../upstreams/replicaSender.js';
 import { Upstreams } from '../upstreams/upstreams.js';
 import { splitAddress } from '../util/splitAddress.js';
+import { drain } from './drainSteps.js';
 import { OperatorServer } from './operatorServer.js';
 
 /** What an instance is made of. */
@@ -110,6 +113,7 @@
     this.home = new ProgramHome({
       configuration: () => this.configuration.current,
       dispatcher,
+      endListener: this.upstreams.memory,
       log: this.log,
       logger,
       maximumMailbox: settings.maximumMailbox,
@@ -127,16 +131,9 @@
       home: this.home,
       lender: lendNothing,
       operators: this.operatorStatus,
+      timers,
     });
-    this.callerServer = new CallerServer({
-      admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
-      bodyLimitBytes: settings.bodyLimitBytes,
-      configuration: () => this.configuration.usable,
-      headLimitBytes: settings.headLimitBytes,
-      logger,
-      programRoutes: new ProgramRoutes(this.createRouting()),
-      serviceRoutes: new ServiceRoutes(dispatcher),
-    });
+    this.callerServer = this.createCallerServer(dispatcher);
     this.operatorServer = new OperatorServer({
       drain: () => void this.stop(),
       isReady: () => this.isReady,
@@ -177,25 +174,42 @@
   }
 
   private async drain(): Promise<void> {
-    this.parts.logger.info({}, 'drain started');
-    this.membership.leave();
-    this.heartbeats.beat();
-    await this.leases.stop();
-    this.heartbeats.beat();
-    await this.callerServer.drain();
-    this.renewals?.stop();
+    const { logger, settings, timers } = this.parts;
+    await drain(
+      {
+        announce: () => {
+          this.membership.leave();
+          this.heartbeats.beat();
+        },
+        close: () => {
+          this.close();
+        },
+        closeConnectionsAfterAnswers: () => {
+          this.callerServer.closeConnectionsAfterAnswers();
+        },
+        drainCallers: async () => this.callerServer.drain(),
+        drainPeers: async () => this.peerServer.drain(),
+        handOver: async () => {
+          // Renewed until the last call has finished: its turn needs a lease that holds.
+          await this.leases.stop();
+          this.renewals?.stop();
+        },
+      },
+      { logger, noticeMilliseconds: settings.drainNoticeMilliseconds, timers },
+    );
+  }
+
+  private close(): void {
     this.sweeps?.stop();
     this.home.stop();
     this.configuration.stop();
     this.heartbeats.stop();
     this.upstreams.stop();
     this.log.close();
-    this.peerServer.close();
     this.clients.close();
     this.operatorServer.close();
     this.parts.platform.close();
     this.parts.metrics.close();
-    this.parts.logger.info({}, 'drain finished');
   }
 
   private renewLeases(): void {
@@ -274,6 +288,24 @@
     });
   }
 
+  private createCallerServer(dispatcher: UpstreamDispatcher): CallerServer {
+    const { logger, settings, timers } = this.parts;
+    return new CallerServer({
+      ...settings,
+      logger,
+      router: new CallerRouter({
+        admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
+        bodyLimitBytes: settings.bodyLimitBytes,
+        configuration: () => this.configuration.usable,
+        keyWatch: this.keyWatch,
+        now: () => timers.now(),
+        programRoutes: new ProgramRoutes({ ...settings, programs: this.createRouting() }),
+        serviceRoutes: new ServiceRoutes({ ...settings, dispatcher }),
+      }),
+      timers,
+    });
+  }
+
   private createUpstreams(): Upstreams {
     const { logger, metrics, settings, timers } = this.parts;
     return new Upstreams({
