--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -36,8 +36,15 @@
 export type { Admittance, Limiter, WorkspaceLimits } from './limits/limiter.js';
 export type { LimitSeatsOptions } from './limits/limitSeats.js';
 export { LimitSeats, seatRowKey } from './limits/limitSeats.js';
-export type { Loan, LoanClient, LoanKind, LoanRequest, LoanTerms } from './limits/loan.js';
-export { noLoan } from './limits/loan.js';
+export type {
+  BorrowerProcess,
+  Loan,
+  LoanClient,
+  LoanKind,
+  LoanRequest,
+  LoanTerms,
+} from './limits/loan.js';
+export { borrowerName, noLoan } from './limits/loan.js';
 export type { Stake } from './limits/workspaceEscrow.js';
 export { WorkspaceEscrow } from './limits/workspaceEscrow.js';
 export type { LimiterParts } from './limits/workspaceLimiter.js';
--- a/packages/coordination/src/limits/escrowedLimiter.ts
+++ b/packages/coordination/src/limits/escrowedLimiter.ts
@@ -59,6 +59,13 @@
     );
   }
 
+  /** Gives everything borrowed back, so that others need not wait for the loans' end. */
+  public returnAll(): void {
+    for (const limiter of this.limiters.values()) {
+      limiter.returnAll();
+    }
+  }
+
   /** Gives everything borrowed back and refuses those that wait. */
   public stop(): void {
     for (const limiter of this.limiters.values()) {
--- a/packages/coordination/src/limits/limitSeats.ts
+++ b/packages/coordination/src/limits/limitSeats.ts
@@ -49,6 +49,8 @@
 }
 
 const SEAT_DIGITS = 5;
+/** Part of all seats that one instance hands over in one tick. */
+const MOVED_PART = 1 / 16;
 
 /** Key of the row of a seat. */
 export function seatRowKey(seat: number): string {
@@ -141,12 +143,14 @@
     if (sentAt < this.renewDueAt) {
       return;
     }
+    this.renewDueAt = sentAt + this.options.lookMilliseconds;
     const renewal = await this.session.renew();
     if (renewal === 'lost') {
       this.options.logger.warn({ incarnation: this.session.incarnation }, 'limit seats lost');
       this.held.clear();
       this.releasing.clear();
       this.session = this.openSession();
+      this.renewDueAt = sentAt;
       return;
     }
     if (renewal === 'renewed') {
@@ -171,7 +175,8 @@
         foreign.push(seat);
       }
     }
-    this.release(foreign);
+    // A seat on the move is idle for a time, so only a few move at once.
+    this.release(foreign.slice(0, Math.ceil(this.options.seatCount * MOVED_PART)));
     await this.writeReleased();
     await this.takeFree(wanted);
   }
@@ -288,9 +293,11 @@
     if (outcome.err || outcome.val.status === 'conflict' || this.isStopping) {
       return;
     }
-    const usableFrom = this.options.timers.now() + this.options.settleMilliseconds;
+    const now = this.options.timers.now();
     for (const [index, each] of seats.entries()) {
       const rowVersion = outcome.val.rows[index]?.version ?? 0;
+      // A seat that nobody has held has no loans to wait for.
+      const usableFrom = each.rowVersion === 0 ? now : now + this.options.settleMilliseconds;
       this.held.set(each.seat, { rowVersion, usableFrom });
     }
     this.options.logger.info({ seats: seats.length }, 'limit seats taken');
--- a/packages/coordination/src/limits/loan.ts
+++ b/packages/coordination/src/limits/loan.ts
@@ -8,7 +8,7 @@
 
 /** One instance asks another for a part of a workspace's rate. */
 export interface LoanRequest {
-  /** Incarnation that borrows: a restarted process is another borrower. */
+  /** The process that borrows; see {@link borrowerName}. */
   readonly borrower: string;
   readonly workspace: string;
   readonly kind: LoanKind;
@@ -44,6 +44,16 @@
   borrow(lender: string, request: LoanRequest): Promise<Loan | undefined>;
 }
 
+/** What tells a process that borrows from others. */
+export interface BorrowerProcess {
+  readonly instance: string;
+  /** Address that the process has bound. */
+  readonly address: string;
+  readonly incarnation: string;
+}
+
+const PROCESS_SEPARATOR = '/';
+
 /** How long loans hold. The same on every instance of a fleet. */
 export interface LoanTerms {
   /** Longest loan of a share, in milliseconds. */
@@ -64,6 +74,23 @@
   return validMilliseconds * (1 + LOAN_MARGIN);
 }
 
+/**
+ * Names the process that borrows. Only a process that has bound the address may use the name: a
+ * new process of the same instance at the same address proves that the earlier one is gone.
+ *
+ * @example
+ * borrowerName({ address: '10.0.0.1:4000', incarnation, instance: 'entry-1' });
+ */
+export function borrowerName(process: BorrowerProcess): string {
+  return `${process.instance}@${process.address}${PROCESS_SEPARATOR}${process.incarnation}`;
+}
+
+/** Whether two names stand for different processes of one instance at one address. */
+export function isOtherProcess(left: string, right: string): boolean {
+  const placeOf = (name: string): string => name.slice(0, name.indexOf(PROCESS_SEPARATOR));
+  return left !== right && placeOf(left) === placeOf(right);
+}
+
 /** A refused loan. */
 export function noLoan(retryMilliseconds: number): Loan {
   return {
--- a/packages/coordination/src/limits/waitingLine.ts
+++ b/packages/coordination/src/limits/waitingLine.ts
@@ -5,6 +5,9 @@
   readonly resolve: (admittance: Admittance) => void;
 }
 
+/** Least time after which a refused request may come again, in milliseconds. */
+export const LEAST_RETRY_MILLISECONDS = 100;
+
 /** Requests of one workspace that wait for a token, in the order of their arrival. */
 export class WaitingLine {
   private waiting: WaitingRequest[] = [];
@@ -52,7 +55,19 @@
     }
     this.waiting = staying;
     for (const [request, milliseconds] of refused) {
-      request.resolve({ retryMilliseconds: Math.max(1, milliseconds), status: 'refused' });
+      request.resolve({
+        retryMilliseconds: Math.max(LEAST_RETRY_MILLISECONDS, milliseconds),
+        status: 'refused',
+      });
+    }
+  }
+
+  /** Refuses every request. */
+  public refuseAll(retryMilliseconds: number): void {
+    const refused = this.waiting;
+    this.waiting = [];
+    for (const request of refused) {
+      request.resolve({ retryMilliseconds, status: 'refused' });
     }
   }
 }
--- a/packages/coordination/src/limits/workspaceEscrow.ts
+++ b/packages/coordination/src/limits/workspaceEscrow.ts
@@ -1,7 +1,7 @@
 import type { Loan, LoanRequest, LoanTerms } from './loan.js';
 import type { BucketSize } from './tokenBucket.js';
 
-import { CLOCK_DRIFT_LIMIT, lenderMilliseconds, noLoan } from './loan.js';
+import { CLOCK_DRIFT_LIMIT, isOtherProcess, lenderMilliseconds, noLoan } from './loan.js';
 import { shareCapacity, shareForTokens } from './shareCapacity.js';
 
 /** A share of rate and burst over a span of monotonic time. */
@@ -263,6 +263,28 @@
     return { ...noLoan(0), loan, tokens, validMilliseconds };
   }
 
+  /**
+   * Ends the loans of earlier processes of a borrower, which are gone. Tokens that they lent on
+   * from borrowed shares may be in use a little longer.
+   */
+  public endPredecessors(now: number, borrower: string): void {
+    const isGone = (lent: { readonly borrower: string }): boolean =>
+      isOtherProcess(lent.borrower, borrower);
+    if (![...this.lentTokens.values(), ...this.lentShares].some(isGone)) {
+      return;
+    }
+    this.advance(now);
+    for (const [loan, lent] of this.lentTokens) {
+      if (isGone(lent)) {
+        this.lentTokens.delete(loan);
+      }
+    }
+    const end = now + lenderMilliseconds(this.options.terms.tokenMilliseconds);
+    this.lentShares = this.lentShares.map(lent =>
+      isGone(lent) ? { ...lent, loan: 0, until: Math.min(lent.until, end) } : lent,
+    );
+  }
+
   /** Ends loans whose tokens were all spent, so that their places can fill again. */
   public settleSpent(now: number, request: LoanRequest): void {
     this.advance(now);
--- a/packages/coordination/src/limits/workspaceLimiter.ts
+++ b/packages/coordination/src/limits/workspaceLimiter.ts
@@ -8,7 +8,7 @@
 import { DemandMeter } from './demandMeter.js';
 import { noLoan } from './loan.js';
 import { shareCapacity } from './shareCapacity.js';
-import { WaitingLine } from './waitingLine.js';
+import { LEAST_RETRY_MILLISECONDS, WaitingLine } from './waitingLine.js';
 import { WorkspaceEscrow } from './workspaceEscrow.js';
 
 /** What the limits of all workspaces at one instance have in common. */
@@ -16,7 +16,7 @@
   readonly timers: TimerService;
   readonly loans: LoanClient;
   readonly terms: LoanTerms;
-  /** Incarnation of this process. */
+  /** Name of this process; see `borrowerName`. */
   readonly borrower: string;
   /** Shares of every workspace that this instance owns by its seats. */
   readonly ownStakes: () => readonly Stake[];
@@ -47,12 +47,16 @@
 /** By how much the time to a token may be underestimated, in milliseconds. */
 const WAIT_SLACK_MILLISECONDS = 25;
 const LEAST_PAUSE_MILLISECONDS = 5;
+/** Pause while nothing accrues at the home, in milliseconds. */
+const STARVED_PAUSE_MILLISECONDS = 50;
 const LONGEST_PAUSE_MILLISECONDS = 250;
 const LONGEST_PROMISE_MILLISECONDS = 60_000;
 /** How long shares are gathered after the last need, in milliseconds. */
 const NEED_MILLISECONDS = 10_000;
 /** The same for bursts that stay whole, which are lost when their shares go back. */
 const WHOLE_BURST_NEED_MILLISECONDS = 600_000;
+/** When a request may come again that a stop has refused, in milliseconds. */
+const STOPPED_RETRY_MILLISECONDS = 1_000;
 /** Most spent loans that are told with one request. */
 const MAXIMUM_SPENT_LOANS = 64;
 /** Part of a loan's time after which unspent tokens go back. */
@@ -107,7 +111,7 @@
     const isFull = this.line.size >= this.parts.maximumWaiting;
     if (isFull || expected > waitMilliseconds - WAIT_SLACK_MILLISECONDS) {
       this.noteNeed();
-      return { retryMilliseconds: Math.max(1, expected), status: 'refused' };
+      return { retryMilliseconds: Math.max(LEAST_RETRY_MILLISECONDS, expected), status: 'refused' };
     }
     const admittance = this.line.join(now + waitMilliseconds);
     this.pump();
@@ -120,6 +124,7 @@
     if (!this.escrow.isSameSize(request.size)) {
       return { ...noLoan(LONGEST_PAUSE_MILLISECONDS), isGathering: true };
     }
+    this.escrow.endPredecessors(now, request.borrower);
     switch (request.kind) {
       case 'settle':
         this.escrow.settle(now, request);
@@ -132,14 +137,19 @@
     }
   }
 
-  /** Gives everything borrowed back and refuses those that wait. */
-  public stop(): void {
-    this.wake?.stop();
+  /** Gives everything borrowed back. */
+  public returnAll(): void {
     this.gathering?.stop();
     this.gathering = undefined;
     this.returnOver(Number.POSITIVE_INFINITY);
     this.giveBack(this.escrow.returnShares(this.now));
-    this.line.refuseHopeless(this.now, () => Number.POSITIVE_INFINITY);
+  }
+
+  /** Gives everything borrowed back and refuses those that wait. */
+  public stop(): void {
+    this.wake?.stop();
+    this.returnAll();
+    this.line.refuseAll(STOPPED_RETRY_MILLISECONDS);
   }
 
   private get now(): number {
@@ -163,9 +173,14 @@
 
   /** When a borrower should ask again: after those who were promised the tokens to come first. */
   private promise(now: number, borrower: string): Loan {
+    const accrued = this.escrow.millisecondsUntil(now, 1 + this.line.size);
     if (this.isGatheringFresh(now)) {
       return { ...noLoan(GATHERING_PAUSE_MILLISECONDS), isGathering: true };
     }
+    if (!Number.isFinite(accrued)) {
+      // Nothing accrues here yet: that says nothing about the rate.
+      return { ...noLoan(STARVED_PAUSE_MILLISECONDS), isGathering: true };
+    }
     for (const [other, until] of this.promises) {
       if (until <= now) {
         this.promises.delete(other);
@@ -173,12 +188,15 @@
     }
     const rate = this.escrow.rate(now) || this.escrow.limits.rate;
     const ahead = (this.promises.size / rate) * 1_000;
-    const accrued = this.escrow.millisecondsUntil(now, 1 + this.line.size);
     const expected = Math.min(accrued + ahead, LONGEST_PROMISE_MILLISECONDS);
     this.promises.set(borrower, now + limitPause(expected) + PROMISE_MILLISECONDS);
     return noLoan(expected);
   }
 
+  private isSupplyKnown(now: number): boolean {
+    return !this.isGatheringFresh(now) && Number.isFinite(this.escrow.millisecondsUntil(now, 1));
+  }
+
   /** Whether shares that lenders can give may still be on their way. */
   private isGatheringFresh(now: number): boolean {
     return now - this.gatheringSince < GATHERING_MILLISECONDS;
@@ -195,7 +213,7 @@
   private expectedAt(now: number, place: number): number {
     const { burst, rate } = this.escrow.limits;
     const isHome = this.parts.homeOf(this.workspace) === undefined;
-    const isKnown = isHome ? !this.isGatheringFresh(now) : this.isHintFirm && now < this.nextAskAt;
+    const isKnown = isHome ? this.isSupplyKnown(now) : this.isHintFirm && now < this.nextAskAt;
     if (!isKnown) {
       // The home or the lenders may hold the whole burst.
       return now + (Math.max(0, place + 1 - burst) / rate) * 1_000;
@@ -229,7 +247,8 @@
     const nextTry = Math.min(
       this.line.firstDeadline,
       now + Math.max(LEAST_PAUSE_MILLISECONDS, this.escrow.millisecondsUntil(now, 1)),
-      home === undefined || this.isAsking ? Number.POSITIVE_INFINITY : this.nextAskAt,
+      // The home may change, or its lenders may come, while requests wait.
+      home === undefined || this.isAsking ? now + STARVED_PAUSE_MILLISECONDS : this.nextAskAt,
     );
     this.wake = this.parts.timers.after(nextTry - now, () => {
       this.pump();
@@ -300,7 +319,7 @@
     this.nextShareAt.set(lender, Number.POSITIVE_INFINITY);
     const { renewMilliseconds, shareMilliseconds } = this.parts.terms;
     const loan = await this.borrow(lender, this.request('share', 0, 0));
-    const pause = loan?.share === 0 ? shareMilliseconds / 2 : renewMilliseconds / 2;
+    const pause = loan?.share === 0 ? shareMilliseconds / 4 : renewMilliseconds / 2;
     this.nextShareAt.set(lender, this.now + pause);
     if (this.gathering === undefined) {
       this.giveBack(this.escrow.returnShares(this.now));
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -9,7 +9,7 @@
 } from '@zincring/core';
 import type { Platform } from '@zincring/platform';
 
-import { randomBytes } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 
 import { failureText } from '@zincring/core';
 import {
@@ -27,8 +27,7 @@
 import { ProgramRoutes } from '../callers/programRoutes.js';
 import { ServiceRoutes } from '../callers/serviceRoutes.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
-import { StaticAdmission } from '../limits/admission.js';
-import { lendNothing } from '../limits/tokenLender.js';
+import { FleetAdmission } from '../limits/fleetAdmission.js';
 import { FleetCensus } from '../peers/fleetCensus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
 import { PeerClients } from '../peers/peerClients.js';
@@ -53,6 +52,7 @@
 }
 
 const INCARNATION_BYTES = 6;
+const MAXIMUM_FIRST_LOAN = 2 ** 47;
 const LOG_RETRY_MILLISECONDS = 200;
 
 /** One running instance: every slice, connected. */
@@ -66,6 +66,7 @@
   private readonly home: ProgramHome;
   private readonly leases: ShardLeases;
   private readonly heartbeats: Heartbeats;
+  private readonly admission: FleetAdmission;
   private readonly callerServer: CallerServer;
   private readonly peerServer: PeerServer;
   private readonly operatorServer: OperatorServer;
@@ -110,15 +111,16 @@
     this.leases = this.createLeases();
     this.home.attach(this.leases);
     this.heartbeats = this.createHeartbeats();
+    this.admission = this.createAdmission();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
       findGone: programs => this.home.findGone(programs),
       heartbeats: this.heartbeats,
       home: this.home,
-      lender: lendNothing,
+      lender: this.admission,
     });
     this.callerServer = new CallerServer({
-      admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
+      admission: this.admission,
       bodyLimitBytes: settings.bodyLimitBytes,
       configuration: () => this.configuration.current,
       headLimitBytes: settings.headLimitBytes,
@@ -145,8 +147,10 @@
     this.configuration.start();
     this.heartbeats.start();
     this.upstreams.start();
+    this.admission.start();
     this.configuration.subscribe(configuration => {
       this.upstreams.updateConfiguration(configuration);
+      this.admission.updateConfiguration(configuration);
     });
     this.renewals = timers.every(settings.lease.renewMilliseconds, () => {
       this.renewLeases();
@@ -165,10 +169,11 @@
     this.parts.logger.info({}, 'drain started');
     this.membership.leave();
     this.heartbeats.beat();
-    await this.leases.stop();
+    await Promise.all([this.leases.stop(), this.admission.release()]);
     this.heartbeats.beat();
     await this.callerServer.drain();
     this.renewals?.stop();
+    this.admission.close();
     this.configuration.stop();
     this.heartbeats.stop();
     this.upstreams.stop();
@@ -226,6 +231,21 @@
     });
   }
 
+  private createAdmission(): FleetAdmission {
+    const { platform, settings } = this.parts;
+    return new FleetAdmission({
+      ...this.parts,
+      address: settings.peerAddress,
+      clients: this.clients,
+      createIncarnation: () => createIncarnation(settings.instance),
+      firstLoan: randomInt(1, MAXIMUM_FIRST_LOAN),
+      instance: settings.instance,
+      membership: this.membership,
+      settings: settings.limits,
+      table: platform.table,
+    });
+  }
+
   private createUpstreams(): Upstreams {
     const { logger, metrics, settings, timers } = this.parts;
     return new Upstreams({
--- a/packages/instance/src/lifecycle/settings.ts
+++ b/packages/instance/src/lifecycle/settings.ts
@@ -40,6 +40,38 @@
   zoneMilliseconds: milliseconds.default(5),
 });
 
+const limitsSchema = z.strictObject({
+  loan: z
+    .strictObject({
+      renewMilliseconds: milliseconds.default(800),
+      shareMilliseconds: milliseconds.default(2_000),
+      tokenMilliseconds: milliseconds.default(500),
+    })
+    .refine(
+      loan => loan.renewMilliseconds + loan.tokenMilliseconds < loan.shareMilliseconds,
+      'expected renewMilliseconds + tokenMilliseconds below shareMilliseconds',
+    )
+    .prefault({}),
+  maximumWaitMilliseconds: z.number().int().min(0).default(3_000),
+  maximumWaiting: z.number().int().positive().default(1_000),
+  seatCount: z
+    .number()
+    .int()
+    .refine(count => count > 0 && (count & (count - 1)) === 0, 'expected a power of two')
+    .default(64),
+  seatLease: z
+    .strictObject({
+      marginMilliseconds: milliseconds.default(30_000),
+      renewMilliseconds: milliseconds.default(60_000),
+      termMilliseconds: milliseconds.default(1_800_000),
+    })
+    .refine(
+      lease => lease.renewMilliseconds + lease.marginMilliseconds < lease.termMilliseconds,
+      'expected renewMilliseconds + marginMilliseconds below termMilliseconds',
+    )
+    .prefault({}),
+});
+
 const settingsSchema = z.strictObject({
   bodyLimitBytes: z
     .number()
@@ -60,6 +92,7 @@
     .refine(isIdentifier, 'expected an identifier')
     .transform(name => name as InstanceId),
   lease: leaseSchema.prefault({}),
+  limits: limitsSchema.prefault({}),
   logGroupMilliseconds: milliseconds.default(5),
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
   maximumMailbox: z.number().int().positive().default(64),
--- /dev/null
+++ b/packages/instance/src/limits/loanConversions.ts
@@ -0,0 +1,76 @@
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type { Loan, LoanKind, LoanRequest } from '@zincring/coordination';
+import type {
+  BorrowRequest,
+  BorrowRequestSchema,
+  BorrowResponse,
+  BorrowResponseSchema,
+} from '@zincring/protocol';
+
+import { LoanKind as LoanKindMessage } from '@zincring/protocol';
+
+const kindToMessage: Readonly<Record<LoanKind, LoanKindMessage>> = {
+  settle: LoanKindMessage.SETTLE,
+  share: LoanKindMessage.SHARE,
+  tokens: LoanKindMessage.TOKENS,
+};
+
+const kindFromMessage: Readonly<Record<LoanKindMessage, LoanKind>> = {
+  [LoanKindMessage.SETTLE]: 'settle',
+  [LoanKindMessage.SHARE]: 'share',
+  [LoanKindMessage.TOKENS]: 'tokens',
+  [LoanKindMessage.UNSPECIFIED]: 'tokens',
+};
+
+/** Converts a request for a loan for another instance. */
+export function loanRequestToMessage(
+  request: LoanRequest,
+): MessageInitShape<typeof BorrowRequestSchema> {
+  return {
+    borrower: request.borrower,
+    burst: request.size.burst,
+    kind: kindToMessage[request.kind],
+    loan: BigInt(request.loan),
+    rate: request.size.rate,
+    spentLoans: request.spentLoans.map(BigInt),
+    tokens: request.tokens,
+    workspace: request.workspace,
+  };
+}
+
+/** Converts a request for a loan of another instance. */
+export function loanRequestFromMessage(message: BorrowRequest): LoanRequest {
+  return {
+    borrower: message.borrower,
+    kind: kindFromMessage[message.kind],
+    loan: Number(message.loan),
+    size: { burst: message.burst, rate: message.rate },
+    spentLoans: message.spentLoans.map(Number),
+    tokens: message.tokens,
+    workspace: message.workspace,
+  };
+}
+
+/** Converts a loan for its borrower. */
+export function loanToMessage(loan: Loan): MessageInitShape<typeof BorrowResponseSchema> {
+  return {
+    gathering: loan.isGathering,
+    loan: BigInt(loan.loan),
+    retryMilliseconds: loan.retryMilliseconds,
+    share: loan.share,
+    tokens: loan.tokens,
+    validMilliseconds: loan.validMilliseconds,
+  };
+}
+
+/** Converts a loan of another instance. */
+export function loanFromMessage(message: BorrowResponse): Loan {
+  return {
+    isGathering: message.gathering,
+    loan: Number(message.loan),
+    retryMilliseconds: message.retryMilliseconds,
+    share: message.share,
+    tokens: message.tokens,
+    validMilliseconds: message.validMilliseconds,
+  };
+}
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -14,13 +14,14 @@
   WorkspaceName,
   ZincringError,
 } from '@zincring/core';
-import type { BorrowRequest, KeepCopyRequest } from '@zincring/protocol';
-import type { LoanRequest, TokenLender } from '../limits/tokenLender.js';
+import type { KeepCopyRequest } from '@zincring/protocol';
+import type { TokenLender } from '../limits/tokenLender.js';
 import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
 import type { ProgramService, ProgramSummary } from '../programs/programMessages.js';
 import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { Heartbeats } from './heartbeats.js';
 
+import { loanRequestFromMessage, loanToMessage } from '../limits/loanConversions.js';
 import {
   callFromMessage,
   errorToMessage,
@@ -47,7 +48,7 @@
       connectNodeAdapter({
         routes: router => {
           router.service(PeerService, {
-            borrow: message => options.lender.lend(loanRequest(message)),
+            borrow: message => loanToMessage(options.lender.lend(loanRequestFromMessage(message))),
             call: async function* call(message) {
               for await (const frame of options.home.call(callFromMessage(message))) {
                 yield frameToMessage(frame);
@@ -95,14 +96,6 @@
   }
 }
 
-function loanRequest(message: BorrowRequest): LoanRequest {
-  return {
-    borrower: message.borrower as InstanceId,
-    tokens: message.tokens,
-    workspace: message.workspace as WorkspaceName,
-  };
-}
-
 function copyRequest(message: KeepCopyRequest): CopyRequest {
   return {
     flushedSequence: Number(message.flushedSequence),
--- a/packages/stand-ins/src/experiments/limits/mechanisms.ts
+++ b/packages/stand-ins/src/experiments/limits/mechanisms.ts
@@ -13,6 +13,7 @@
 import type { TableService } from '@zincring/platform';
 
 import {
+  borrowerName,
   EscrowedLimiter,
   LimitSeats,
   noLoan,
@@ -65,8 +66,8 @@
 
 /** Terms of loans. */
 export const loanTerms: LoanTerms = {
-  renewMilliseconds: 1_000,
-  shareMilliseconds: 4_000,
+  renewMilliseconds: 800,
+  shareMilliseconds: 2_000,
   tokenMilliseconds: 500,
 };
 
@@ -113,7 +114,7 @@
   public constructor(context: MechanismContext, terms: LeaseTerms) {
     this.seats = createSeats(context, SEAT_COUNT, terms);
     this.limiter = new EscrowedLimiter({
-      borrower: context.incarnation,
+      borrower: borrowerName(context),
       firstLoan: context.generation * LOANS_PER_PROCESS + 1,
       homeOf: workspace => {
         const shard = shardOf(workspace, SEAT_COUNT);
@@ -160,7 +161,7 @@
     this.seats = createSeats(context, HOME_COUNT, homeTerms);
     this.limiters = Array.from({ length: HOME_COUNT }, (_, seat) => {
       return new EscrowedLimiter({
-        borrower: context.incarnation,
+        borrower: borrowerName(context),
         firstLoan: context.generation * LOANS_PER_PROCESS + 1,
         homeOf: () => {
           const home = preferredHolder(seat as ShardId, context.eligible());
