--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -13,21 +13,27 @@
 
 import { failureText } from '@zincring/core';
 import {
+  LogSweeper,
   Membership,
   preferredHolder,
   ShardLeases,
-  VersionedChanges,
   WriteAheadLog,
 } from '@zincring/coordination';
 
+import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
 import type { ShardHolder } from '../peers/fleetCensus.js';
 import type { Settings } from './settings.js';
 
+import { CallerRouter } from '../callers/callerRouter.js';
 import { CallerServer } from '../callers/callerServer.js';
 import { ProgramRoutes } from '../callers/programRoutes.js';
 import { ServiceRoutes } from '../callers/serviceRoutes.js';
-import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { ConfigurationGossip } from '../configuration/configurationGossip.js';
+import { followConfiguration } from '../configuration/followConfiguration.js';
+import { KeyWatch } from '../configuration/keyWatch.js';
 import { FleetAdmission } from '../limits/fleetAdmission.js';
+import { InstanceStatus } from '../operators/instanceStatus.js';
 import { FleetCensus } from '../peers/fleetCensus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
 import { PeerClients } from '../peers/peerClients.js';
@@ -40,6 +46,7 @@
 import { HttpReplicaSender } from '../upstreams/replicaSender.js';
 import { Upstreams } from '../upstreams/upstreams.js';
 import { splitAddress } from '../util/splitAddress.js';
+import { drain } from './drainSteps.js';
 import { OperatorServer } from './operatorServer.js';
 
 /** What an instance is made of. */
@@ -54,6 +61,9 @@
 const INCARNATION_BYTES = 6;
 const MAXIMUM_FIRST_LOAN = 2 ** 47;
 const LOG_RETRY_MILLISECONDS = 200;
+/** How often the holder of the first shard deletes log objects that no shard needs. */
+const LOG_SWEEP_MILLISECONDS = 60_000;
+const FIRST_SHARD = 0 as ShardId;
 
 /** One running instance: every slice, connected. */
 export class Instance {
@@ -62,15 +72,19 @@
   private readonly clients = new PeerClients();
   private readonly upstreams: Upstreams;
   private readonly configuration: ConfigurationFollower;
+  /** Tells of withdrawn keys. */
+  public readonly keyWatch: KeyWatch;
   private readonly log: WriteAheadLog;
   private readonly home: ProgramHome;
   private readonly leases: ShardLeases;
   private readonly heartbeats: Heartbeats;
   private readonly admission: FleetAdmission;
   private readonly callerServer: CallerServer;
+  private readonly operatorStatus: InstanceStatus;
   private readonly peerServer: PeerServer;
   private readonly operatorServer: OperatorServer;
   private renewals: TimerSubscription | undefined;
+  private sweeps: TimerSubscription | undefined;
   private draining: Promise<void> | undefined;
 
   public constructor(private readonly parts: InstanceParts) {
@@ -81,11 +95,10 @@
       suspectMilliseconds: settings.suspectMilliseconds,
       timers,
     });
-    this.configuration = new ConfigurationFollower({
-      changes: new VersionedChanges({ ...platform, name: 'configuration', timers }),
-      logger,
-      pollMilliseconds: settings.configurationPollMilliseconds,
-      timers,
+    this.configuration = followConfiguration({ ...parts, membership: this.membership });
+    this.keyWatch = new KeyWatch({
+      follower: this.configuration,
+      maximumListeners: settings.maximumKeyListeners,
     });
     this.log = new WriteAheadLog({
       groupMilliseconds: settings.logGroupMilliseconds,
@@ -101,6 +114,7 @@
     this.home = new ProgramHome({
       configuration: () => this.configuration.current,
       dispatcher,
+      endListener: this.upstreams.memory,
       log: this.log,
       logger,
       maximumMailbox: settings.maximumMailbox,
@@ -109,25 +123,19 @@
       timers,
     });
     this.leases = this.createLeases();
-    this.home.attach(this.leases);
     this.heartbeats = this.createHeartbeats();
     this.admission = this.createAdmission();
+    this.operatorStatus = this.createOperatorStatus();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
       findGone: programs => this.home.findGone(programs),
       heartbeats: this.heartbeats,
       home: this.home,
       lender: this.admission,
+      operators: this.operatorStatus,
+      timers,
     });
-    this.callerServer = new CallerServer({
-      admission: this.admission,
-      bodyLimitBytes: settings.bodyLimitBytes,
-      configuration: () => this.configuration.current,
-      headLimitBytes: settings.headLimitBytes,
-      logger,
-      programRoutes: new ProgramRoutes(this.createRouting()),
-      serviceRoutes: new ServiceRoutes(dispatcher),
-    });
+    this.callerServer = this.createCallerServer(dispatcher);
     this.operatorServer = new OperatorServer({
       drain: () => void this.stop(),
       isReady: () => this.isReady,
@@ -136,7 +144,7 @@
 
   /** Whether callers' requests are welcome. */
   public get isReady(): boolean {
-    return this.configuration.current !== undefined && this.draining === undefined;
+    return this.configuration.isReady && this.draining === undefined;
   }
 
   /** Listens and takes part. */
@@ -146,6 +154,10 @@
     await this.peerServer.listen(...splitAddress(settings.peerAddress));
     this.configuration.start();
     this.heartbeats.start();
+    this.home.start();
+    this.sweeps = timers.every(LOG_SWEEP_MILLISECONDS, () => {
+      this.sweepLogs();
+    });
     this.upstreams.start();
     this.admission.start();
     this.configuration.subscribe(configuration => {
@@ -166,24 +178,43 @@
   }
 
   private async drain(): Promise<void> {
-    this.parts.logger.info({}, 'drain started');
-    this.membership.leave();
-    this.heartbeats.beat();
-    await Promise.all([this.leases.stop(), this.admission.release()]);
-    this.heartbeats.beat();
-    await this.callerServer.drain();
-    this.renewals?.stop();
+    const { logger, settings, timers } = this.parts;
+    await drain(
+      {
+        announce: () => {
+          this.membership.leave();
+          this.heartbeats.beat();
+        },
+        close: () => {
+          this.close();
+        },
+        closeConnectionsAfterAnswers: () => {
+          this.callerServer.closeConnectionsAfterAnswers();
+        },
+        drainCallers: async () => this.callerServer.drain(),
+        drainPeers: async () => this.peerServer.drain(),
+        handOver: async () => {
+          // Renewed until the last call has finished: its turn needs a lease that holds.
+          await Promise.all([this.leases.stop(), this.admission.release()]);
+          this.renewals?.stop();
+        },
+      },
+      { logger, noticeMilliseconds: settings.drainNoticeMilliseconds, timers },
+    );
+  }
+
+  private close(): void {
+    this.sweeps?.stop();
+    this.home.stop();
     this.admission.close();
     this.configuration.stop();
     this.heartbeats.stop();
     this.upstreams.stop();
     this.log.close();
-    this.peerServer.close();
     this.clients.close();
     this.operatorServer.close();
     this.parts.platform.close();
     this.parts.metrics.close();
-    this.parts.logger.info({}, 'drain finished');
   }
 
   private renewLeases(): void {
@@ -192,6 +223,17 @@
     });
   }
 
+  private sweepLogs(): void {
+    if (this.leases.standing(FIRST_SHARD) !== 'held') {
+      return;
+    }
+    const { objects, table } = this.parts.platform;
+    const { shardCount } = this.parts.settings;
+    new LogSweeper({ objects, shardCount, table }).sweep().catch((failure: unknown) => {
+      this.parts.logger.warn({ failure: failureText(failure) }, 'log sweep failed');
+    });
+  }
+
   private createLeases(): ShardLeases {
     const { logger, platform, settings, timers } = this.parts;
     return new ShardLeases({
@@ -225,8 +267,45 @@
       membership: this.membership,
       onDirectory: entries => {
         this.upstreams.updateDirectory(entries);
+        this.operatorStatus.updateDirectory(entries);
       },
-      participants: [this.locations, ...this.upstreams.participants],
+      participants: [
+        this.locations,
+        new ConfigurationGossip(this.configuration),
+        ...this.upstreams.participants,
+      ],
+      timers,
+    });
+  }
+
+  private createOperatorStatus(): InstanceStatus {
+    return new InstanceStatus({
+      configuration: this.configuration,
+      home: this.home,
+      incarnation: () => this.leases.incarnation,
+      isDraining: () => this.draining !== undefined,
+      isReady: () => this.isReady,
+      membership: this.membership,
+      settings: this.parts.settings,
+      shards: () => this.leases.heldShards,
+      upstreams: () => this.upstreams.describe(),
+    });
+  }
+
+  private createCallerServer(dispatcher: UpstreamDispatcher): CallerServer {
+    const { logger, settings, timers } = this.parts;
+    return new CallerServer({
+      ...settings,
+      logger,
+      router: new CallerRouter({
+        admission: this.admission,
+        bodyLimitBytes: settings.bodyLimitBytes,
+        configuration: () => this.configuration.usable,
+        keyWatch: this.keyWatch,
+        now: () => timers.now(),
+        programRoutes: new ProgramRoutes({ ...settings, programs: this.createRouting() }),
+        serviceRoutes: new ServiceRoutes({ ...settings, dispatcher }),
+      }),
       timers,
     });
   }
--- a/packages/instance/src/limits/fleetAdmission.ts
+++ b/packages/instance/src/limits/fleetAdmission.ts
@@ -112,11 +112,8 @@
     rule: WorkspaceRule,
     waitMilliseconds: number = this.options.settings.maximumWaitMilliseconds,
   ): Promise<Result<void, ZincringError>> {
-    const { metrics, timers } = this.options;
-    const startedAt = timers.now();
     const admittance = await this.limiter.admit(rule.name, waitMilliseconds);
-    metrics.timing('limits.wait', timers.now() - startedAt, { workspace: rule.name });
-    metrics.increment(`limits.${admittance.status}`, 1, { workspace: rule.name });
+    this.options.metrics.increment(`limits.${admittance.status}`, 1, { workspace: rule.name });
     if (admittance.status === 'granted') {
       return Ok(undefined);
     }
--- a/packages/scheduling/src/service/serviceScheduler.ts
+++ b/packages/scheduling/src/service/serviceScheduler.ts
@@ -15,6 +15,7 @@
 
 import { enginePriority } from '../priority/enginePriority.js';
 import { ConcurrencyWindow } from '../windows/concurrencyWindow.js';
+import { WakeTimes } from './wakeTimes.js';
 
 /** Work that waits for a replica of one service. */
 export interface ScheduledItem extends PlacementRequest, QueueItem {
@@ -69,6 +70,11 @@
   readonly queue: WorkQueue<Item>;
   readonly chooser: ReplicaChooser;
   readonly window: ConcurrencyWindowOptions;
+  /**
+   * Calls beyond the window of a replica that a workspace below its share may have there. They wait
+   * at the replica before all others, since the next place of any instance is theirs.
+   */
+  readonly belowShareOverflow: number;
   /** Time for which a replica gets no new work after a failure, in milliseconds. */
   readonly suspicionMilliseconds: number;
 }
@@ -102,7 +108,7 @@
 > implements ServiceScheduler<Item> {
   private readonly windows = new Map<UpstreamId, ConcurrencyWindow>();
   private readonly sent = new Map<WorkId, Sent<Item>>();
-
+  private readonly wakeTimes = new WakeTimes();
   private windowOptions: ConcurrencyWindowOptions;
 
   public constructor(private readonly options: WindowedServiceSchedulerOptions<Item>) {
@@ -156,10 +162,15 @@
       return undefined;
     }
     let placement: Placement | undefined;
-    const hasRoom = (replica: UpstreamId): boolean =>
-      this.windows.get(replica)?.hasRoom(now) === true;
-    const item = this.options.queue.pop(now, candidate => {
-      placement = this.options.chooser.choose(candidate, now, hasRoom);
+    let isBelowShare = false;
+    const item = this.options.queue.pop(now, (candidate, standing) => {
+      isBelowShare = standing === 'below-share';
+      const overflow = isBelowShare ? this.options.belowShareOverflow : 0;
+      placement = this.options.chooser.choose(
+        candidate,
+        now,
+        replica => this.windows.get(replica)?.hasRoom(now, overflow) === true,
+      );
       return placement !== undefined;
     });
     if (item === undefined || placement === undefined) {
@@ -168,21 +179,14 @@
     this.windows.get(placement.replica)?.noteDispatch();
     this.options.chooser.noteDispatch(placement.replica, item.prefixes, now);
     this.sent.set(item.id, { at: now, item, replica: placement.replica });
-    return { item, placement, priority: enginePriority({ ...item, now }) };
+    return { item, placement, priority: enginePriority({ ...item, isBelowShare, now }) };
   }
 
   public nextWakeAt(now: number): number | undefined {
     if (this.options.queue.size === 0) {
       return undefined;
     }
-    let earliest: number | undefined;
-    for (const window of this.windows.values()) {
-      const at = window.nextRoomAt(now);
-      if (at !== undefined && at > now) {
-        earliest = Math.min(earliest ?? at, at);
-      }
-    }
-    return earliest;
+    return this.wakeTimes.peekAfter(now);
   }
 
   public cancel(id: WorkId): Item | undefined {
@@ -203,6 +207,7 @@
     const outcome = { durationMilliseconds, end, prefixes, replica };
     this.options.chooser.noteOutcome(outcome, now);
     this.noteWindowEnd(replica, end, durationMilliseconds, now);
+    this.wakeTimes.add(this.windows.get(replica)?.nextRoomAt(now) ?? now, now);
   }
 
   public observeLoad(replica: UpstreamId, report: LoadReport, now: number): void {
@@ -231,11 +236,17 @@
         return;
       case 'failed':
         window?.noteFailure(now);
-        this.options.chooser.suspectUntil(replica, now + this.options.suspicionMilliseconds);
+        this.suspect(replica, now);
         return;
       case 'succeeded':
         window?.noteSuccess(duration, now);
         return;
     }
   }
+
+  private suspect(replica: UpstreamId, now: number): void {
+    const until = now + this.options.suspicionMilliseconds;
+    this.options.chooser.suspectUntil(replica, until);
+    this.wakeTimes.add(until, now);
+  }
 }
