--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -9,7 +9,7 @@
 } from '@zincring/core';
 import type { Platform } from '@zincring/platform';
 
-import { randomBytes } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 
 import { failureText } from '@zincring/core';
 import {
@@ -32,8 +32,7 @@
 import { ConfigurationGossip } from '../configuration/configurationGossip.js';
 import { followConfiguration } from '../configuration/followConfiguration.js';
 import { KeyWatch } from '../configuration/keyWatch.js';
-import { StaticAdmission } from '../limits/admission.js';
-import { lendNothing } from '../limits/tokenLender.js';
+import { FleetAdmission } from '../limits/fleetAdmission.js';
 import { InstanceStatus } from '../operators/instanceStatus.js';
 import { FleetCensus } from '../peers/fleetCensus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
@@ -61,6 +60,7 @@
 }
 
 const INCARNATION_BYTES = 6;
+const MAXIMUM_FIRST_LOAN = 2 ** 47;
 const LOG_RETRY_MILLISECONDS = 200;
 /** How often the holder of the first shard deletes log objects and sessions that nobody needs. */
 const SWEEP_MILLISECONDS = 60_000;
@@ -80,6 +80,7 @@
   private readonly openPrograms: OpenProgramCounts;
   private readonly leases: ShardLeases;
   private readonly heartbeats: Heartbeats;
+  private readonly admission: FleetAdmission;
   private readonly callerServer: CallerServer;
   private readonly operatorStatus: InstanceStatus;
   private readonly peerServer: PeerServer;
@@ -120,13 +121,14 @@
     });
     this.leases = this.createLeases();
     this.heartbeats = this.createHeartbeats();
+    this.admission = this.createAdmission();
     this.operatorStatus = this.createOperatorStatus();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
       findGone: programs => this.home.findGone(programs),
       heartbeats: this.heartbeats,
       home: this.home,
-      lender: lendNothing,
+      lender: this.admission,
       operators: this.operatorStatus,
       timers,
     });
@@ -154,8 +156,10 @@
       this.sweep();
     });
     this.upstreams.start();
+    this.admission.start();
     this.configuration.subscribe(configuration => {
       this.upstreams.updateConfiguration(configuration);
+      this.admission.updateConfiguration(configuration);
     });
     this.renewals = timers.every(settings.lease.renewMilliseconds, () => {
       this.renewLeases();
@@ -188,7 +192,7 @@
         drainPeers: async () => this.peerServer.drain(),
         handOver: async () => {
           // Renewed until the last call has finished: its turn needs a lease that holds.
-          await this.leases.stop();
+          await Promise.all([this.leases.stop(), this.admission.release()]);
           this.renewals?.stop();
         },
       },
@@ -199,6 +203,7 @@
   private close(): void {
     this.sweeps?.stop();
     this.home.stop();
+    this.admission.close();
     this.configuration.stop();
     this.heartbeats.stop();
     this.upstreams.stop();
@@ -311,7 +316,7 @@
       ...settings,
       logger,
       router: new CallerRouter({
-        admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
+        admission: this.admission,
         bodyLimitBytes: settings.bodyLimitBytes,
         configuration: () => this.configuration.usable,
         keyWatch: this.keyWatch,
@@ -323,6 +328,21 @@
     });
   }
 
+  private createAdmission(): FleetAdmission {
+    const { platform, settings } = this.parts;
+    return new FleetAdmission({
+      ...this.parts,
+      address: settings.peerAddress,
+      clients: this.clients,
+      createIncarnation: () => createIncarnation(settings.instance),
+      firstLoan: randomInt(1, MAXIMUM_FIRST_LOAN),
+      instance: settings.instance,
+      membership: this.membership,
+      settings: settings.limits,
+      table: platform.table,
+    });
+  }
+
   private createUpstreams(): Upstreams {
     const { logger, metrics, settings, timers } = this.parts;
     return new Upstreams({
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -17,19 +17,15 @@
   ZincringError,
 } from '@zincring/core';
 import type { MessageInitShape } from '@bufbuild/protobuf';
-import type {
-  BorrowRequest,
-  CallFrameSchema,
-  CallRequest,
-  KeepCopyRequest,
-} from '@zincring/protocol';
-import type { LoanRequest, TokenLender } from '../limits/tokenLender.js';
+import type { CallFrameSchema, CallRequest, KeepCopyRequest } from '@zincring/protocol';
+import type { TokenLender } from '../limits/tokenLender.js';
 import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
 import type { CallFrame, ProgramService, ProgramSummary } from '../programs/programMessages.js';
 import type { OperatorStatusSource } from '../operators/operatorStatus.js';
 import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { Heartbeats } from './heartbeats.js';
 
+import { loanRequestFromMessage, loanToMessage } from '../limits/loanConversions.js';
 import { registerOperatorService } from '../operators/operatorService.js';
 import {
   callFromMessage,
@@ -66,7 +62,7 @@
         routes: router => {
           registerOperatorService(router, options.operators);
           router.service(PeerService, {
-            borrow: message => options.lender.lend(loanRequest(message)),
+            borrow: message => loanToMessage(options.lender.lend(loanRequestFromMessage(message))),
             call: async function* call(message) {
               yield* answerMessages(options.home.call(callFromMessage(message)), message);
             },
@@ -161,14 +157,6 @@
   }
 }
 
-function loanRequest(message: BorrowRequest): LoanRequest {
-  return {
-    borrower: message.borrower as InstanceId,
-    tokens: message.tokens,
-    workspace: message.workspace as WorkspaceName,
-  };
-}
-
 function copyRequest(message: KeepCopyRequest): CopyRequest {
   return {
     flushedSequence: Number(message.flushedSequence),
