--- /dev/null
+++ b/packages/stand-ins/tests/wholeAnswers.process.test.ts
@@ -0,0 +1,132 @@
+import { hashKey } from '@zincring/core';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import type { CallAnswer } from '../src/launch/callerClient.js';
+import type { FleetInstance } from '../src/launch/fleet.js';
+
+import { CallerClient } from '../src/launch/callerClient.js';
+import { Fleet, waitUntil } from '../src/launch/fleet.js';
+
+const KEY = 'whole-answers-key';
+const OTHER_KEY = 'other-workspace-key';
+const TOKENS = 150;
+
+const rules = `
+workspace utility rate=1000 burst=1000 # dana: the pilot
+workspace foundation rate=1000 burst=1000 # dana: the second pilot
+key clerk workspace=utility hash=${hashKey(KEY)} # dana: clerks
+key ranger workspace=foundation hash=${hashKey(OTHER_KEY)} # dana: rangers
+service minutes-llm protocol=engine fencing=checked timeout=60 # omar: models
+program trace services=minutes-llm tokens=1000000 calls=500 # dana: traces
+`;
+
+describe('an answer under way', () => {
+  let fleet: Fleet;
+  const client = new CallerClient(KEY);
+
+  beforeAll(async () => {
+    fleet = await Fleet.start({
+      engineCommandLine: ['--step-milliseconds', '20'],
+      engines: 1,
+      instances: 3,
+      plainServices: 0,
+      settings: { logLevel: 'silent' },
+      zones: ['nelson', 'castlegar', 'trail'],
+    });
+    await fleet.applyRules(rules);
+    await fleet.waitUntilReady();
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+  });
+
+  async function open(name: string): Promise<string> {
+    let program = '';
+    await waitUntil(async () => {
+      const opened = await client.openProgram(fleet.instances[0]!.callerAddress, 'trace', name);
+      program = String(opened.body['program']);
+      return opened.status === 201;
+    });
+    return program;
+  }
+
+  async function call(instance: FleetInstance, program: string, turn: number): Promise<CallAnswer> {
+    return await client.call(instance.callerAddress, program, {
+      call: `call-${turn}`,
+      input: `question ${turn}`,
+      maxTokens: TOKENS,
+      service: 'minutes-llm',
+      turn,
+    });
+  }
+
+  /** Tokens of the stand-in carry a number: each must come once, in order, from one prompt. */
+  function expectBeginning(text: string): void {
+    const tokens = text.split(' ').filter(token => token !== '');
+    const prompt = tokens[0]?.split('-')[0] ?? '';
+    expect(tokens).toEqual(tokens.map((_token, index) => `${prompt}-${index}`));
+  }
+
+  /** Sends the call until its answer is whole; gives the last answer otherwise. */
+  async function repeatUntilWhole(program: string): Promise<CallAnswer> {
+    const giveUpAt = performance.now() + 25_000;
+    for (;;) {
+      const answer = await call(fleet.instances[1]!, program, 1);
+      if (answer.closed !== undefined || performance.now() > giveUpAt) {
+        expect(answer.error).toBeUndefined();
+        return answer;
+      }
+      await new Promise(resolve => setTimeout(resolve, 500));
+    }
+  }
+
+  it.each(['SIGKILL', 'SIGSTOP'] as const)(
+    'is whole or ends clearly when any instance gets %s, and is whole when sent again',
+    async signal => {
+      const entry = fleet.instances[0]!;
+      for (const victim of fleet.instances) {
+        const program = await open(`${signal}-${victim.id}`);
+        const answering = call(entry, program, 1).catch(() => undefined);
+        await new Promise(resolve => setTimeout(resolve, 1_000));
+        victim.process.signal(signal);
+        const resume = async (): Promise<void> => {
+          if (signal === 'SIGSTOP') {
+            victim.process.signal('SIGCONT');
+          } else {
+            await victim.process.waitForExit();
+            fleet.restart(victim);
+          }
+        };
+        if (victim === entry) {
+          await new Promise(resolve => setTimeout(resolve, 4_000));
+          await resume();
+        }
+        const first = await answering;
+        if (victim !== entry) {
+          await resume();
+        }
+        if (first !== undefined) {
+          expectBeginning(first.text);
+          expect((first.closed === undefined) !== (first.error === undefined)).toBe(true);
+        }
+        await fleet.waitUntilReady();
+        const again = await repeatUntilWhole(program);
+        expectBeginning(again.text);
+        expect(again.text.split(' ')).toHaveLength(TOKENS + 1);
+        expect(again.closed).toMatchObject({ turn: 1 });
+      }
+    },
+  );
+
+  it('of another workspace is not told from one that does not exist', async () => {
+    const program = await open('private');
+    const other = new CallerClient(OTHER_KEY);
+    const { callerAddress } = fleet.instances[1]!;
+    const answers = await Promise.all(
+      [program, 'no-such-program'].map(async id => other.describeProgram(callerAddress, id)),
+    );
+    expect(answers[0]).toEqual(answers[1]);
+    expect(answers[0]?.body).toMatchObject({ kind: 'program-not-found' });
+  });
+});
