--- a/packages/instance/src/callers/callerRouter.ts
+++ b/packages/instance/src/callers/callerRouter.ts
@@ -6,7 +6,7 @@
 
 import type { Admission } from '../limits/admission.js';
 import type { Caller } from './authentication.js';
-import type { KeyWatch } from './keyWatch.js';
+import type { KeyWatch } from '../configuration/keyWatch.js';
 import type { ProgramRoutes } from './programRoutes.js';
 import type { RequestTarget } from './requestTarget.js';
 import type { ServiceRoutes } from './serviceRoutes.js';
@@ -176,7 +176,7 @@
     operation: (keyWithdrawn: AbortSignal) => Promise<void>,
   ): Promise<void> {
     const withdrawn = new AbortController();
-    const subscription = this.options.keyWatch.watch(keyHash, () => {
+    const subscription = this.options.keyWatch.onWithdrawn(keyHash, () => {
       withdrawn.abort();
     });
     try {
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -17,22 +17,24 @@
   Membership,
   preferredHolder,
   ShardLeases,
-  VersionedChanges,
   WriteAheadLog,
 } from '@zincring/coordination';
 
+import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
 import type { ShardHolder } from '../peers/fleetCensus.js';
 import type { Settings } from './settings.js';
 
 import { CallerRouter } from '../callers/callerRouter.js';
 import { CallerServer } from '../callers/callerServer.js';
-import { watchNoKeys } from '../callers/keyWatch.js';
 import { ProgramRoutes } from '../callers/programRoutes.js';
 import { ServiceRoutes } from '../callers/serviceRoutes.js';
-import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { ConfigurationGossip } from '../configuration/configurationGossip.js';
+import { followConfiguration } from '../configuration/followConfiguration.js';
+import { KeyWatch } from '../configuration/keyWatch.js';
 import { StaticAdmission } from '../limits/admission.js';
 import { lendNothing } from '../limits/tokenLender.js';
+import { InstanceStatus } from '../operators/instanceStatus.js';
 import { FleetCensus } from '../peers/fleetCensus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
 import { PeerClients } from '../peers/peerClients.js';
@@ -70,11 +72,14 @@
   private readonly clients = new PeerClients();
   private readonly upstreams: Upstreams;
   private readonly configuration: ConfigurationFollower;
+  /** Tells of withdrawn keys. */
+  public readonly keyWatch: KeyWatch;
   private readonly log: WriteAheadLog;
   private readonly home: ProgramHome;
   private readonly leases: ShardLeases;
   private readonly heartbeats: Heartbeats;
   private readonly callerServer: CallerServer;
+  private readonly operatorStatus: InstanceStatus;
   private readonly peerServer: PeerServer;
   private readonly operatorServer: OperatorServer;
   private renewals: TimerSubscription | undefined;
@@ -89,11 +94,10 @@
       suspectMilliseconds: settings.suspectMilliseconds,
       timers,
     });
-    this.configuration = new ConfigurationFollower({
-      changes: new VersionedChanges({ ...platform, name: 'configuration', timers }),
-      logger,
-      pollMilliseconds: settings.configurationPollMilliseconds,
-      timers,
+    this.configuration = followConfiguration({ ...parts, membership: this.membership });
+    this.keyWatch = new KeyWatch({
+      follower: this.configuration,
+      maximumListeners: settings.maximumKeyListeners,
     });
     this.log = new WriteAheadLog({
       groupMilliseconds: settings.logGroupMilliseconds,
@@ -109,6 +113,7 @@
     this.home = new ProgramHome({
       configuration: () => this.configuration.current,
       dispatcher,
+      endListener: this.upstreams.memory,
       log: this.log,
       logger,
       maximumMailbox: settings.maximumMailbox,
@@ -118,12 +123,14 @@
     });
     this.leases = this.createLeases();
     this.heartbeats = this.createHeartbeats();
+    this.operatorStatus = this.createOperatorStatus();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
       findGone: programs => this.home.findGone(programs),
       heartbeats: this.heartbeats,
       home: this.home,
       lender: lendNothing,
+      operators: this.operatorStatus,
       timers,
     });
     this.callerServer = this.createCallerServer(dispatcher);
@@ -135,7 +142,7 @@
 
   /** Whether callers' requests are welcome. */
   public get isReady(): boolean {
-    return this.configuration.current !== undefined && this.draining === undefined;
+    return this.configuration.isReady && this.draining === undefined;
   }
 
   /** Listens and takes part. */
@@ -255,12 +262,31 @@
       membership: this.membership,
       onDirectory: entries => {
         this.upstreams.updateDirectory(entries);
+        this.operatorStatus.updateDirectory(entries);
       },
-      participants: [this.locations, ...this.upstreams.participants],
+      participants: [
+        this.locations,
+        new ConfigurationGossip(this.configuration),
+        ...this.upstreams.participants,
+      ],
       timers,
     });
   }
 
+  private createOperatorStatus(): InstanceStatus {
+    return new InstanceStatus({
+      configuration: this.configuration,
+      home: this.home,
+      incarnation: () => this.leases.incarnation,
+      isDraining: () => this.draining !== undefined,
+      isReady: () => this.isReady,
+      membership: this.membership,
+      settings: this.parts.settings,
+      shards: () => this.leases.heldShards,
+      upstreams: () => this.upstreams.describe(),
+    });
+  }
+
   private createCallerServer(dispatcher: UpstreamDispatcher): CallerServer {
     const { logger, settings, timers } = this.parts;
     return new CallerServer({
@@ -269,8 +295,8 @@
       router: new CallerRouter({
         admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
         bodyLimitBytes: settings.bodyLimitBytes,
-        configuration: () => this.configuration.current,
-        keyWatch: watchNoKeys,
+        configuration: () => this.configuration.usable,
+        keyWatch: this.keyWatch,
         now: () => timers.now(),
         programRoutes: new ProgramRoutes({ ...settings, programs: this.createRouting() }),
         serviceRoutes: new ServiceRoutes({ ...settings, dispatcher }),
--- a/packages/instance/src/peers/peerServer.ts
+++ b/packages/instance/src/peers/peerServer.ts
@@ -26,9 +26,11 @@
 import type { LoanRequest, TokenLender } from '../limits/tokenLender.js';
 import type { CopyKeeper, CopyRequest } from '../programs/copyKeeper.js';
 import type { CallFrame, ProgramService, ProgramSummary } from '../programs/programMessages.js';
+import type { OperatorStatusSource } from '../operators/operatorStatus.js';
 import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { Heartbeats } from './heartbeats.js';
 
+import { registerOperatorService } from '../operators/operatorService.js';
 import {
   callFromMessage,
   errorToMessage,
@@ -44,6 +46,7 @@
   readonly findGone: (programs: readonly ProgramId[]) => readonly GoneProgram[];
   readonly lender: TokenLender;
   readonly copies: CopyKeeper;
+  readonly operators: OperatorStatusSource;
   readonly timers: TimerService;
 }
 
@@ -61,6 +64,7 @@
     this.server = createServer(
       connectNodeAdapter({
         routes: router => {
+          registerOperatorService(router, options.operators);
           router.service(PeerService, {
             borrow: message => options.lender.lend(loanRequest(message)),
             call: async function* call(message) {
--- a/packages/instance/src/programs/programHome.ts
+++ b/packages/instance/src/programs/programHome.ts
@@ -103,6 +103,11 @@
     );
   }
 
+  /** The state of a program that is held here, whatever its workspace, for operators. */
+  public inspect(program: ProgramId): ProgramState | undefined {
+    return this.shards.get(this.shardOf(program))?.programs.find(program);
+  }
+
   public async recover(
     lease: ShardLease,
     state: ShardStateReference,
