--- a/packages/instance/src/callers/callerRouter.ts
+++ b/packages/instance/src/callers/callerRouter.ts
@@ -20,7 +20,7 @@
 export interface CallerRouterOptions {
   readonly configuration: () => Configuration | undefined;
   readonly admission: Admission;
-  readonly keyWatch: KeyWatch;
+  readonly keyWatch: Pick<KeyWatch, 'onWithdrawn'>;
   readonly programRoutes: ProgramRoutes;
   readonly serviceRoutes: ServiceRoutes;
   /** Monotonic time in milliseconds. */
--- a/packages/instance/tests/callers/callerServer.test.ts
+++ b/packages/instance/tests/callers/callerServer.test.ts
@@ -13,7 +13,6 @@
 
 import { CallerRouter } from '../../src/callers/callerRouter.js';
 import { CallerServer } from '../../src/callers/callerServer.js';
-import { watchNoKeys } from '../../src/callers/keyWatch.js';
 import { ProgramRoutes } from '../../src/callers/programRoutes.js';
 import { ServiceRoutes } from '../../src/callers/serviceRoutes.js';
 
@@ -45,7 +44,7 @@
     admission: { admit: async () => Promise.resolve(Ok(undefined)) },
     bodyLimitBytes: BODY_LIMIT,
     configuration: () => configuration,
-    keyWatch: watchNoKeys,
+    keyWatch: { onWithdrawn: () => ({ stop: () => undefined }) },
     now: () => timers.now(),
     programRoutes: new ProgramRoutes({
       bodyDepthLimit: 16,
