feat(programs): end waiting and running calls at their home when their key is withdrawn

Cause: only the entry ended the answer; a call that waited at its home still ran after the withdrawal. The home watches the key of every call it queues, where it knows the key: one that a newer configuration brought is left to the entry.

Shown by: programHome.test, which did not compile before.

--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -241,6 +241,7 @@
       countElsewhere: workspace => this.openPrograms.countElsewhere(workspace),
       dispatcher: this.upstreams.dispatcher,
       endListener: this.upstreams.memory,
+      keyWatch: this.keyWatch,
       log: this.log,
       logger,
       maximumMailbox: settings.maximumMailbox,
--- a/packages/instance/src/programs/programHome.ts
+++ b/packages/instance/src/programs/programHome.ts
@@ -23,6 +23,7 @@
 import type { GoneProgram } from '../upstreams/engineSweeper.js';
 import type { UpstreamDispatcher } from '../upstreams/upstreamMessages.js';
 import type { CallRules } from './callRunner.js';
+import type { KeyWatch } from '../configuration/keyWatch.js';
 import type { ProgramEndListener } from './programEndListener.js';
 import type {
   CallClosed,
@@ -62,6 +63,8 @@
   readonly endListener?: ProgramEndListener;
   /** Number of a workspace's open programs at the other instances, as far as is known. */
   readonly countElsewhere?: (workspace: WorkspaceName) => number;
+  /** Tells of withdrawn keys. */
+  readonly keyWatch?: Pick<KeyWatch, 'isValid' | 'onWithdrawn'>;
 }
 
 /** How often programs are looked at for their end, in milliseconds. */
@@ -274,9 +277,30 @@
     const queued = home.mailboxes.enqueue(running, async next =>
       this.runner.run(next, home, state, this.rulesFor(next.request, state)),
     );
+    if (queued.ok) {
+      this.endOnWithdrawal(running);
+    }
     return queued.map(() => running);
   }
 
+  /**
+   * Ends a call whose key is withdrawn while it waits or runs. A key that this instance does not
+   * know yet is left to the entry, which has checked it against a newer configuration.
+   */
+  private endOnWithdrawal(running: RunningCall): void {
+    const { keyWatch } = this.options;
+    const { keyHash } = running.request;
+    if (keyWatch?.isValid(keyHash) !== true) {
+      return;
+    }
+    const watch = keyWatch.onWithdrawn(keyHash, () => {
+      running.withdraw();
+    });
+    void running.ended().then(() => {
+      watch.stop();
+    });
+  }
+
   private rulesFor(request: CallRequest, state: ProgramState): CallRules {
     const configuration = this.options.configuration();
     return {
--- a/packages/instance/src/programs/runningCall.ts
+++ b/packages/instance/src/programs/runningCall.ts
@@ -64,6 +64,12 @@
     this.abort(new ZincringErrorClass('call-interrupted'));
   }
 
+  /** Ends the call because the key under which it came was withdrawn. */
+  public withdraw(): void {
+    this.refuseQueued(new ZincringErrorClass('key-rejected'));
+    this.abort(new ZincringErrorClass('key-withdrawn-while-running'));
+  }
+
   /** Bytes of the answer so far. */
   public get length(): number {
     return this.size;
--- a/packages/instance/tests/programs/programCluster.ts
+++ b/packages/instance/tests/programs/programCluster.ts
@@ -98,11 +98,38 @@
   }
 }
 
+/** One key that all calls come under, until it is withdrawn. */
+export class WithdrawableKey {
+  private readonly listeners = new Set<() => void>();
+  private withdrawn = false;
+
+  public isValid(): boolean {
+    return !this.withdrawn;
+  }
+
+  public onWithdrawn(_keyHash: KeyHash, listener: () => void): TimerSubscription {
+    this.listeners.add(listener);
+    return { stop: () => this.listeners.delete(listener) };
+  }
+
+  public withdraw(): void {
+    this.withdrawn = true;
+    this.listeners.forEach(listener => {
+      listener();
+    });
+  }
+
+  public get size(): number {
+    return this.listeners.size;
+  }
+}
+
 /** One instance that is the home of programs. */
 export class ProgramNode extends PausableNode {
   public readonly home: ProgramHome;
   public readonly leases: ShardLeases;
   public readonly dispatcher: CountingDispatcher;
+  public readonly key = new WithdrawableKey();
   public eligible: ReadonlySet<string>;
   public readonly ended: ProgramId[] = [];
   private incarnations = 0;
@@ -117,6 +144,7 @@
     this.eligible = new Set([name]);
     this.dispatcher = new CountingDispatcher(this, counters);
     this.home = new ProgramHome({
+      keyWatch: this.key,
       configuration: () => configuration,
       dispatcher: this.dispatcher,
       groupsPerReference: 5,
--- a/packages/instance/tests/programs/programHome.test.ts
+++ b/packages/instance/tests/programs/programHome.test.ts
@@ -40,6 +40,22 @@
     expect(replayed).toEqual(one);
   });
 
+  it('end when their key is withdrawn, whether they wait or run', async () => {
+    const cluster = await openedCluster();
+    const { home, dispatcher, key } = cluster.nodes[0]!;
+    dispatcher.latencyMilliseconds = 60_000;
+    const ends = ['one', 'two'].map(async (call, index) =>
+      readEnd(home.call(createCall(PROGRAM, call, index + 1))),
+    );
+    await cluster.advance(100);
+    key.withdraw();
+    expect(await cluster.until(Promise.all(ends))).toMatchObject([
+      { error: { kind: 'key-withdrawn-while-running', ran: 'maybe' }, kind: 'failed' },
+      { error: { kind: 'key-rejected', ran: 'no' }, kind: 'failed' },
+    ]);
+    expect(key.size).toBe(0);
+  });
+
   it('are refused when their id stands for another request', async () => {
     const cluster = await openedCluster();
     const { home } = cluster.nodes[0]!;
