--- a/packages/instance/tests/callers/callerServer.test.ts
+++ b/packages/instance/tests/callers/callerServer.test.ts
@@ -8,14 +8,15 @@
 import fc from 'fast-check';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
+import type { ConfigurationFollower } from '../../src/configuration/configurationFollower.js';
 import type { ProgramService } from '../../src/programs/programMessages.js';
 import type { UpstreamWork } from '../../src/upstreams/upstreamMessages.js';
 
 import { CallerRouter } from '../../src/callers/callerRouter.js';
 import { CallerServer } from '../../src/callers/callerServer.js';
-import { watchNoKeys } from '../../src/callers/keyWatch.js';
 import { ProgramRoutes } from '../../src/callers/programRoutes.js';
 import { ServiceRoutes } from '../../src/callers/serviceRoutes.js';
+import { KeyWatch } from '../../src/configuration/keyWatch.js';
 
 const KEY = 'fuzz-key';
 const BODY_LIMIT = 2_000;
@@ -31,13 +32,17 @@
 const unused = async (): Promise<never> => Promise.reject(new Error('not used'));
 const programs: ProgramService = {
   async *call() {
-    yield await unused();
+    yield { data: Buffer.from('beginning'), kind: 'data', offset: 0 };
+    yield await new Promise<never>(() => undefined);
   },
   describe: unused,
   end: unused,
   open: unused,
 };
 
+type Listener = Parameters<ConfigurationFollower['subscribe']>[0];
+const listeners: Listener[] = [];
+
 function createServer(port: { number: number }, maximumConnections: number): CallerServer {
   const configuration = createConfiguration(1 as ConfigurationVersion, parseRules(rules).unwrap());
   const timers = new SystemTimerService();
@@ -45,7 +50,16 @@
     admission: { admit: async () => Promise.resolve(Ok(undefined)) },
     bodyLimitBytes: BODY_LIMIT,
     configuration: () => configuration,
-    keyWatch: watchNoKeys,
+    keyWatch: new KeyWatch({
+      follower: {
+        current: configuration,
+        subscribe: listener => {
+          listeners.push(listener);
+          return { stop: () => undefined };
+        },
+      },
+      maximumListeners: 100,
+    }),
     now: () => timers.now(),
     programRoutes: new ProgramRoutes({
       bodyDepthLimit: 16,
@@ -191,6 +205,20 @@
     expect(JSON.stringify({ ...work, rule: undefined })).not.toContain(KEY);
   });
 
+  it('ends an answer under way when its key is withdrawn', async () => {
+    const body = '{"call":"c","turn":1,"service":"ticket-app","input":"x"}';
+    const withdrawal = setInterval(() => {
+      const change = { withdrawnKeys: [hashKey(KEY)] };
+      listeners.forEach(listener => {
+        listener(undefined as never, change as unknown as Parameters<Listener>[1]);
+      });
+    }, 200);
+    const answer = await exchange(port.number, post('/v1/programs/p/calls', body), true);
+    clearInterval(withdrawal);
+    expect(answer).toContain('"text":"beginning"');
+    expect(kindOf(answer)).toBe('key-withdrawn-while-running');
+  });
+
   it('answers any bytes clearly and lets none out of an open route', async () => {
     const piece = fc.oneof(
       fc.constantFrom(...[' ', '\r\n', '\r\n\r\n', 'GET ', 'POST ', 'HEAD ', '/status', '/../']),
