--- a/packages/instance/src/upstreams/engineClient.ts
+++ b/packages/instance/src/upstreams/engineClient.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
+import { randomUUID } from 'node:crypto';
+
 import { z } from 'zod';
 
 import type { Replica } from './replicaTable.js';
@@ -33,7 +35,8 @@
     maxTokens: payload.maxTokens,
     priority,
     program: work.program ?? '',
-    requestId: `${work.program ?? ''}/${work.call}`,
+    // Unique for each attempt: an engine may remember a request that it has cancelled.
+    requestId: `${work.program ?? ''}/${work.call}/${randomUUID()}`,
     segments: payload.segments,
   });
   const response = await openRequest({
--- a/packages/instance/tests/programs/programCluster.ts
+++ b/packages/instance/tests/programs/programCluster.ts
@@ -1,4 +1,11 @@
-import type { CallId, IncarnationId, KeyHash, ProgramId, ServiceName } from '@zincring/core';
+import type {
+  CallId,
+  IncarnationId,
+  KeyHash,
+  ProgramId,
+  ServiceName,
+  TimerSubscription,
+} from '@zincring/core';
 import type { WorkspaceName } from '@zincring/core';
 
 import { LogSweeper, shardOf, ShardLeases, WriteAheadLog } from '@zincring/coordination';
