--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -9,7 +9,7 @@
 } from '@zincring/core';
 import type { Platform } from '@zincring/platform';
 
-import { randomBytes } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 
 import { failureText } from '@zincring/core';
 import {
@@ -32,8 +32,7 @@
 import { ConfigurationGossip } from '../configuration/configurationGossip.js';
 import { followConfiguration } from '../configuration/followConfiguration.js';
 import { KeyWatch } from '../configuration/keyWatch.js';
-import { StaticAdmission } from '../limits/admission.js';
-import { lendNothing } from '../limits/tokenLender.js';
+import { FleetAdmission } from '../limits/fleetAdmission.js';
 import { InstanceStatus } from '../operators/instanceStatus.js';
 import { FleetCensus } from '../peers/fleetCensus.js';
 import { Heartbeats } from '../peers/heartbeats.js';
@@ -42,6 +41,7 @@
 import { RoutedProgramService } from '../peers/routedProgramService.js';
 import { ShardLocations } from '../peers/shardLocations.js';
 import { keepNoCopies } from '../programs/copyKeeper.js';
+import { OpenProgramCounts } from '../programs/openProgramCounts.js';
 import { ProgramHome } from '../programs/programHome.js';
 import { HttpEngineOrders } from '../upstreams/engineOrders.js';
 import { HttpReplicaSender } from '../upstreams/replicaSender.js';
@@ -60,9 +60,10 @@
 }
 
 const INCARNATION_BYTES = 6;
+const MAXIMUM_FIRST_LOAN = 2 ** 47;
 const LOG_RETRY_MILLISECONDS = 200;
-/** How often the holder of the first shard deletes log objects that no shard needs. */
-const LOG_SWEEP_MILLISECONDS = 60_000;
+/** How often the holder of the first shard deletes log objects and sessions that nobody needs. */
+const SWEEP_MILLISECONDS = 60_000;
 const FIRST_SHARD = 0 as ShardId;
 
 /** One running instance: every slice, connected. */
@@ -76,8 +77,10 @@
   public readonly keyWatch: KeyWatch;
   private readonly log: WriteAheadLog;
   private readonly home: ProgramHome;
+  private readonly openPrograms: OpenProgramCounts;
   private readonly leases: ShardLeases;
   private readonly heartbeats: Heartbeats;
+  private readonly admission: FleetAdmission;
   private readonly callerServer: CallerServer;
   private readonly operatorStatus: InstanceStatus;
   private readonly peerServer: PeerServer;
@@ -110,26 +113,22 @@
     });
     this.upstreams = this.createUpstreams();
     const { dispatcher } = this.upstreams;
-    this.home = new ProgramHome({
-      configuration: () => this.configuration.current,
-      dispatcher,
-      endListener: this.upstreams.memory,
-      log: this.log,
-      logger,
-      maximumMailbox: settings.maximumMailbox,
-      objects: platform.objects,
-      shardCount: settings.shardCount,
+    this.home = this.createHome();
+    this.openPrograms = new OpenProgramCounts({
+      countHere: () => this.home.countOpenByWorkspace(),
+      keepMilliseconds: settings.lease.termMilliseconds,
       timers,
     });
     this.leases = this.createLeases();
     this.heartbeats = this.createHeartbeats();
+    this.admission = this.createAdmission();
     this.operatorStatus = this.createOperatorStatus();
     this.peerServer = new PeerServer({
       copies: keepNoCopies,
       findGone: programs => this.home.findGone(programs),
       heartbeats: this.heartbeats,
       home: this.home,
-      lender: lendNothing,
+      lender: this.admission,
       operators: this.operatorStatus,
       timers,
     });
@@ -153,12 +152,14 @@
     this.configuration.start();
     this.heartbeats.start();
     this.home.start();
-    this.sweeps = timers.every(LOG_SWEEP_MILLISECONDS, () => {
-      this.sweepLogs();
+    this.sweeps = timers.every(SWEEP_MILLISECONDS, () => {
+      this.sweep();
     });
     this.upstreams.start();
+    this.admission.start();
     this.configuration.subscribe(configuration => {
       this.upstreams.updateConfiguration(configuration);
+      this.admission.updateConfiguration(configuration);
     });
     this.renewals = timers.every(settings.lease.renewMilliseconds, () => {
       this.renewLeases();
@@ -191,7 +192,7 @@
         drainPeers: async () => this.peerServer.drain(),
         handOver: async () => {
           // Renewed until the last call has finished: its turn needs a lease that holds.
-          await this.leases.stop();
+          await Promise.all([this.leases.stop(), this.admission.release()]);
           this.renewals?.stop();
         },
       },
@@ -202,6 +203,7 @@
   private close(): void {
     this.sweeps?.stop();
     this.home.stop();
+    this.admission.close();
     this.configuration.stop();
     this.heartbeats.stop();
     this.upstreams.stop();
@@ -218,10 +220,13 @@
     });
   }
 
-  private sweepLogs(): void {
+  private sweep(): void {
     if (this.leases.standing(FIRST_SHARD) !== 'held') {
       return;
     }
+    this.leases.endAbandonedSessions().catch((failure: unknown) => {
+      this.parts.logger.warn({ failure: failureText(failure) }, 'session sweep failed');
+    });
     const { objects, table } = this.parts.platform;
     const { shardCount } = this.parts.settings;
     new LogSweeper({ objects, shardCount, table }).sweep().catch((failure: unknown) => {
@@ -229,6 +234,22 @@
     });
   }
 
+  private createHome(): ProgramHome {
+    const { logger, platform, settings, timers } = this.parts;
+    return new ProgramHome({
+      configuration: () => this.configuration.current,
+      countElsewhere: workspace => this.openPrograms.countElsewhere(workspace),
+      dispatcher: this.upstreams.dispatcher,
+      endListener: this.upstreams.memory,
+      log: this.log,
+      logger,
+      maximumMailbox: settings.maximumMailbox,
+      objects: platform.objects,
+      shardCount: settings.shardCount,
+      timers,
+    });
+  }
+
   private createLeases(): ShardLeases {
     const { logger, platform, settings, timers } = this.parts;
     return new ShardLeases({
@@ -266,6 +287,7 @@
       },
       participants: [
         this.locations,
+        this.openPrograms,
         new ConfigurationGossip(this.configuration),
         ...this.upstreams.participants,
       ],
@@ -280,6 +302,7 @@
       incarnation: () => this.leases.incarnation,
       isDraining: () => this.draining !== undefined,
       isReady: () => this.isReady,
+      limits: () => [],
       membership: this.membership,
       settings: this.parts.settings,
       shards: () => this.leases.heldShards,
@@ -293,7 +316,7 @@
       ...settings,
       logger,
       router: new CallerRouter({
-        admission: new StaticAdmission(timers, () => this.membership.alive.length + 1),
+        admission: this.admission,
         bodyLimitBytes: settings.bodyLimitBytes,
         configuration: () => this.configuration.usable,
         keyWatch: this.keyWatch,
@@ -305,6 +328,21 @@
     });
   }
 
+  private createAdmission(): FleetAdmission {
+    const { platform, settings } = this.parts;
+    return new FleetAdmission({
+      ...this.parts,
+      address: settings.peerAddress,
+      clients: this.clients,
+      createIncarnation: () => createIncarnation(settings.instance),
+      firstLoan: randomInt(1, MAXIMUM_FIRST_LOAN),
+      instance: settings.instance,
+      membership: this.membership,
+      settings: settings.limits,
+      table: platform.table,
+    });
+  }
+
   private createUpstreams(): Upstreams {
     const { logger, metrics, settings, timers } = this.parts;
     return new Upstreams({
