--- a/packages/scheduling/src/queue/programOrder.ts
+++ b/packages/scheduling/src/queue/programOrder.ts
@@ -2,6 +2,8 @@
 
 import type { QueueItem } from './workQueue.js';
 
+import { trimOldest } from '../util/trimOldest.js';
+
 /** Orders the work within one workspace; lower keys run first. */
 export interface ProgramOrder {
   /** Key of an item that arrives at `now`, in milliseconds. It never changes while the item waits. */
@@ -16,7 +18,7 @@
   readonly longestHoldMilliseconds: number;
   /** How long before its deadline an item counts as due, in milliseconds. */
   readonly deadlineSlackMilliseconds: number;
-  /** Programs whose start is remembered, at most; the one that called least recently is forgotten. */
+  /** Programs whose start is remembered, at most; the one that started first is forgotten. */
   readonly maxPrograms: number;
 }
 
@@ -40,7 +42,7 @@
  * order.keyOf(item, now);
  */
 export class AttainedServiceOrder implements ProgramOrder {
-  /** In order of the last call: a map keeps the order of insertion. */
+  /** In order of the start: a map keeps the order of insertion. */
   private readonly startedAt = new Map<ProgramId, number>();
 
   public constructor(
@@ -64,13 +66,12 @@
     if (program === undefined) {
       return now;
     }
-    const startedAt = this.startedAt.get(program) ?? now;
-    this.startedAt.delete(program);
-    this.startedAt.set(program, startedAt);
-    const [leastRecent] = this.startedAt.keys();
-    if (this.startedAt.size > this.options.maxPrograms && leastRecent !== undefined) {
-      this.startedAt.delete(leastRecent);
+    const startedAt = this.startedAt.get(program);
+    if (startedAt !== undefined) {
+      return startedAt;
     }
-    return startedAt;
+    this.startedAt.set(program, now);
+    trimOldest(this.startedAt, this.options.maxPrograms);
+    return now;
   }
 }
