fix(stand-ins): push new ids in the benchmark of the queue

Cause of 60 us with 15 workspaces: one key deleted and added again and again chains deleted places in its bucket of the map (profile: push itself).

--- a/packages/stand-ins/src/benchmarks/queueBenchmark.ts
+++ b/packages/stand-ins/src/benchmarks/queueBenchmark.ts
@@ -51,7 +51,8 @@
     const item = queue.pop(index, () => true);
     if (item !== undefined) {
       queue.settle(item.id, item.estimatedTokens);
-      queue.push(item, programs + index);
+      // A new id: a map that deletes and adds one key again and again chains its deleted places.
+      queue.push({ ...item, id: `again-${index}` as WorkId }, programs + index);
     }
   });
   const keptBytesPerUnit = dimension === 'workspaces' ? undefined : keptBytes / size;
