fix(limits): borrow from instances that leave, and look for free seats each second

The instance that had started first still held most seats when its planned stop began. Lenders were the eligible instances, so from the announcement on nobody could borrow from it, although it held the seats until the handover; and what it then released was looked for only every 5 s and counts only 2.1 s after that. Together this is longer than a request waits. Ruled out: the estimate in the waiting line (the refusals came at the deadline, with 0 seats and no tokens at the instances that refused).

Change: lenders are all live instances, and free seats are looked for each second, which reads the table only while an instance misses seats. Loans of shares bridge the handover.

--- a/packages/instance/src/limits/fleetAdmission.ts
+++ b/packages/instance/src/limits/fleetAdmission.ts
@@ -54,7 +54,7 @@
 }
 
 const TICK_MILLISECONDS = 1_000;
-const LOOK_MILLISECONDS = 5_000;
+const LOOK_MILLISECONDS = 1_000;
 const BORROW_TIMEOUT_MILLISECONDS = 300;
 /** Part by which a seat's pause after a change of holder exceeds the longest loan. */
 const SETTLE_FACTOR = 1.05;
@@ -140,7 +140,8 @@
         const home = preferredHolder(shard, membership.eligible());
         return home === instance ? undefined : home;
       },
-      lenders: () => [...membership.eligible()].filter(each => each !== instance),
+      // An instance that leaves holds its seats until it hands over, so it lends as well.
+      lenders: () => membership.alive.map(({ id }) => id),
       loans: new PeerTokenBorrower({
         addressOf: id => membership.find(id as InstanceId)?.address,
         clients,
--- a/packages/stand-ins/src/launch/childProcess.ts
+++ b/packages/stand-ins/src/launch/childProcess.ts
@@ -14,6 +14,11 @@
     this.ended = new Promise(resolve => child.once('exit', resolve));
   }
 
+  /** Identifier of the process at the operating system. */
+  public get processId(): number {
+    return this.child.pid ?? 0;
+  }
+
   /** Sends a signal, such as `SIGKILL` or `SIGSTOP`. */
   public signal(signal: NodeJS.Signals): void {
     this.child.kill(signal);
