--- a/packages/stand-ins/src/demonstration/main.ts
+++ b/packages/stand-ins/src/demonstration/main.ts
@@ -1,9 +1,13 @@
 import { hashKey } from '@zincring/core';
 
+import type { CallAnswer } from '../launch/callerClient.js';
+
 import { CallerClient } from '../launch/callerClient.js';
-import { Fleet, waitUntil } from '../launch/fleet.js';
+import { controlStandIn, Fleet, waitUntil } from '../launch/fleet.js';
 
 const KEY = 'demonstration-key';
+const PROGRAMS = 4;
+const ANSWER_TOKENS = 8;
 
 const rules = `
 workspace utility rate=200 burst=400 # dana: the pilot of the utility
@@ -13,67 +17,155 @@
 program trace services=minutes-llm,ticket-app tokens=100000 calls=50 idle=600 # dana: complaint traces
 `;
 
+/** One call as the demonstration makes it. */
+interface DemonstrationCall {
+  readonly call: string;
+  readonly service: 'minutes-llm' | 'ticket-app';
+  readonly turn: number;
+  readonly input: unknown;
+  readonly parentCall?: string;
+  readonly path?: string;
+}
+
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
 }
 
-async function findHome(fleet: Fleet, program: string, client: CallerClient): Promise<string> {
-  // The demonstration knows no internals: it kills whichever instance answers, one at a time,
-  // and shows that the program goes on.
-  const first = fleet.instances[0];
-  if (first === undefined) {
-    throw new Error('there is no instance');
+/** Runs the main job against a fleet and prints what happened. */
+class Demonstration {
+  private readonly client = new CallerClient(KEY);
+  private nextInstance = 0;
+
+  public constructor(private readonly fleet: Fleet) {}
+
+  public async run(): Promise<void> {
+    const programs = await this.traceComplaints();
+    const [first] = programs;
+    if (first !== undefined) {
+      await this.killHomeOf(first);
+      await this.orderTwice(first);
+    }
+    await this.endPrograms(programs);
+  }
+
+  /** Programs side by side: two questions, a sub-agent, and the question that depends on it. */
+  private async traceComplaints(): Promise<readonly string[]> {
+    const programs = await Promise.all(
+      Array.from({ length: PROGRAMS }, async (_, index) => {
+        const startedAt = performance.now();
+        const program = await this.open();
+        await this.ask(program, { call: 'read', turn: 1 });
+        await this.ask(program, { call: 'agent', parentCall: 'read', turn: 1 });
+        await this.ask(program, { call: 'compare', turn: 2 });
+        const milliseconds = (performance.now() - startedAt).toFixed(0);
+        print(`program ${index + 1}: two turns and a sub-agent's turn in ${milliseconds} ms`);
+        return program;
+      }),
+    );
+    return programs;
+  }
+
+  private async killHomeOf(program: string): Promise<void> {
+    const shown = await this.fleet.control('programs', 'show', program, '--json');
+    const { holder } = JSON.parse(shown.output) as { readonly holder: string };
+    const home = this.fleet.instances.find(instance => holder.startsWith(instance.id));
+    if (home === undefined) {
+      throw new Error(`the home ${holder} is not known`);
+    }
+    await home.process.kill();
+    this.fleet.instances.splice(this.fleet.instances.indexOf(home), 1);
+    const startedAt = performance.now();
+    await this.ask(program, { call: 'go-on', turn: 3 });
+    const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+    print(`the home of program 1, ${home.id}, was killed; its next turn took ${seconds} s`);
+  }
+
+  private async orderTwice(program: string): Promise<void> {
+    const order: DemonstrationCall = {
+      call: 'order',
+      input: { street: 'Front Street', work: 'flush the main' },
+      path: '/orders',
+      service: 'ticket-app',
+      turn: 4,
+    };
+    const answers = [await this.send(program, order), await this.send(program, order)];
+    const service = this.fleet.upstreams.find(each => each.service === 'ticket-app');
+    const seen = (await controlStandIn(service?.standIn.address ?? '', 'executions')) as {
+      readonly executions: readonly unknown[];
+    };
+    const isSame = answers[0]?.text === answers[1]?.text;
+    print(
+      `a work order sent twice ran ${seen.executions.length} time; the answers are ${isSame ? 'the same' : 'different'}`,
+    );
+  }
+
+  private async endPrograms(programs: readonly string[]): Promise<void> {
+    for (const program of programs) {
+      await this.client.endProgram(this.anyAddress(), program);
+    }
+    await waitUntil(async () => (await this.heldPrograms()) === 0);
+    print(`${programs.length} programs ended; the engines hold nothing for them`);
+  }
+
+  private async heldPrograms(): Promise<number> {
+    const engines = this.fleet.upstreams.filter(each => each.service === 'minutes-llm');
+    const held = await Promise.all(
+      engines.map(async ({ standIn }) => {
+        const response = await fetch(`http://${standIn.address}/v1/held`);
+        const body = (await response.json()) as { readonly programs: object };
+        return Object.keys(body.programs).length;
+      }),
+    );
+    return held.reduce((sum, each) => sum + each, 0);
+  }
+
+  private async open(): Promise<string> {
+    let program = '';
+    await waitUntil(async () => {
+      const opened = await this.client.openProgram(this.anyAddress(), 'trace');
+      program = String(opened.body['program']);
+      return opened.status === 201;
+    });
+    return program;
+  }
+
+  private async ask(
+    program: string,
+    call: Pick<DemonstrationCall, 'call' | 'parentCall' | 'turn'>,
+  ): Promise<void> {
+    await this.send(program, { ...call, input: `question ${call.call}`, service: 'minutes-llm' });
+  }
+
+  private async send(program: string, call: DemonstrationCall): Promise<CallAnswer> {
+    const answer = await this.client.call(this.anyAddress(), program, {
+      ...call,
+      ...(call.service === 'minutes-llm' ? { maxTokens: ANSWER_TOKENS } : {}),
+    });
+    if (answer.closed === undefined) {
+      throw new Error(`${call.call}: ${JSON.stringify(answer.error)}`);
+    }
+    return answer;
+  }
+
+  /** Each call goes through another instance, as a balancer would send it. */
+  private anyAddress(): string {
+    const { instances } = this.fleet;
+    return instances[this.nextInstance++ % instances.length]?.callerAddress ?? '';
   }
-  await client.describeProgram(first.callerAddress, program);
-  return first.id;
 }
 
 const fleet = await Fleet.start({
   engines: 2,
   instances: 3,
   plainServices: 1,
-  settings: { logLevel: 'warn' },
+  settings: { logLevel: 'error' },
   zones: ['nelson', 'castlegar', 'trail'],
 });
 try {
   await fleet.applyRules(rules);
   await fleet.waitUntilReady();
-  const client = new CallerClient(KEY);
-  const addresses = fleet.instances.map(instance => instance.callerAddress);
-  const at = (index: number): string => addresses[index % addresses.length] ?? '';
-
-  let program = '';
-  await waitUntil(async () => {
-    const opened = await client.openProgram(at(0), 'trace');
-    program = String(opened.body['program']);
-    return opened.status === 201;
-  });
-  print(`program ${program} opened through ${fleet.instances[0]?.id ?? ''}`);
-  for (let turn = 1; turn <= 3; turn++) {
-    const answer = await client.call(at(turn), program, {
-      call: `call-${turn}`,
-      input: `question ${turn}`,
-      maxTokens: 8,
-      service: 'minutes-llm',
-      turn,
-    });
-    print(
-      `turn ${turn} through entry-${(turn % 3) + 1}: ${answer.text}${JSON.stringify(answer.closed)}`,
-    );
-  }
-  const killed = await findHome(fleet, program, client);
-  await fleet.instances[0]?.process.kill();
-  print(`${killed} killed`);
-  const answer = await client.call(at(1), program, {
-    call: 'order-1',
-    input: { street: 'Front Street', work: 'flush the main' },
-    path: '/orders',
-    service: 'ticket-app',
-    turn: 4,
-  });
-  print(
-    `turn 4 after the kill: ${answer.status} ${answer.text} ${JSON.stringify(answer.closed ?? answer.error)}`,
-  );
+  print('3 instances, 2 engines, 1 plain service and the platform run as processes on loopback');
+  await new Demonstration(fleet).run();
 } finally {
   await fleet.stop();
 }
