refactor: one source of random numbers, one look at safe methods, one way to open a program in tests

No behaviour changes: the sequences of random numbers are the same but for the rounding of one interval of the limits experiment.

--- a/packages/control/tests/configuration.process.test.ts
+++ b/packages/control/tests/configuration.process.test.ts
@@ -4,7 +4,8 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { CallerClient } from '../../stand-ins/src/launch/callerClient.js';
-import { Fleet, waitUntil } from '../../stand-ins/src/launch/fleet.js';
+import { Fleet } from '../../stand-ins/src/launch/fleet.js';
+import { waitUntil } from '../../stand-ins/src/launch/waitUntil.js';
 import { CuttableProxy } from './cuttableProxy.js';
 
 /** Within how long a change is to be in force everywhere, in milliseconds. */
@@ -106,12 +107,7 @@
 
   it('tells operators of instances, shards, upstreams and programs', async () => {
     const client = new CallerClient(await issueKey('crew'));
-    let program = '';
-    await waitUntil(async () => {
-      const opened = await client.openProgram(fleet.instances[0]!.callerAddress, 'trace');
-      program = String(opened.body['program']);
-      return opened.status === 201;
-    });
+    const program = await client.openWhenReady(fleet.instances[0]!.callerAddress, 'trace');
     const shown = await control('programs', 'show', program);
     expect(shown).toMatchObject({ policy: 'trace', program, turn: 0, workspace: 'utility' });
     interface Status {
--- a/packages/coordination/tests/limits/escrowedLimiter.test.ts
+++ b/packages/coordination/tests/limits/escrowedLimiter.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { seatTerms } from '../../../stand-ins/src/experiments/limits/mechanisms.js';
-import { RandomSource } from '../../../stand-ins/src/experiments/limits/randomSource.js';
+import { RandomSource } from '../../../stand-ins/src/util/randomSource.js';
 import { SimulatedFleet } from '../../../stand-ins/src/experiments/limits/simulatedFleet.js';
 import { runFaultHistory } from './faultHistory.js';
 
--- a/packages/coordination/tests/limits/faultHistory.ts
+++ b/packages/coordination/tests/limits/faultHistory.ts
@@ -3,7 +3,7 @@
 import type { MechanismName } from '../../../stand-ins/src/experiments/limits/mechanisms.js';
 import type { SimulatedInstance } from '../../../stand-ins/src/experiments/limits/simulatedFleet.js';
 
-import { RandomSource } from '../../../stand-ins/src/experiments/limits/randomSource.js';
+import { RandomSource } from '../../../stand-ins/src/util/randomSource.js';
 import { SimulatedFleet } from '../../../stand-ins/src/experiments/limits/simulatedFleet.js';
 
 export interface FaultHistory {
@@ -54,7 +54,7 @@
   let granted = 0;
   const offer = (load: number): void => {
     for (const [workspace, size] of limits) {
-      const instances = random.next() < 0.5 ? fleet.instances : [random.pick(fleet.instances)];
+      const instances = random.uniform() < 0.5 ? fleet.instances : [random.pick(fleet.instances)];
       for (let count = Math.ceil(size.rate * load); count > 0; count--) {
         fleet.request(random.pick(instances), workspace, random.below(3_000), outcome => {
           granted += outcome === 'granted' ? 1 : 0;
@@ -63,14 +63,14 @@
     }
   };
   for (let step = 0; step < history.steps; step++) {
-    offer(random.next() * 6);
+    offer(random.uniform() * 6);
     // The faults meet messages on their way.
     await fleet.timers.advance(random.below(6));
     for (let faults = random.below(4); faults > 0; faults--) {
       disturb(fleet, random);
     }
-    offer(random.next() * 2);
-    await fleet.timers.advance(random.next() < 0.5 ? random.below(1_000) : random.below(6_000));
+    offer(random.uniform() * 2);
+    await fleet.timers.advance(random.uniform() < 0.5 ? random.below(1_000) : random.below(6_000));
   }
   await calm(fleet, history.seatTerms.termMilliseconds, limits);
   const before = new Map([...fleet.checkers].map(([name, checker]) => [name, checker.grants]));
--- a/packages/instance/src/callers/serviceRoutes.ts
+++ b/packages/instance/src/callers/serviceRoutes.ts
@@ -8,6 +8,7 @@
 
 import type { UpstreamDispatcher, UpstreamWork } from '../upstreams/upstreamMessages.js';
 
+import { isSafeMethod } from '../util/isSafeMethod.js';
 import { refuseMethod } from './refuseMethod.js';
 import { untilAborted } from './untilAborted.js';
 import { writePatiently } from './writePatiently.js';
@@ -45,7 +46,6 @@
   readonly readerTimeoutMilliseconds: number;
 }
 
-const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
 const ALLOWED_METHODS = ['DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT'] as const;
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
@@ -70,7 +70,7 @@
       throw new ZincringError('bad-request', { detail: 'idempotency-key: not an identifier' });
     }
     const timeoutMilliseconds = rule.timeoutSeconds * 1_000;
-    const isIdempotent = rule.idempotent || SAFE_METHODS.has(request.method);
+    const isIdempotent = rule.idempotent || isSafeMethod(request.method);
     const gone = new AbortController();
     response.once('close', () => {
       gone.abort();
--- a/packages/instance/src/programs/callPayload.ts
+++ b/packages/instance/src/programs/callPayload.ts
@@ -6,15 +6,14 @@
 import type { CallRequest } from './programMessages.js';
 import type { ProgramState } from './programState.js';
 
+import { isSafeMethod } from '../util/isSafeMethod.js';
+
 /** Characters of a prompt that make at least one token of the engines, at most. */
 const CHARACTERS_PER_TOKEN = 4;
 
-/** HTTP methods that have no effects by definition. */
-const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
-
 /** Whether a call may be sent again after a failure. */
 export function isIdempotentCall(request: CallRequest, rule: ServiceRule): boolean {
-  return rule.protocol === 'engine' || rule.idempotent || SAFE_METHODS.has(request.method);
+  return rule.protocol === 'engine' || rule.idempotent || isSafeMethod(request.method);
 }
 
 /** Digest of all that makes a call what it is, by which a resend is told from another request. */
--- a/packages/stand-ins/src/demonstration/main.ts
+++ b/packages/stand-ins/src/demonstration/main.ts
@@ -3,7 +3,8 @@
 import type { CallAnswer } from '../launch/callerClient.js';
 
 import { CallerClient } from '../launch/callerClient.js';
-import { controlStandIn, Fleet, waitUntil } from '../launch/fleet.js';
+import { controlStandIn, Fleet } from '../launch/fleet.js';
+import { waitUntil } from '../launch/waitUntil.js';
 
 const KEY = 'demonstration-key';
 const PROGRAMS = 4;
@@ -120,13 +121,7 @@
   }
 
   private async open(): Promise<string> {
-    let program = '';
-    await waitUntil(async () => {
-      const opened = await this.client.openProgram(this.anyAddress(), 'trace');
-      program = String(opened.body['program']);
-      return opened.status === 201;
-    });
-    return program;
+    return await this.client.openWhenReady(this.anyAddress(), 'trace');
   }
 
   private async ask(
--- a/packages/stand-ins/src/experiments/limits/runScenario.ts
+++ b/packages/stand-ins/src/experiments/limits/runScenario.ts
@@ -5,7 +5,7 @@
 import type { SimulatedInstance } from './simulatedFleet.js';
 
 import { PerfectLimiter } from './grantChecker.js';
-import { RandomSource } from './randomSource.js';
+import { RandomSource } from '../../util/randomSource.js';
 import { SimulatedFleet } from './simulatedFleet.js';
 
 /** What one mechanism did in one scenario. */
@@ -114,10 +114,13 @@
     perfect: PerfectLimiter,
     source: RandomSource,
   ): void {
-    this.fleet.timers.after(source.interval(size.rate * this.run.scenario.load), () => {
-      this.send(workspace, index, perfect);
-      this.scheduleNext(workspace, size, index, perfect, source);
-    });
+    this.fleet.timers.after(
+      source.exponential(1_000 / (size.rate * this.run.scenario.load)),
+      () => {
+        this.send(workspace, index, perfect);
+        this.scheduleNext(workspace, size, index, perfect, source);
+      },
+    );
   }
 
   private send(workspace: string, index: number, perfect: PerfectLimiter): void {
--- a/packages/stand-ins/src/experiments/limits/simulatedFleet.ts
+++ b/packages/stand-ins/src/experiments/limits/simulatedFleet.ts
@@ -19,7 +19,7 @@
 import { ManualTimerService } from '@zincring/core';
 
 import type { Mechanism, MechanismName } from './mechanisms.js';
-import type { RandomSource } from './randomSource.js';
+import type { RandomSource } from '../../util/randomSource.js';
 
 import { FaultSwitch } from '../../platform/faultSwitch.js';
 import { MemoryTableService } from '../../platform/memoryPlatform.js';
@@ -170,8 +170,8 @@
     const { drift, mechanism, random, seatTerms } = this.options;
     const generation = ++this.processCount;
     const process = new SimulatedProcess(this.timers, {
-      drift: (random.next() * 2 - 1) * drift,
-      offsetMilliseconds: random.next() * CLOCK_SPREAD_MILLISECONDS,
+      drift: (random.uniform() * 2 - 1) * drift,
+      offsetMilliseconds: random.uniform() * CLOCK_SPREAD_MILLISECONDS,
     });
     const created = createMechanism(
       mechanism,
@@ -247,7 +247,7 @@
   private send(from: string, to: string, deliver: (target: SimulatedInstance) => void): void {
     this.messages++;
     const latency =
-      LEAST_LATENCY_MILLISECONDS + this.options.random.next() * LATENCY_SPREAD_MILLISECONDS;
+      LEAST_LATENCY_MILLISECONDS + this.options.random.uniform() * LATENCY_SPREAD_MILLISECONDS;
     this.timers.after(latency, () => {
       const target = this.instances.find(each => each.name === to);
       if (target === undefined || this.cuts.has(`${from}>${to}`)) {
--- a/packages/stand-ins/src/experiments/policy/capacity.ts
+++ b/packages/stand-ins/src/experiments/policy/capacity.ts
@@ -6,7 +6,7 @@
 import { SimulatedEngine } from './fleet/simulatedEngine.js';
 import { countCalls } from './workload/program.js';
 import { drawTurns } from './workload/generateWorkload.js';
-import { RandomSource } from './workload/randomSource.js';
+import { RandomSource } from '../../util/randomSource.js';
 
 /** What one engine can do at most, and what a program asks for. */
 export interface Capacity {
--- a/packages/stand-ins/src/experiments/policy/fleet/simulatedFleet.ts
+++ b/packages/stand-ins/src/experiments/policy/fleet/simulatedFleet.ts
@@ -12,7 +12,7 @@
 
 import { engineSpeed, PLAIN_WORKERS } from '../deployments.js';
 import { createScheduler } from '../policies.js';
-import { RandomSource } from '../workload/randomSource.js';
+import { RandomSource } from '../../../util/randomSource.js';
 import { EventQueue } from './eventQueue.js';
 import { Measurements } from './measurements.js';
 import { ProgramRun } from './programRun.js';
--- a/packages/stand-ins/src/experiments/policy/policies.ts
+++ b/packages/stand-ins/src/experiments/policy/policies.ts
@@ -15,7 +15,7 @@
 } from '@zincring/scheduling';
 
 import type { SimulatedCall } from './fleet/modelCall.js';
-import type { RandomSource } from './workload/randomSource.js';
+import type { RandomSource } from '../../util/randomSource.js';
 
 import { NaiveScheduler } from './naive/naiveScheduler.js';
 import { DeficitRoundRobinQueue } from './rivals/deficitRoundRobinQueue.js';
--- a/packages/stand-ins/src/experiments/policy/workload/generateWorkload.ts
+++ b/packages/stand-ins/src/experiments/policy/workload/generateWorkload.ts
@@ -2,7 +2,7 @@
 
 import type { Program, SubAgent, ToolUse, Turn } from './program.js';
 
-import { RandomSource } from './randomSource.js';
+import { RandomSource } from '../../../util/randomSource.js';
 
 /** Arrivals of one workspace. */
 export interface WorkspaceLoad {
--- a/packages/stand-ins/src/launch/callerClient.ts
+++ b/packages/stand-ins/src/launch/callerClient.ts
@@ -1,3 +1,5 @@
+import { waitUntil } from './waitUntil.js';
+
 /** The answer to a call, with its stream put together. */
 export interface CallAnswer {
   readonly status: number;
@@ -24,6 +26,17 @@
     return await this.send(address, 'POST', '/v1/programs', body);
   }
 
+  /** Opens a program as soon as an instance can, and gives its identifier. */
+  public async openWhenReady(address: string, policy: string, name?: string): Promise<string> {
+    let program = '';
+    await waitUntil(async () => {
+      const opened = await this.openProgram(address, policy, name);
+      program = String(opened.body['program']);
+      return opened.status === 201;
+    });
+    return program;
+  }
+
   /** Reads the state of a program. */
   public async describeProgram(address: string, program: string): Promise<JsonAnswer> {
     return await this.send(address, 'GET', `/v1/programs/${program}`);
--- a/packages/stand-ins/src/launch/fleet.ts
+++ b/packages/stand-ins/src/launch/fleet.ts
@@ -11,6 +11,7 @@
 import { launch } from './childProcess.js';
 import { findFreePort } from './freePort.js';
 import { launchStandIn } from './standInProcess.js';
+import { waitUntil } from './waitUntil.js';
 
 /** One instance that runs as a process of its own. */
 export interface FleetInstance {
@@ -47,8 +48,6 @@
   readonly onLog?: (instance: string, line: string) => void;
 }
 
-const READY_PAUSE_MILLISECONDS = 50;
-
 /** Instances and the world around them, as processes on loopback. */
 export class Fleet {
   public readonly instances: FleetInstance[] = [];
@@ -248,18 +247,3 @@
   });
   return await response.json();
 }
-
-/** Waits until a condition holds; an error counts as not yet. */
-export async function waitUntil(
-  condition: () => Promise<boolean>,
-  timeoutMilliseconds = 30_000,
-): Promise<void> {
-  const giveUpAt = performance.now() + timeoutMilliseconds;
-  while (performance.now() < giveUpAt) {
-    if (await condition().catch(() => false)) {
-      return;
-    }
-    await new Promise(resolve => setTimeout(resolve, READY_PAUSE_MILLISECONDS));
-  }
-  throw new Error(`the condition did not hold within ${timeoutMilliseconds} ms`);
-}
--- a/packages/stand-ins/src/measurements/latency.ts
+++ b/packages/stand-ins/src/measurements/latency.ts
@@ -6,7 +6,7 @@
 import type { FleetInstance } from '../launch/fleet.js';
 
 import { CallerClient } from '../launch/callerClient.js';
-import { Fleet, waitUntil } from '../launch/fleet.js';
+import { Fleet } from '../launch/fleet.js';
 import { readProcessorSeconds } from './processorTime.js';
 
 const KEY = 'latency-key';
@@ -34,13 +34,7 @@
 const client = new CallerClient(KEY);
 
 async function openProgram(instance: FleetInstance): Promise<string> {
-  let program = '';
-  await waitUntil(async () => {
-    const opened = await client.openProgram(instance.callerAddress, 'trace');
-    program = String(opened.body['program']);
-    return opened.status === 201;
-  });
-  return program;
+  return await client.openWhenReady(instance.callerAddress, 'trace');
 }
 
 async function findHome(fleet: Fleet, program: string): Promise<string> {
--- a/packages/stand-ins/src/soak/faultInjector.ts
+++ b/packages/stand-ins/src/soak/faultInjector.ts
@@ -1,5 +1,5 @@
 import type { Fleet, FleetInstance } from '../launch/fleet.js';
-import type { RandomSource } from './randomSource.js';
+import type { RandomSource } from '../util/randomSource.js';
 
 import { controlStandIn } from '../launch/fleet.js';
 import { pause } from './programDriver.js';
--- a/packages/stand-ins/src/soak/invariants.ts
+++ b/packages/stand-ins/src/soak/invariants.ts
@@ -4,7 +4,8 @@
 import type { DrivenCall, DrivenProgram } from './programDriver.js';
 
 import { CallerClient } from '../launch/callerClient.js';
-import { controlStandIn, waitUntil } from '../launch/fleet.js';
+import { controlStandIn } from '../launch/fleet.js';
+import { waitUntil } from '../launch/waitUntil.js';
 
 /** Something that must always hold and did not. */
 export interface Violation {
--- a/packages/stand-ins/src/soak/main.ts
+++ b/packages/stand-ins/src/soak/main.ts
@@ -6,7 +6,7 @@
 import { FaultInjector, type SoakFault } from './faultInjector.js';
 import { findViolations, type Violation } from './invariants.js';
 import { pause, ProgramDriver } from './programDriver.js';
-import { RandomSource } from './randomSource.js';
+import { RandomSource } from '../util/randomSource.js';
 
 const KEY = 'soak-key-7f3a';
 const MAXIMUM_TURNS = 12;
--- a/packages/stand-ins/src/soak/programDriver.ts
+++ b/packages/stand-ins/src/soak/programDriver.ts
@@ -1,5 +1,5 @@
 import type { Fleet } from '../launch/fleet.js';
-import type { RandomSource } from './randomSource.js';
+import type { RandomSource } from '../util/randomSource.js';
 
 import { CallerClient, type CallAnswer } from '../launch/callerClient.js';
 
--- a/packages/stand-ins/src/experiments/policy/workload/randomSource.ts
+++ b/packages/stand-ins/src/util/randomSource.ts
@@ -28,6 +28,15 @@
     return Math.floor(this.uniform() * limit);
   }
 
+  /** One of several values. */
+  public pick<Value>(values: readonly Value[]): Value {
+    const value = values[this.below(values.length)];
+    if (value === undefined) {
+      throw new RangeError('there is nothing to pick from');
+    }
+    return value;
+  }
+
   /** Exponentially distributed, with a mean. */
   public exponential(mean: number): number {
     return -mean * Math.log(1 - this.uniform());
--- a/packages/stand-ins/tests/effects.process.test.ts
+++ b/packages/stand-ins/tests/effects.process.test.ts
@@ -6,7 +6,8 @@
 import type { Execution } from '../src/service/plainServiceServer.js';
 
 import { CallerClient } from '../src/launch/callerClient.js';
-import { controlStandIn, Fleet, waitUntil } from '../src/launch/fleet.js';
+import { controlStandIn, Fleet } from '../src/launch/fleet.js';
+import { waitUntil } from '../src/launch/waitUntil.js';
 
 const KEY = 'effects-key';
 const EFFECT_MILLISECONDS = 1_500;
@@ -67,13 +68,7 @@
   }
 
   async function open(entry: FleetInstance): Promise<string> {
-    let program = '';
-    await waitUntil(async () => {
-      const opened = await client.openProgram(entry.callerAddress, 'trace');
-      program = String(opened.body['program']);
-      return opened.status === 201;
-    });
-    return program;
+    return await client.openWhenReady(entry.callerAddress, 'trace');
   }
 
   async function hit(victim: FleetInstance, fault: Trial['fault']): Promise<void> {
--- a/packages/stand-ins/tests/plannedStop.process.test.ts
+++ b/packages/stand-ins/tests/plannedStop.process.test.ts
@@ -2,7 +2,8 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { CallerClient } from '../src/launch/callerClient.js';
-import { controlStandIn, Fleet, waitUntil } from '../src/launch/fleet.js';
+import { controlStandIn, Fleet } from '../src/launch/fleet.js';
+import { waitUntil } from '../src/launch/waitUntil.js';
 import { ReadyBalancer } from '../src/launch/readyBalancer.js';
 import { SteadyLoad } from '../src/launch/steadyLoad.js';
 
--- a/packages/stand-ins/tests/thinPath.process.test.ts
+++ b/packages/stand-ins/tests/thinPath.process.test.ts
@@ -2,7 +2,7 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
 import { CallerClient } from '../src/launch/callerClient.js';
-import { Fleet, waitUntil } from '../src/launch/fleet.js';
+import { Fleet } from '../src/launch/fleet.js';
 
 const KEY = 'thin-path-key';
 
@@ -35,13 +35,7 @@
   });
 
   async function open(): Promise<string> {
-    let program = '';
-    await waitUntil(async () => {
-      const opened = await client.openProgram(fleet.instances[0]!.callerAddress, 'trace');
-      program = String(opened.body['program']);
-      return opened.status === 201;
-    });
-    return program;
+    return await client.openWhenReady(fleet.instances[0]!.callerAddress, 'trace');
   }
 
   it('keeps the history of a program through the kill of every instance in turn', async () => {
--- a/packages/stand-ins/tests/upstreams.process.test.ts
+++ b/packages/stand-ins/tests/upstreams.process.test.ts
@@ -3,7 +3,8 @@
 
 import { CRASH_MARKER } from '../src/engine/engineServer.js';
 import { CallerClient } from '../src/launch/callerClient.js';
-import { controlStandIn, Fleet, waitUntil } from '../src/launch/fleet.js';
+import { controlStandIn, Fleet } from '../src/launch/fleet.js';
+import { waitUntil } from '../src/launch/waitUntil.js';
 
 const KEY = 'upstreams-process-key';
 
@@ -36,14 +37,7 @@
   });
 
   async function open(instance: number): Promise<string> {
-    let program = '';
-    await waitUntil(async () => {
-      const address = fleet.instances[instance]!.callerAddress;
-      const opened = await client.openProgram(address, 'trace');
-      program = String(opened.body['program']);
-      return opened.status === 201;
-    });
-    return program;
+    return await client.openWhenReady(fleet.instances[instance]!.callerAddress, 'trace');
   }
 
   async function heldPrograms(): Promise<readonly string[]> {
--- a/packages/stand-ins/tests/wholeAnswers.process.test.ts
+++ b/packages/stand-ins/tests/wholeAnswers.process.test.ts
@@ -5,7 +5,7 @@
 import type { FleetInstance } from '../src/launch/fleet.js';
 
 import { CallerClient } from '../src/launch/callerClient.js';
-import { Fleet, waitUntil } from '../src/launch/fleet.js';
+import { Fleet } from '../src/launch/fleet.js';
 
 const KEY = 'whole-answers-key';
 const OTHER_KEY = 'other-workspace-key';
@@ -42,13 +42,7 @@
   });
 
   async function open(name: string): Promise<string> {
-    let program = '';
-    await waitUntil(async () => {
-      const opened = await client.openProgram(fleet.instances[0]!.callerAddress, 'trace', name);
-      program = String(opened.body['program']);
-      return opened.status === 201;
-    });
-    return program;
+    return await client.openWhenReady(fleet.instances[0]!.callerAddress, 'trace', name);
   }
 
   async function call(instance: FleetInstance, program: string, turn: number): Promise<CallAnswer> {
