feat(scheduling): count the cost of a call alike in the instance and in the experiments

Cause: the experiments charge a generated token as 8 prompt tokens and leave out what is cached, the instance counted whole prompts and answers alike, so the policy that was measured was not the one that ran; the price of sharing a replica differed as well (50 ms against call time over slots).

Change: callCost in scheduling serves both; the home derives a program's attained service from its turns; the price is the setting upstreams.sharingMilliseconds.

--- a/packages/instance/src/lifecycle/settings.ts
+++ b/packages/instance/src/lifecycle/settings.ts
@@ -42,6 +42,7 @@
   reportMilliseconds: milliseconds.default(1_000),
   retryReservePerSecond: z.number().nonnegative().default(1),
   retryShare: z.number().min(0).max(1).default(0.1),
+  sharingMilliseconds: z.number().nonnegative().default(50),
   slotsPerReplica: z.number().int().positive().default(8),
   stallMilliseconds: milliseconds.default(20_000),
   suspicionMilliseconds: milliseconds.default(2_000),
--- a/packages/instance/src/programs/callRunner.ts
+++ b/packages/instance/src/programs/callRunner.ts
@@ -135,7 +135,7 @@
     const { isIdempotent, rule, running, state } = context;
     const { request } = running;
     return {
-      attainedTokens: state.budget.used,
+      attainedTokens: state.attainedTokens,
       beforeSend: async () => this.prepareSend(context),
       call: request.call,
       isIdempotent,
--- a/packages/instance/src/programs/programState.ts
+++ b/packages/instance/src/programs/programState.ts
@@ -1,9 +1,12 @@
 import type { CallId, ProgramId } from '@zincring/core';
 
+import { callCost } from '@zincring/scheduling';
+
 import type { ProgramSummary } from './programMessages.js';
 import type { OpenedRecord, ProgramRecord, TurnRecord } from './programRecord.js';
 import type { TokenBudgetSnapshot } from './tokenBudget.js';
 
+import { estimateTokens } from '../upstreams/workDigest.js';
 import { BranchState } from './branchState.js';
 import { TokenBudget } from './tokenBudget.js';
 
@@ -34,6 +37,7 @@
   private readonly intents = new Map<CallId, string>();
   private readonly startedCalls = new Set<CallId>();
   private ended = false;
+  private attained = 0;
   private openingIsDurable = false;
   /** Tokens that the program may spend. */
   public readonly budget: TokenBudget;
@@ -101,6 +105,11 @@
     return this.branches.get(parentCall) ?? new BranchState(this.program, parentCall);
   }
 
+  /** Service that the program has had, in the unit of the fair queue. */
+  public get attainedTokens(): number {
+    return this.attained;
+  }
+
   /** What is known of a call id. */
   public findCall(call: CallId): KnownCall {
     const turn = this.turnsByCall.get(call);
@@ -205,6 +214,7 @@
     this.turnsByCall.set(record.call, record);
     if (isNew) {
       this.budget.spend(record.usage.promptTokens + record.usage.outputTokens);
+      this.attained += callCost(estimateTokens(record.request), record.usage.outputTokens);
     }
     this.budget.grant(record.allowance);
     this.recordedAgeMilliseconds = Math.max(this.recordedAgeMilliseconds, record.ageMilliseconds);
--- a/packages/instance/src/upstreams/queueingDispatcher.ts
+++ b/packages/instance/src/upstreams/queueingDispatcher.ts
@@ -2,6 +2,7 @@
 import type { BodyDigest, PrefixChain, RetryBudget } from '@zincring/scheduling';
 
 import { ZincringError } from '@zincring/core';
+import { callCost } from '@zincring/scheduling';
 
 import type { EngineMemory } from './engineMemory.js';
 import type { PoisonGuard } from './poisonGuard.js';
@@ -11,7 +12,7 @@
 
 import { promptPrefixes } from './promptPrefixes.js';
 import { classifyUpstreamFailure, type UpstreamFailure } from './upstreamFailure.js';
-import { workDigest } from './workDigest.js';
+import { estimateTokens, workDigest } from './workDigest.js';
 
 /** What dispatching needs. */
 export interface QueueingDispatcherOptions {
@@ -183,11 +184,10 @@
 
 function createLaneRequest(attempts: Attempts): Parameters<ServiceLane['acquire']>[0] {
   const { deadline, excluded, prefixes, promptTokens, work } = attempts;
-  const answerTokens = work.payload.protocol === 'engine' ? work.payload.maxTokens : 0;
   return {
     attainedTokens: work.attainedTokens,
     deadline,
-    estimatedTokens: Math.max(1, promptTokens + answerTokens),
+    estimatedTokens: estimateCost(work),
     excluded,
     prefixes,
     program: work.program,
@@ -197,6 +197,13 @@
   };
 }
 
+/** Cost of a call whose history is cached; the queue settles it by what the call has used. */
+function estimateCost({ payload }: UpstreamWork): number {
+  return payload.protocol === 'plain'
+    ? 1
+    : callCost(estimateTokens(payload.segments.at(-1) ?? ''), payload.maxTokens);
+}
+
 function succeeded(
   attempts: Attempts,
   { usage }: Extract<UpstreamFrame, { kind: 'done' }>,
@@ -208,6 +215,6 @@
     prefixes: isEngine
       ? promptPrefixes(attempts.work, Buffer.concat(answer).toString('utf8'))
       : attempts.prefixes,
-    usedTokens: Math.max(1, usage.promptTokens - usage.cachedTokens + usage.outputTokens),
+    usedTokens: Math.max(1, callCost(usage.promptTokens - usage.cachedTokens, usage.outputTokens)),
   };
 }
--- a/packages/instance/src/upstreams/serviceLanes.ts
+++ b/packages/instance/src/upstreams/serviceLanes.ts
@@ -30,6 +30,8 @@
   readonly maximumWaiting: number;
   /** Most calls that wait for one service for one workspace at one instance. */
   readonly maximumWaitingPerWorkspace: number;
+  /** Price of each call that is computed beside, since a batch shares the replica, in milliseconds. */
+  readonly sharingMilliseconds: number;
   /** Calls that an engine computes at a time. */
   readonly slotsPerReplica: number;
   /** Time to compute one prompt token, in milliseconds. */
@@ -184,7 +186,7 @@
         maxPrefixes: settings.maximumPrefixes,
         prefillMillisecondsPerToken: settings.prefillMillisecondsPerToken,
         random: Math.random,
-        sharingMilliseconds: settings.callMilliseconds / settings.slotsPerReplica,
+        sharingMilliseconds: settings.sharingMilliseconds,
         slotsPerReplica: settings.slotsPerReplica,
         zone,
         zoneMilliseconds: settings.zoneMilliseconds,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -40,6 +40,7 @@
   UpstreamDeath,
 } from './retries/quarantine.js';
 export { defaultQuarantineOptions, Quarantine } from './retries/quarantine.js';
+export { callCost } from './cost/callCost.js';
 export type { EnginePriorityInput } from './priority/enginePriority.js';
 export { enginePriority } from './priority/enginePriority.js';
 export type { RemoteUseListener, WorkspaceTotal } from './queue/workspaceUse.js';
--- a/packages/stand-ins/src/experiments/policy/fleet/programRun.ts
+++ b/packages/stand-ins/src/experiments/policy/fleet/programRun.ts
@@ -5,8 +5,9 @@
 import type { SimulatedCall } from './modelCall.js';
 import type { SimulatedInstance } from './simulatedInstance.js';
 
+import { callCost } from '@zincring/scheduling';
+
 import { SYSTEM_PROMPT_TOKENS } from '../workload/generateWorkload.js';
-import { DECODE_WEIGHT } from './simulatedInstance.js';
 
 /** Answer that is expected before it is known, in tokens. */
 const EXPECTED_OUTPUT_TOKENS = 150;
@@ -54,7 +55,7 @@
       return;
     }
     this.callModel(chain, index, turn, () => {
-      this.attainedTokens += turn.inputTokens + DECODE_WEIGHT * turn.outputTokens;
+      this.attainedTokens += callCost(turn.inputTokens, turn.outputTokens);
       this.runSubAgents(chain, index, turn.subAgents, () => {
         const isLast = index === chain.turns.length - 1;
         this.useTool(isLast ? undefined : turn.tool, `${chain.name}/${index}/tool`, () => {
@@ -79,7 +80,7 @@
     home.submit({
       ...this.callBasis(name, events.now),
       answered,
-      estimatedTokens: turn.inputTokens + DECODE_WEIGHT * EXPECTED_OUTPUT_TOKENS,
+      estimatedTokens: callCost(turn.inputTokens, EXPECTED_OUTPUT_TOKENS),
       onDone,
       outputTokens: turn.outputTokens,
       prefixes,
--- a/packages/stand-ins/src/experiments/policy/fleet/simulatedInstance.ts
+++ b/packages/stand-ins/src/experiments/policy/fleet/simulatedInstance.ts
@@ -1,7 +1,7 @@
 import type { AvailabilityZone, IncarnationId, UpstreamId } from '@zincring/core';
 import type { Dispatch, RetryBudget, ServiceScheduler, WorkId } from '@zincring/scheduling';
 
-import { WorkspaceUse } from '@zincring/scheduling';
+import { callCost, WorkspaceUse } from '@zincring/scheduling';
 
 import type { EventQueue } from './eventQueue.js';
 import type { Measurements } from './measurements.js';
@@ -29,8 +29,6 @@
   readonly zoneMilliseconds: number;
 }
 
-/** What one generated token costs, in prompt tokens. */
-export const DECODE_WEIGHT = 8;
 /** When a caller comes back after a refusal, in milliseconds. */
 const RETRY_AFTER_MILLISECONDS = 2_000;
 const WITHIN_ZONE_MILLISECONDS = 0.2;
@@ -125,7 +123,7 @@
 
   private finish(call: SimulatedCall, computedTokens: number): void {
     const { events, measurements, schedulers } = this.options;
-    const usedTokens = computedTokens + DECODE_WEIGHT * call.outputTokens;
+    const usedTokens = callCost(computedTokens, call.outputTokens);
     schedulers[call.service].noteEnd({ end: 'succeeded', id: call.id, usedTokens }, events.now);
     if (call.service === 'model') {
       measurements.computedTokens += computedTokens;
