test(core): hold the closed list of error kinds to what code gives and tests expect

Cause: configuration-conflict and instance-draining stood in the list and could not be reached (zincringctl tells conflicts by exit code, and a draining instance goes on serving); internal and instance-not-ready had no test. The new check failed for these four. The first two go, the others have tests at the callers' interface.

--- a/packages/core/src/errors/errorKinds.ts
+++ b/packages/core/src/errors/errorKinds.ts
@@ -54,12 +54,6 @@
     retryAfterSeconds: null,
     text: 'The call may have run. It will not be run again.',
   },
-  'configuration-conflict': {
-    status: 409,
-    ran: 'no',
-    retryAfterSeconds: null,
-    text: 'Another change was accepted first.',
-  },
   'deadline-exceeded': {
     status: 504,
     ran: 'maybe',
@@ -78,12 +72,6 @@
     retryAfterSeconds: null,
     text: 'The headers are too large.',
   },
-  'instance-draining': {
-    status: 503,
-    ran: 'no',
-    retryAfterSeconds: 1,
-    text: 'The instance is shutting down. Try another.',
-  },
   'instance-not-ready': {
     status: 503,
     ran: 'no',
--- /dev/null
+++ b/packages/core/tests/errors/errorKinds.test.ts
@@ -0,0 +1,32 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+import { allErrorKinds } from '@zincring/core';
+import { describe, expect, it } from 'vitest';
+
+const packages = join(import.meta.dirname, '../../..');
+
+function readSources(folder: 'src' | 'tests'): string {
+  return readdirSync(packages)
+    .flatMap(name =>
+      readdirSync(join(packages, name, folder), { encoding: 'utf8', recursive: true }).map(file =>
+        join(packages, name, folder, file),
+      ),
+    )
+    .filter(file => file.endsWith('.ts') && !/errorKinds\.(test\.)?ts$/.test(file))
+    .map(file => readFileSync(file, 'utf8'))
+    .join('\n');
+}
+
+describe('every error kind of the closed list', () => {
+  const sources = readSources('src');
+  const tests = readSources('tests');
+
+  it.each(allErrorKinds.map(kind => ({ kind })))('$kind is given by code', ({ kind }) => {
+    expect(sources).toMatch(new RegExp(`Error(Class)?\\(\\s*(\\w+ \\? )?[^;]*'${kind}'`));
+  });
+
+  it.each(allErrorKinds.map(kind => ({ kind })))('$kind is expected by a test', ({ kind }) => {
+    expect(tests).toMatch(new RegExp(`'${kind}['\\s]`));
+  });
+});
--- a/packages/instance/tests/callers/callerServer.test.ts
+++ b/packages/instance/tests/callers/callerServer.test.ts
@@ -43,13 +43,17 @@
 type Listener = Parameters<ConfigurationFollower['subscribe']>[0];
 const listeners: Listener[] = [];
 
-function createServer(port: { number: number }, maximumConnections: number): CallerServer {
+function createServer(
+  port: { number: number },
+  maximumConnections: number,
+  hasConfiguration = true,
+): CallerServer {
   const configuration = createConfiguration(1 as ConfigurationVersion, parseRules(rules).unwrap());
   const timers = new SystemTimerService();
   const router = new CallerRouter({
     admission: { admit: async () => Promise.resolve(Ok(undefined)) },
     bodyLimitBytes: BODY_LIMIT,
-    configuration: () => configuration,
+    configuration: () => (hasConfiguration ? configuration : undefined),
     keyWatch: new KeyWatch({
       follower: {
         current: configuration,
@@ -165,6 +169,13 @@
     expect(works).toHaveLength(0);
   });
 
+  it('says of an unexpected fault that the request may have run', async () => {
+    const answer = await exchange(port.number, get('/v1/programs/x', auth));
+    expect(answer).toMatch(/^HTTP\/1\.1 500 /);
+    expect(kindOf(answer)).toBe('internal');
+    expect(answer).toContain('"ran":"maybe"');
+  });
+
   it('names the methods that a route takes', async () => {
     expect(await exchange(port.number, get('/v1/programs', auth))).toMatch(/allow: POST/i);
   });
@@ -246,3 +257,17 @@
     );
   });
 });
+
+describe('a caller server without a configuration', () => {
+  const port = { number: 0 };
+  const server = createServer(port, 20, false);
+
+  beforeAll(async () => server.listen('127.0.0.1', 0));
+  afterAll(async () => server.drain());
+
+  it('refuses every request until it has one', async () => {
+    const answer = await exchange(port.number, get('/v1/programs/x', auth));
+    expect(answer).toMatch(/^HTTP\/1\.1 503 /);
+    expect(kindOf(answer)).toBe('instance-not-ready');
+  });
+});
