feat(metrics): send what the table of metrics promises, and promise nothing else

Cause: 16 of 27 names of the closed table were never sent, so the operators' page named alarms that could not ring.

--- a/packages/core/src/metrics/metricTable.ts
+++ b/packages/core/src/metrics/metricTable.ts
@@ -71,18 +71,6 @@
     tags: [],
     text: 'Shards held by this instance.',
   },
-  'leases.lost': {
-    type: 'counter',
-    unit: 'sessions',
-    tags: [],
-    text: 'Lease sessions lost to another instance.',
-  },
-  'leases.takeover': {
-    type: 'timing',
-    unit: 'milliseconds',
-    tags: [],
-    text: 'Time from taking a shard to serving it.',
-  },
   'limits.granted': {
     type: 'counter',
     unit: 'requests',
@@ -101,18 +89,6 @@
     tags: [],
     text: 'Seats of the rate limits that this instance holds.',
   },
-  'log.group_records': {
-    type: 'gauge',
-    unit: 'records',
-    tags: [],
-    text: 'Records of the last commit group of the write-ahead log.',
-  },
-  'log.group_duration': {
-    type: 'timing',
-    unit: 'milliseconds',
-    tags: [],
-    text: 'Time to store a commit group of the write-ahead log.',
-  },
   'log.pending': {
     type: 'gauge',
     unit: 'records',
@@ -125,12 +101,6 @@
     tags: [],
     text: 'Other instances heard of lately.',
   },
-  'platform.failures': {
-    type: 'counter',
-    unit: 'operations',
-    tags: ['operation', 'failure'],
-    text: 'Operations on the platform that failed.',
-  },
   'programs.open': {
     type: 'gauge',
     unit: 'programs',
@@ -143,24 +113,6 @@
     tags: ['service'],
     text: 'Time that a call waited before it was sent to an upstream.',
   },
-  'queue.length': {
-    type: 'gauge',
-    unit: 'calls',
-    tags: ['service'],
-    text: 'Calls that wait for an upstream.',
-  },
-  'requests.refused': {
-    type: 'counter',
-    unit: 'requests',
-    tags: ['kind'],
-    text: 'Requests refused, by the kind of the error.',
-  },
-  'upstream.in_flight': {
-    type: 'gauge',
-    unit: 'calls',
-    tags: ['service'],
-    text: 'Calls under way at the upstreams of a service.',
-  },
   'upstream.retries': {
     type: 'counter',
     unit: 'calls',
--- a/packages/core/src/metrics/metrics.ts
+++ b/packages/core/src/metrics/metrics.ts
@@ -10,7 +10,7 @@
   /** Adds to a counter. */
   increment<Name extends CounterName>(name: Name, amount?: number, tags?: TagsOf<Name>): void;
   /** Sets a gauge. */
-  gauge<Name extends GaugeName>(name: Name, value: number, tags?: TagsOf<Name>): void;
+  gauge(name: GaugeName, value: number): void;
   /** Records a duration in milliseconds. */
   timing<Name extends TimingName>(name: Name, milliseconds: number, tags?: TagsOf<Name>): void;
   /** Sends what is buffered and closes the socket. */
@@ -54,8 +54,8 @@
     increment: (name, amount = 1, tags) => {
       client.increment(name, amount, toTags(tags));
     },
-    gauge: (name, value, tags) => {
-      client.gauge(name, value, toTags(tags));
+    gauge: (name, value) => {
+      client.gauge(name, value);
     },
     timing: (name, milliseconds, tags) => {
       client.timing(name, milliseconds, toTags(tags));
--- a/packages/core/tests/metrics/metricTable.test.ts
+++ b/packages/core/tests/metrics/metricTable.test.ts
@@ -21,13 +21,13 @@
   });
 
   it('compiles for its own names, types and tags alone', () => {
-    discardingMetrics.increment('requests.refused', 1, { kind: 'rate-limited' });
+    discardingMetrics.increment('limits.refused', 1, { workspace: 'utility' });
     // @ts-expect-error no such name
-    discardingMetrics.increment('requests.refuse');
+    discardingMetrics.increment('limits.refuse');
     // @ts-expect-error a gauge is not a counter
     discardingMetrics.increment('configuration.version');
     // @ts-expect-error no such tag
-    discardingMetrics.increment('requests.refused', 1, { workspace: 'utility' });
-    expect(allMetricNames).toContain('requests.refused');
+    discardingMetrics.increment('limits.refused', 1, { kind: 'rate-limited' });
+    expect(allMetricNames).toContain('limits.refused');
   });
 });
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -48,6 +48,7 @@
 import { Upstreams } from '../upstreams/upstreams.js';
 import { splitAddress } from '../util/splitAddress.js';
 import { drain } from './drainSteps.js';
+import { InstanceGauges } from './instanceGauges.js';
 import { OperatorServer } from './operatorServer.js';
 
 /** What an instance is made of. */
@@ -85,6 +86,7 @@
   private readonly operatorStatus: InstanceStatus;
   private readonly peerServer: PeerServer;
   private readonly operatorServer: OperatorServer;
+  private readonly gauges: InstanceGauges;
   private renewals: TimerSubscription | undefined;
   private sweeps: TimerSubscription | undefined;
   private draining: Promise<void> | undefined;
@@ -133,6 +135,7 @@
       timers,
     });
     this.callerServer = this.createCallerServer(dispatcher);
+    this.gauges = this.createGauges();
     this.operatorServer = new OperatorServer({
       drain: () => void this.stop(),
       isReady: () => this.isReady,
@@ -155,6 +158,7 @@
     this.sweeps = timers.every(SWEEP_MILLISECONDS, () => {
       this.sweep();
     });
+    this.gauges.start();
     this.upstreams.start();
     this.admission.start();
     this.configuration.subscribe(configuration => {
@@ -175,7 +179,8 @@
   }
 
   private async drain(): Promise<void> {
-    const { logger, settings, timers } = this.parts;
+    const { logger, metrics, settings, timers } = this.parts;
+    const startedAt = timers.now();
     await drain(
       {
         announce: () => {
@@ -183,6 +188,7 @@
           this.heartbeats.beat();
         },
         close: () => {
+          metrics.timing('drain.duration', timers.now() - startedAt);
           this.close();
         },
         closeConnectionsAfterAnswers: () => {
@@ -201,6 +207,7 @@
   }
 
   private close(): void {
+    this.gauges.stop();
     this.sweeps?.stop();
     this.home.stop();
     this.admission.close();
@@ -234,6 +241,20 @@
     });
   }
 
+  private createGauges(): InstanceGauges {
+    return new InstanceGauges({
+      metrics: this.parts.metrics,
+      read: () => ({
+        activeCalls: this.callerServer.activeRequests,
+        alivePeers: this.membership.alive.length,
+        heldShards: this.leases.heldShards.length,
+        openPrograms: this.home.programCount,
+        pendingRecords: this.log.pending,
+      }),
+      timers: this.parts.timers,
+    });
+  }
+
   private createHome(): ProgramHome {
     const { logger, platform, settings, timers } = this.parts;
     return new ProgramHome({
--- a/packages/instance/src/upstreams/queueingDispatcher.ts
+++ b/packages/instance/src/upstreams/queueingDispatcher.ts
@@ -4,6 +4,7 @@
 import { ZincringError } from '@zincring/core';
 import { callCost } from '@zincring/scheduling';
 
+import type { CallUsage } from '../programs/programMessages.js';
 import type { EngineMemory } from './engineMemory.js';
 import type { PoisonGuard } from './poisonGuard.js';
 import type { ReplicaSender } from './replicaSender.js';
@@ -56,15 +57,18 @@
 
   public async *dispatch(work: UpstreamWork): AsyncGenerator<UpstreamFrame> {
     const attempts = this.begin(work);
+    const startedAt = this.options.timers.now();
     this.options.retryBudgetOf(work.service).noteFirstAttempt();
     for (;;) {
       const end = yield* this.attempt(attempts);
       if (end.kind === 'answered') {
+        this.noteFinished(work, 'answered', startedAt);
         return;
       }
       const error =
         end.kind === 'refused' ? truthful(attempts, end.error) : await this.judge(attempts, end);
       if (error !== undefined) {
+        this.noteFinished(work, error.kind, startedAt);
         yield { error, kind: 'failed' };
         return;
       }
@@ -92,7 +96,10 @@
       return { error: poison, kind: 'refused' };
     }
     const lane = this.options.laneOf(work.service);
+    const queuedAt = this.options.timers.now();
     const acquired = await lane.acquire(createLaneRequest(attempts));
+    const waited = this.options.timers.now() - queuedAt;
+    this.options.metrics.timing('queue.duration', waited, { service: work.service });
     if (acquired.err) {
       return { error: acquired.val, kind: 'refused' };
     }
@@ -125,6 +132,7 @@
         }
         if (frame.kind === 'done') {
           end = succeeded(attempts, frame, answer);
+          this.countTokens(work.service, frame.usage);
         }
         yield frame;
       }
@@ -170,6 +178,19 @@
     return undefined;
   }
 
+  private noteFinished(work: UpstreamWork, outcome: string, startedAt: number): void {
+    const { metrics, timers } = this.options;
+    const { service } = work;
+    metrics.increment('calls.finished', 1, { outcome, service });
+    metrics.timing('calls.duration', timers.now() - startedAt, { service });
+  }
+
+  private countTokens(service: ServiceName, { cachedTokens, promptTokens }: CallUsage): void {
+    const { metrics } = this.options;
+    metrics.increment('upstream.tokens_cached', cachedTokens, { service });
+    metrics.increment('upstream.tokens_computed', promptTokens - cachedTokens, { service });
+  }
+
   private mayRetry(service: ServiceName): boolean {
     return this.options.retryBudgetOf(service).tryRetry(this.options.timers.now());
   }
