--- a/packages/core/tests/errors/errorKinds.test.ts
+++ b/packages/core/tests/errors/errorKinds.test.ts
@@ -1,4 +1,4 @@
-import { readdirSync, readFileSync } from 'node:fs';
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 
 import { allErrorKinds } from '@zincring/core';
@@ -8,10 +8,10 @@
 
 function readSources(folder: 'src' | 'tests'): string {
   return readdirSync(packages)
-    .flatMap(name =>
-      readdirSync(join(packages, name, folder), { encoding: 'utf8', recursive: true }).map(file =>
-        join(packages, name, folder, file),
-      ),
+    .map(name => join(packages, name, folder))
+    .filter(path => existsSync(path))
+    .flatMap(path =>
+      readdirSync(path, { encoding: 'utf8', recursive: true }).map(file => join(path, file)),
     )
     .filter(file => file.endsWith('.ts') && !/errorKinds\.(test\.)?ts$/.test(file))
     .map(file => readFileSync(file, 'utf8'))
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -42,7 +42,10 @@
     process.stdout.write(`known red, but passed in this run: ${name}\n`);
   }
 }
+for (const file of brokenFiles) {
+  process.stdout.write(`FAILED to load: ${file.name}\n`);
+}
 const passed = results.filter(result => result.status === 'passed').length;
-process.stdout.write(`${passed} passed, ${failed.length} failed\n`);
+process.stdout.write(`${passed} passed, ${failed.length + brokenFiles.length} failed\n`);
 const isGreen = unexpected.length === 0 && brokenFiles.length === 0 && results.length > 0;
 process.exit(isGreen ? 0 : 1);
