feat(gateway): serve the users' platform directly at the instance that receives a request

Cause: the platform has no machine for control and no home between entry and upstream is needed, since the order of turns is the caller's. Ruled out: forwarding to a home (a hop, and a process whose death cuts requests).

--- /dev/null
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -0,0 +1,324 @@
+import type { Logger, Result, ServiceName, TimerService } from '@zincring/core';
+
+import { Err, hash32, Ok, ZincringError } from '@zincring/core';
+
+import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import type { ConfigurationIndex } from '../configuration/configurationIndex.js';
+import type {
+  GatewayRoute,
+  GatewayService,
+  GatewayWorkspace,
+} from '../configuration/gatewayConfiguration.js';
+import type { TurnBudgets } from '../programs/turnBudgets.js';
+import type { KeptTurns } from '../programs/keptTurns.js';
+import type { WorkspaceRates } from '../limits/workspaceRates.js';
+import type { AttemptParts, RunnableRequest, RunOutcome } from '../upstreams/attemptLoop.js';
+import type { AnswerSink } from './answerSink.js';
+import type { RequestFacts } from './requestFacts.js';
+
+import { AttemptLoop } from '../upstreams/attemptLoop.js';
+import { TurnRecorder } from '../programs/turnRecorder.js';
+import { RequestWatch } from './requestWatch.js';
+
+/** A request as it was read from its connection. */
+export interface IncomingRequest {
+  readonly method: string;
+  /** Path and query, as sent. */
+  readonly path: string;
+  readonly host: string;
+  /** Flat list of names and values. */
+  readonly headers: readonly string[];
+  readonly facts: RequestFacts;
+  /** When its headers had arrived, by the steady clock. */
+  readonly receivedAt: number;
+  /** Reads the body; `undefined` when the caller broke off. */
+  readBody(maximumBytes: number): Promise<Result<Buffer, ZincringError> | undefined>;
+  /** Calls the listener once the caller has closed its connection. */
+  onCallerLeft(listener: () => void): void;
+}
+
+/** What a {@link RequestPipeline} works with. */
+export interface PipelineParts extends AttemptParts {
+  readonly configuration: ConfigurationFollower;
+  readonly rates: WorkspaceRates;
+  readonly budgets: TurnBudgets;
+  readonly keptTurns: KeptTurns;
+  readonly random: () => number;
+}
+
+/** Where a request may go and for whom. */
+interface Admission {
+  readonly route: GatewayRoute;
+  readonly service: GatewayService;
+  readonly workspace: GatewayWorkspace | undefined;
+  readonly maximumBodyBytes: number;
+}
+
+/** How long a request waits for a fresh look at the configuration, in milliseconds: a few answers of the store. */
+const REFRESH_WAIT_MILLISECONDS = 150;
+/** When a caller may come back to an instance without a current configuration, in seconds: other instances may have one. */
+const STALE_RETRY_SECONDS = 0.2;
+/** Urgency of requests at engines when the operator ranks them first; the engines' scale ends at 9. */
+const FIRST_URGENCY = 1;
+const LAST_URGENCY = 9;
+
+/**
+ * Takes a request from its headers to its answer: route, key, rate, history and budget, then the
+ * replicas. Every step may refuse, and a refusal is final and immediate.
+ *
+ * @example
+ * await pipeline.handle(incoming, answer);
+ */
+export class RequestPipeline {
+  private readonly timers: TimerService;
+  private readonly logger: Logger;
+
+  public constructor(private readonly parts: PipelineParts) {
+    this.timers = parts.timers;
+    this.logger = parts.logger;
+  }
+
+  /** Answers one request. */
+  public async handle(incoming: IncomingRequest, sink: AnswerSink): Promise<void> {
+    const admission = await this.admit(incoming);
+    const body = await incoming.readBody(
+      admission.ok ? admission.val.maximumBodyBytes : Number.MAX_SAFE_INTEGER,
+    );
+    if (body === undefined) {
+      sink.cut();
+      return;
+    }
+    if (admission.err) {
+      this.refuse(incoming, sink, admission.val);
+      return;
+    }
+    if (body.err) {
+      this.refuse(incoming, sink, body.val);
+      return;
+    }
+    const watch = new RequestWatch(this.timers, incoming, admission.val.route);
+    try {
+      const outcome = await this.serve(incoming, admission.val, body.val, sink, watch);
+      this.finish(incoming, sink, watch, outcome);
+    } finally {
+      watch.stop();
+    }
+  }
+
+  private async admit(incoming: IncomingRequest): Promise<Result<Admission, ZincringError>> {
+    const { configuration } = this.parts;
+    const isFresh = configuration.isFresh() || (await this.refreshConfiguration());
+    const index = configuration.current;
+    if (index === undefined) {
+      return Err(new ZincringError('instance-not-ready', { retryAfterSeconds: STALE_RETRY_SECONDS }));
+    }
+    const admitted = admitByConfiguration(index, incoming);
+    if (isFresh || (admitted.ok && admitted.val.route.isOpen)) {
+      return admitted;
+    }
+    return Err(
+      new ZincringError('instance-not-ready', {
+        detail: 'the configuration is not known to be current',
+        retryAfterSeconds: STALE_RETRY_SECONDS,
+      }),
+    );
+  }
+
+  private async refreshConfiguration(): Promise<boolean> {
+    return await this.parts.configuration.refresh(REFRESH_WAIT_MILLISECONDS);
+  }
+
+  private async serve(
+    incoming: IncomingRequest,
+    admission: Admission,
+    body: Buffer,
+    sink: AnswerSink,
+    watch: RequestWatch,
+  ): Promise<RunOutcome> {
+    const request = this.toRunnable(incoming, admission, body, watch);
+    const suspect = this.parts.crashes.check(request);
+    if (suspect !== undefined) {
+      return { error: suspect, kind: 'failed' };
+    }
+    const rate = await this.parts.rates.admit(admission.workspace, watch.signal);
+    if (rate.err) {
+      return { error: rate.val, kind: 'failed' };
+    }
+    const outcome = await this.serveTurn(request, sink, watch);
+    if (outcome.kind === 'failed' && outcome.error.ran === 'no') {
+      rate.val.giveBack();
+    }
+    return outcome;
+  }
+
+  private async serveTurn(
+    request: RunnableRequest,
+    sink: AnswerSink,
+    watch: RequestWatch,
+  ): Promise<RunOutcome> {
+    const history = await this.parts.keptTurns.compose(request, watch.signal);
+    if (history.err) {
+      return { error: history.val, kind: 'failed' };
+    }
+    const budget = await this.parts.budgets.reserve(request, watch.signal);
+    if (budget.err) {
+      return { error: budget.val, kind: 'failed' };
+    }
+    const recorder = new TurnRecorder(budget.val, history.val.turn, watch.signal);
+    const loop = new AttemptLoop(
+      this.parts,
+      { ...request, body: history.val.body },
+      sink,
+      request.route.kind === 'streaming' ? recorder : undefined,
+      watch,
+    );
+    const outcome = await loop.run();
+    recorder.settle();
+    return outcome;
+  }
+
+  private toRunnable(
+    incoming: IncomingRequest,
+    { route, service, workspace }: Admission,
+    body: Buffer,
+    watch: RequestWatch,
+  ): RunnableRequest {
+    const priority = workspace?.priority ?? route.priority;
+    return {
+      body,
+      deadline: watch.deadline,
+      facts: incoming.facts,
+      headers: incoming.headers,
+      method: incoming.method,
+      path: incoming.path,
+      route,
+      service,
+      urgency:
+        service.engine === undefined ? undefined : Math.min(LAST_URGENCY, FIRST_URGENCY + priority),
+      workspace: workspace?.name,
+    };
+  }
+
+  private finish(
+    incoming: IncomingRequest,
+    sink: AnswerSink,
+    watch: RequestWatch,
+    outcome: RunOutcome,
+  ): void {
+    switch (outcome.kind) {
+      case 'served':
+        this.logOutcome(incoming, 'served', { status: outcome.status });
+        return;
+      case 'interrupted':
+        this.logOutcome(incoming, 'interrupted', {});
+        sink.cut();
+        return;
+      case 'failed':
+        this.refuse(incoming, sink, outcome.error);
+        return;
+      case 'aborted':
+        this.finishAborted(incoming, sink, watch, outcome.mayHaveRun);
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  private finishAborted(
+    incoming: IncomingRequest,
+    sink: AnswerSink,
+    watch: RequestWatch,
+    mayHaveRun: boolean,
+  ): void {
+    if (!watch.isAwaited()) {
+      this.logOutcome(incoming, 'caller-left', { mayHaveRun });
+      sink.cut();
+      return;
+    }
+    if (sink.isStarted) {
+      this.logOutcome(incoming, 'cut-at-deadline', {});
+      sink.cut();
+      return;
+    }
+    const kind = mayHaveRun ? 'deadline-exceeded' : 'deadline-exceeded-in-queue';
+    this.refuse(incoming, sink, new ZincringError(kind));
+  }
+
+  private refuse(incoming: IncomingRequest, sink: AnswerSink, error: ZincringError): void {
+    this.logOutcome(incoming, 'refused', {
+      detail: error.detail,
+      kind: error.kind,
+      ran: error.ran,
+      status: error.status,
+    });
+    if (sink.isStarted) {
+      sink.cut();
+      return;
+    }
+    const retryAfter = error.retryAfterSeconds ?? undefined;
+    const headers = this.parts.wire.ownHeaders(incoming.facts.requestId, retryAfter);
+    sink.sendWhole(error.status, headers, Buffer.from(JSON.stringify(error.toReport())));
+  }
+
+  private logOutcome(
+    incoming: IncomingRequest,
+    event: string,
+    fields: Readonly<Record<string, boolean | number | string | undefined>>,
+  ): void {
+    const configuration = this.parts.configuration;
+    const entry = {
+      ...fields,
+      configurationAge: Math.round(Math.min(configuration.ageMilliseconds(), 1e9)),
+      configurationVersion: configuration.current?.configuration.version,
+      elapsed: Math.round(this.timers.now() - incoming.receivedAt),
+      event,
+      program: incoming.facts.programId,
+      request: incoming.facts.requestId,
+    };
+    this.logger.info(entry, 'a request has ended');
+  }
+}
+
+function admitByConfiguration(
+  index: ConfigurationIndex,
+  { facts, host, path }: IncomingRequest,
+): Result<Admission, ZincringError> {
+  const route = index.findRoute(host, path);
+  if (route === undefined) {
+    return Err(new ZincringError('not-found'));
+  }
+  const workspace = facts.key === undefined ? undefined : index.findWorkspace(facts.key);
+  if (!route.isOpen && index.configuration.workspaces.length > 0 && workspace === undefined) {
+    return Err(new ZincringError(facts.key === undefined ? 'key-missing' : 'key-rejected'));
+  }
+  if (facts.requestId === undefined) {
+    return Err(new ZincringError('bad-request', { detail: 'the request has no id' }));
+  }
+  const service = index.findService(pickService(route, facts));
+  if (service === undefined) {
+    return Err(new ZincringError('upstream-unavailable', { detail: 'the service is not described' }));
+  }
+  return Ok({
+    maximumBodyBytes: index.configuration.callerLimits.maximumBodyBytes,
+    route,
+    service,
+    workspace: route.isOpen ? undefined : workspace,
+  });
+}
+
+/** Spreads requests over the services of a route by weight; a session stays with one service. */
+function pickService(route: GatewayRoute, facts: RequestFacts): ServiceName {
+  const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
+  const point = (hash32(facts.sessionId ?? facts.requestId ?? '') / HASH_RANGE) * total;
+  let passed = 0;
+  for (const { service, weight } of route.services) {
+    passed += weight;
+    if (point < passed) {
+      return service;
+    }
+  }
+  return route.services.at(-1)?.service ?? ('' as ServiceName);
+}
+
+/** Number of values of a 32-bit hash. */
+const HASH_RANGE = 2 ** 32;
--- /dev/null
+++ b/packages/gateway/src/configuration/configurationIndex.ts
@@ -0,0 +1,55 @@
+import type { ServiceName } from '@zincring/core';
+
+import type {
+  GatewayConfiguration,
+  GatewayRoute,
+  GatewayService,
+  GatewayWorkspace,
+} from './gatewayConfiguration.js';
+
+/**
+ * One configuration, arranged for the questions that each request asks.
+ *
+ * @example
+ * const route = new ConfigurationIndex(configuration).findRoute('agents.example', '/summaries/7');
+ */
+export class ConfigurationIndex {
+  /** Routes of a host, longest prefix first. */
+  private readonly routesByHost = new Map<string, GatewayRoute[]>();
+  private readonly workspacesByKey = new Map<string, GatewayWorkspace>();
+  private readonly servicesByName = new Map<ServiceName, GatewayService>();
+
+  public constructor(public readonly configuration: GatewayConfiguration) {
+    for (const route of configuration.routes) {
+      const routes = this.routesByHost.get(route.host) ?? [];
+      routes.push(route);
+      this.routesByHost.set(route.host, routes);
+    }
+    for (const routes of this.routesByHost.values()) {
+      routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+    }
+    for (const workspace of configuration.workspaces) {
+      for (const key of workspace.keys) {
+        this.workspacesByKey.set(key, workspace);
+      }
+    }
+    for (const service of configuration.services) {
+      this.servicesByName.set(service.name, service);
+    }
+  }
+
+  /** The route with the longest prefix of the path among those of the host. */
+  public findRoute(host: string, path: string): GatewayRoute | undefined {
+    return this.routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
+  }
+
+  /** The workspace that holds a key. */
+  public findWorkspace(key: string): GatewayWorkspace | undefined {
+    return this.workspacesByKey.get(key);
+  }
+
+  /** The description of a service. */
+  public findService(name: ServiceName): GatewayService | undefined {
+    return this.servicesByName.get(name);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,28 @@
+export type {
+  AnswerFacts,
+  PromptPart,
+  PromptPartId,
+  RequestFacts,
+  RequestId,
+  RequestWire,
+  SendingFacts,
+  SessionId,
+  TurnId,
+} from './callers/requestFacts.js';
+export type { ConfigurationSource } from './configuration/configurationFollower.js';
+export type {
+  CallerLimits,
+  EngineDescription,
+  GatewayConfiguration,
+  GatewayRoute,
+  GatewayService,
+  GatewayWorkspace,
+  RouteKind,
+  RouteName,
+  WeightedService,
+} from './configuration/gatewayConfiguration.js';
+export type { GatewayParts } from './lifecycle/gateway.js';
+export { Gateway } from './lifecycle/gateway.js';
+export type { GatewayOptions, ListenAddress } from './lifecycle/gatewayOptions.js';
+export type { ReplicaEntry, ReplicaRunId } from './upstreams/replica.js';
+export type { ReplicaSource } from './upstreams/replicaDirectory.js';
--- /dev/null
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -0,0 +1,174 @@
+import type { Logger, TimerService, TimerSubscription } from '@zincring/core';
+import type { PartitionedTable } from '@zincring/platform';
+
+import { sleep } from '@zincring/core';
+
+import type { RequestWire } from '../callers/requestFacts.js';
+import type { ConfigurationSource } from '../configuration/configurationFollower.js';
+import type { ReplicaEntry } from '../upstreams/replica.js';
+import type { ReplicaSource } from '../upstreams/replicaDirectory.js';
+import type { GatewayOptions, GatewayTimes } from './gatewayOptions.js';
+
+import { GatewayServer } from '../callers/gatewayServer.js';
+import { RequestPipeline } from '../callers/requestPipeline.js';
+import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { WorkspaceRates } from '../limits/workspaceRates.js';
+import { KeptTurns } from '../programs/keptTurns.js';
+import { TurnBudgets } from '../programs/turnBudgets.js';
+import { CrashRecord } from '../upstreams/crashRecord.js';
+import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
+import { ReplicaLoads } from '../upstreams/replicaLoads.js';
+import { ReplicaPool } from '../upstreams/replicaPool.js';
+import { gatewayTimes } from './gatewayOptions.js';
+import { ReadinessServer } from './readinessServer.js';
+
+/** The world of a {@link Gateway}. */
+export interface GatewayParts {
+  readonly table: PartitionedTable;
+  readonly wire: RequestWire;
+  readonly configurationSource: ConfigurationSource;
+  readonly replicaSource: ReplicaSource;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly random: () => number;
+  readonly makeId: () => string;
+}
+
+/** Longest wait for news of replicas, in milliseconds: one heartbeat. */
+const REPLICA_WAIT_MILLISECONDS = 1_000;
+/** Time after an outage of the store in which replicas register again, in milliseconds: as the platform states. */
+const RETURN_MILLISECONDS = 1_900;
+/** Shortest loss of the store in which entries may lapse, in milliseconds: over one heartbeat. */
+const OUTAGE_MILLISECONDS = 2_500;
+/** Pause between sweeps of connections to replicas that have left, in milliseconds. */
+const SWEEP_MILLISECONDS = 1_000;
+/** Connections that one instance opens to a replica at most. */
+const MAXIMUM_CONNECTIONS = 16;
+
+/**
+ * An instance that serves each request where it arrives: it follows the configuration and the
+ * replicas in the store, and needs no other instance.
+ *
+ * @example
+ * const gateway = new Gateway(options, parts);
+ * await gateway.start();
+ */
+export class Gateway {
+  private readonly configuration: ConfigurationFollower;
+  private readonly directory: ReplicaDirectory;
+  private readonly crashes: CrashRecord;
+  private readonly pool: ReplicaPool;
+  private readonly server: GatewayServer;
+  private readonly readiness: ReadinessServer;
+  private readonly times: GatewayTimes;
+  private sweeping: TimerSubscription | undefined;
+  private isStopping = false;
+
+  public constructor(
+    private readonly options: GatewayOptions,
+    private readonly parts: GatewayParts,
+  ) {
+    const { logger, table, timers } = parts;
+    this.times = gatewayTimes(options);
+    this.configuration = new ConfigurationFollower(
+      table,
+      parts.configurationSource,
+      timers,
+      logger,
+      {
+        freshMilliseconds: this.times.freshMilliseconds,
+        waitMilliseconds: this.times.configurationWaitMilliseconds,
+      },
+    );
+    this.directory = new ReplicaDirectory(table, parts.replicaSource, timers, logger, {
+      outageMilliseconds: OUTAGE_MILLISECONDS,
+      pauseMilliseconds: this.times.replicaPauseMilliseconds,
+      returnMilliseconds: RETURN_MILLISECONDS,
+      waitMilliseconds: REPLICA_WAIT_MILLISECONDS,
+    });
+    this.crashes = new CrashRecord({ logger, makeId: parts.makeId, table, timers });
+    const loads = new ReplicaLoads(timers, entry => this.connectionsTo(entry));
+    this.pool = new ReplicaPool(this.directory, loads, options.availabilityZone, parts.random);
+    this.server = new GatewayServer({
+      logger,
+      pipeline: this.makePipeline(),
+      timers,
+      wire: parts.wire,
+    });
+    this.readiness = new ReadinessServer(() => this.isReady);
+    this.configuration.subscribe(index => {
+      this.server.applyLimits(index.configuration.callerLimits);
+    });
+  }
+
+  /** Whether callers should be sent here. */
+  public get isReady(): boolean {
+    return !this.isStopping && this.configuration.isFresh() && this.directory.isKnown;
+  }
+
+  /** Ports on which callers and the balancer are answered. */
+  public get ports(): { readonly callers: number; readonly readiness: number } {
+    return { callers: this.server.port, readiness: this.readiness.port };
+  }
+
+  /** Begins to follow the store and to listen. */
+  public async start(): Promise<void> {
+    this.configuration.start();
+    this.directory.start();
+    this.crashes.start();
+    this.sweeping = this.parts.timers.every(SWEEP_MILLISECONDS, () => {
+      this.pool.sweep();
+    });
+    await this.server.listen(this.options.callers.host, this.options.callers.port);
+    await this.readiness.listen(this.options.readiness);
+    this.parts.logger.info(
+      { event: 'started', instance: this.options.instance, ...this.ports },
+      'the instance serves callers',
+    );
+  }
+
+  /** Leaves the rotation, answers what is under way, and ends. */
+  public async stop(): Promise<void> {
+    if (this.isStopping) {
+      return;
+    }
+    this.isStopping = true;
+    this.parts.logger.info({ event: 'stopping', underWay: this.server.underWay }, 'stopping');
+    this.server.announceClose();
+    await sleep(this.parts.timers, this.times.drainingMilliseconds);
+    await this.server.close(this.times.stopMilliseconds - this.times.drainingMilliseconds);
+    this.sweeping?.stop();
+    this.configuration.stop();
+    this.directory.stop();
+    this.crashes.stop();
+    this.readiness.close();
+    this.parts.logger.info({ event: 'stopped', underWay: this.server.underWay }, 'stopped');
+  }
+
+  private makePipeline(): RequestPipeline {
+    const { logger, random, table, timers, wire } = this.parts;
+    return new RequestPipeline({
+      budgets: new TurnBudgets({ logger, table, timers }),
+      configuration: this.configuration,
+      crashes: this.crashes,
+      keptTurns: new KeptTurns({ logger, rowBytes: this.options.rowBytes, table, timers }),
+      logger,
+      pool: this.pool,
+      random,
+      rates: new WorkspaceRates({
+        instance: this.options.instance,
+        logger,
+        table,
+        timers,
+        workspaceCount: () => this.configuration.current?.configuration.workspaces.length ?? 1,
+      }),
+      timers,
+      wire,
+    });
+  }
+
+  private connectionsTo(entry: ReplicaEntry): number {
+    const service = this.configuration.current?.findService(entry.service);
+    return Math.min(MAXIMUM_CONNECTIONS, service?.maximumConnections ?? MAXIMUM_CONNECTIONS);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/limits/rateRow.ts
@@ -0,0 +1,123 @@
+/** Requests that an instance may admit without asking again. */
+export interface HeldCredit {
+  readonly requests: number;
+  /** When the store takes the credit back, by its own clock, in milliseconds. */
+  readonly expiresAt: number;
+}
+
+/** The bucket of one workspace, shared by all instances. */
+export interface WorkspaceBucket {
+  /** Requests that may be handed out. */
+  readonly tokens: number;
+  /** When `tokens` was right, by the clock of the store, in milliseconds. */
+  readonly updatedAt: number;
+  readonly held: Readonly<Record<string, HeldCredit>>;
+}
+
+/** Rate and burst of a workspace. */
+export interface RateLimit {
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+/** What an instance asks of a bucket. */
+export interface CreditRequest {
+  readonly instance: string;
+  /** Credit that the instance knows to hold, spent credit not counted. */
+  readonly unspent: number;
+  /** Credit that the instance knew to hold when it last heard from the store. */
+  readonly lastHeld: number;
+  /** Requests that wait for credit now. */
+  readonly waiting: number;
+  /** Further credit wished for requests to come. */
+  readonly wished: number;
+  /** Time of the store, never ahead of it, in milliseconds. */
+  readonly storeTime: number;
+  /** How long the credit is good, by the store's clock, in milliseconds. */
+  readonly validMilliseconds: number;
+}
+
+/** What the bucket hands out. */
+export interface CreditGrant {
+  readonly bucket: WorkspaceBucket;
+  /** Credit that the instance now holds. */
+  readonly held: number;
+}
+
+/** Part of a second's rate that instances may hold together for requests to come. */
+const HELD_SECONDS = 0.5;
+/** Part of the burst that instances may hold together for requests to come. */
+const HELD_BURST_SHARE = 0.1;
+/** Requests that instances may hold together beyond those parts: below what the operator lets pass above the limit. */
+const HELD_BASE = 12;
+
+/**
+ * Tops up the credit of one instance. What all instances hold together stays within the slack
+ * that the operator allows, so that a burst spent from the bucket and from all credits at once
+ * is still within the limit; requests that already wait are served beyond that bound.
+ *
+ * @example
+ * const { bucket, held } = grantCredit(undefined, { burst: 20, ratePerSecond: 10 }, request);
+ */
+export function grantCredit(
+  known: WorkspaceBucket | undefined,
+  limit: RateLimit,
+  request: CreditRequest,
+): CreditGrant {
+  const { instance, storeTime } = request;
+  const refilled = refill(known, limit, storeTime);
+  const { [instance]: own, ...others } = dropExpired(known?.held ?? {}, storeTime);
+  // Credit of a grant whose answer was lost was never spent and goes back.
+  const neverReceived = Math.max(0, (own?.requests ?? request.lastHeld) - request.lastHeld);
+  const target = request.waiting + request.wished;
+  const surplus = Math.max(0, request.unspent - target);
+  const available = refilled + neverReceived + surplus;
+  const kept = request.unspent - surplus;
+  const granted = grantable(limit, others, kept, available, request);
+  const held = kept + granted;
+  const entry = { expiresAt: storeTime + request.validMilliseconds, requests: held };
+  return {
+    bucket: {
+      held: held > 0 ? { ...others, [instance]: entry } : others,
+      tokens: Math.min(limit.burst, available - granted),
+      updatedAt: Math.max(storeTime, known?.updatedAt ?? 0),
+    },
+    held,
+  };
+}
+
+function grantable(
+  limit: RateLimit,
+  others: Readonly<Record<string, HeldCredit>>,
+  kept: number,
+  available: number,
+  { waiting, wished }: CreditRequest,
+): number {
+  const heldElsewhere = Object.values(others).reduce((sum, { requests }) => sum + requests, 0);
+  const ceiling =
+    HELD_SECONDS * limit.ratePerSecond + HELD_BURST_SHARE * limit.burst + HELD_BASE - heldElsewhere;
+  const reserve = Math.max(0, Math.min(wished, ceiling));
+  const wanted = Math.max(0, waiting + Math.floor(reserve) - kept);
+  return Math.max(0, Math.min(wanted, Math.floor(available)));
+}
+
+function refill(
+  known: WorkspaceBucket | undefined,
+  { burst, ratePerSecond }: RateLimit,
+  storeTime: number,
+): number {
+  if (known === undefined) {
+    return burst;
+  }
+  const elapsedSeconds = Math.max(0, storeTime - known.updatedAt) / 1_000;
+  return Math.min(burst, known.tokens + elapsedSeconds * ratePerSecond);
+}
+
+function dropExpired(
+  held: Readonly<Record<string, HeldCredit>>,
+  storeTime: number,
+): Readonly<Record<string, HeldCredit>> {
+  return Object.fromEntries(
+    Object.entries(held).filter(([, { expiresAt }]) => expiresAt > storeTime),
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -0,0 +1,297 @@
+import type { InstanceId, Logger, Result, TimerService, WorkspaceName } from '@zincring/core';
+import type { PartitionedTable, RowAddress } from '@zincring/platform';
+
+import { Err, hash32, Ok, ZincringError } from '@zincring/core';
+
+import type { GatewayWorkspace } from '../configuration/gatewayConfiguration.js';
+import type { KnownRow } from '../store/editRow.js';
+import type { CreditAnswer } from './workspaceCredit.js';
+import type { WorkspaceBucket } from './rateRow.js';
+
+import { momentOf } from '../configuration/contactAge.js';
+import { absentRow, editRow } from '../store/editRow.js';
+import { grantCredit } from './rateRow.js';
+import { WorkspaceCredit } from './workspaceCredit.js';
+
+/** The place of an admitted request within its workspace's rate. */
+export interface RateAdmission {
+  /** Frees the place of a request that did not run. */
+  giveBack(): void;
+}
+
+/** What a {@link WorkspaceRates} works with. */
+export interface WorkspaceRatesParts {
+  readonly table: PartitionedTable;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly instance: InstanceId;
+  /** Workspaces in the configuration in force. */
+  readonly workspaceCount: () => number;
+}
+
+/** The buckets of a group of workspaces: one row. */
+type GroupBuckets = Record<string, WorkspaceBucket>;
+
+interface GroupState {
+  readonly address: RowAddress;
+  row: KnownRow;
+  isAsking: boolean;
+}
+
+/** Table of the buckets. */
+export const RATE_TABLE = 'rates';
+/** Workspaces that share a row: few rows cost few calls, and many share the time of a partition. */
+const WORKSPACES_PER_ROW = 16;
+/** How long the store counts credit as held, in milliseconds: longer than its holder does, by the delay of slow answers. */
+const STORE_VALID_MILLISECONDS = 5_500;
+/** Longest wait of a request for credit, in milliseconds: some answers of a slow store. */
+const WAIT_MILLISECONDS = 600;
+/** Shortest and longest time for which an empty bucket is not asked again, in milliseconds. */
+const DENIED_MILLISECONDS = { longest: 1_000, shortest: 100 };
+/** Tries of one top-up while the store fails. */
+const MAXIMUM_FAILURES = 2;
+/** When a caller may come back while the store is away, in seconds. */
+const STORE_RETRY_SECONDS = 0.4;
+
+const unlimited: RateAdmission = { giveBack: () => undefined };
+
+/**
+ * Admits requests within the rate and burst that a workspace has over all instances. Instances
+ * hold credit drawn from one bucket a workspace in the store, ahead of demand, so that a request
+ * seldom waits; credit that is not used goes back or lapses.
+ *
+ * @example
+ * const admission = await rates.admit(workspace, signal);
+ */
+export class WorkspaceRates {
+  private readonly credits = new Map<WorkspaceName, WorkspaceCredit>();
+  private readonly groups = new Map<string, GroupState>();
+  private storeClock: { readonly storeTime: number; readonly steady: number } | undefined;
+
+  public constructor(private readonly parts: WorkspaceRatesParts) {}
+
+  /** Takes a place for one request, or says why there is none. */
+  public async admit(
+    workspace: GatewayWorkspace | undefined,
+    signal: AbortSignal,
+  ): Promise<Result<RateAdmission, ZincringError>> {
+    if (workspace === undefined || workspace.ratePerSecond <= 0) {
+      return Ok(unlimited);
+    }
+    const credit = this.creditOf(workspace);
+    credit.noteDemand();
+    if (credit.take()) {
+      this.topUpIfDue(credit);
+      return Ok(admissionOf(credit));
+    }
+    if (credit.deniedUntil > this.parts.timers.now()) {
+      return Err(this.rateLimited(credit));
+    }
+    switch (await this.waitForCredit(credit, signal)) {
+      case 'granted':
+        return Ok(admissionOf(credit));
+      case 'denied':
+        return Err(this.rateLimited(credit));
+      case 'unknown':
+        return Err(
+          new ZincringError('store-unavailable', {
+            detail: 'the use of the workspace is not known',
+            retryAfterSeconds: STORE_RETRY_SECONDS,
+          }),
+        );
+    }
+  }
+
+  private creditOf(workspace: GatewayWorkspace): WorkspaceCredit {
+    const known = this.credits.get(workspace.name);
+    if (known !== undefined) {
+      known.workspace = workspace;
+      return known;
+    }
+    const credit = new WorkspaceCredit(this.parts.timers, workspace);
+    this.credits.set(workspace.name, credit);
+    return credit;
+  }
+
+  private async waitForCredit(
+    credit: WorkspaceCredit,
+    signal: AbortSignal,
+  ): Promise<CreditAnswer> {
+    return await new Promise(resolve => {
+      let isSettled = false;
+      const settle = (answer: CreditAnswer): void => {
+        if (isSettled && answer === 'granted') {
+          credit.giveBack();
+        }
+        if (isSettled) {
+          return;
+        }
+        isSettled = true;
+        limit.stop();
+        signal.removeEventListener('abort', giveUp);
+        resolve(answer);
+      };
+      const giveUp = (): void => {
+        settle('unknown');
+      };
+      const limit = this.parts.timers.after(WAIT_MILLISECONDS, giveUp);
+      signal.addEventListener('abort', giveUp, { once: true });
+      credit.wait(settle);
+      this.topUpIfDue(credit);
+    });
+  }
+
+  private topUpIfDue(credit: WorkspaceCredit): void {
+    if (credit.needsCredit && credit.deniedUntil <= this.parts.timers.now()) {
+      void this.topUp(this.groupOf(credit.workspace.name));
+    }
+  }
+
+  /** Asks for credit for all workspaces of a group at once. */
+  private async topUp(group: GroupState): Promise<void> {
+    if (group.isAsking) {
+      return;
+    }
+    group.isAsking = true;
+    try {
+      await this.ask(group);
+    } finally {
+      group.isAsking = false;
+    }
+    const waiting = this.creditsOf(group).find(credit => credit.waiting > 0);
+    if (waiting !== undefined) {
+      this.topUpIfDue(waiting);
+    }
+  }
+
+  private async ask(group: GroupState): Promise<void> {
+    const credits = this.creditsOf(group);
+    const sentAt = momentOf(this.parts.timers);
+    const unspentAtStart = new Map(credits.map(credit => [credit, credit.unspent]));
+    const edited = await editRow<ReadonlyMap<WorkspaceCredit, number>>(
+      this.parts.table,
+      this.parts.timers,
+      group.address,
+      group.row,
+      row => {
+        const buckets = parseBuckets(row.value);
+        const held = new Map<WorkspaceCredit, number>();
+        for (const credit of credits) {
+          unspentAtStart.set(credit, credit.unspent);
+          held.set(credit, this.draw(buckets, credit));
+        }
+        return { answer: held, kind: 'write', value: Buffer.from(JSON.stringify(buckets)) };
+      },
+      { maximumFailures: MAXIMUM_FAILURES, signal: new AbortController().signal },
+    );
+    if (edited.err) {
+      group.row = absentRow;
+      this.parts.logger.warn(
+        { event: 'credit-unknown', failure: edited.val.message, group: group.address.key },
+        'no credit could be drawn',
+      );
+      credits.forEach(credit => {
+        credit.answerWaiters('unknown');
+      });
+      return;
+    }
+    group.row = edited.val.row;
+    this.noteStoreTime(edited.val.storeTime);
+    for (const [credit, held] of edited.val.answer) {
+      const spent = Math.max(0, (unspentAtStart.get(credit) ?? 0) - credit.unspent);
+      credit.receive(held, spent, sentAt);
+      this.noteDenial(credit);
+      credit.answerWaiters('denied');
+    }
+  }
+
+  private draw(buckets: GroupBuckets, credit: WorkspaceCredit): number {
+    const { name } = credit.workspace;
+    const { bucket, held } = grantCredit(buckets[name], credit.workspace, {
+      instance: this.parts.instance,
+      lastHeld: credit.lastHeld,
+      storeTime: this.storeTime(buckets[name]?.updatedAt ?? 0),
+      unspent: credit.unspent,
+      validMilliseconds: STORE_VALID_MILLISECONDS,
+      waiting: credit.waiting,
+      wished: credit.wished,
+    });
+    buckets[name] = bucket;
+    return held;
+  }
+
+  private noteDenial(credit: WorkspaceCredit): void {
+    if (credit.waiting <= credit.unspent) {
+      return;
+    }
+    const { longest, shortest } = DENIED_MILLISECONDS;
+    const pause = (1_000 * (credit.waiting - credit.unspent + 1)) / credit.workspace.ratePerSecond;
+    credit.deniedUntil =
+      this.parts.timers.now() + Math.min(longest, Math.max(shortest, pause));
+    this.parts.logger.info(
+      { event: 'rate-exhausted', unserved: credit.waiting, workspace: credit.workspace.name },
+      'the workspace has used up its rate',
+    );
+  }
+
+  private rateLimited(credit: WorkspaceCredit): ZincringError {
+    const wait = Math.max(credit.deniedUntil - this.parts.timers.now(), 0);
+    const retryAfterSeconds = Math.ceil(wait + 1_000 / credit.workspace.ratePerSecond) / 1_000;
+    return new ZincringError('rate-limited', { retryAfterSeconds });
+  }
+
+  private groupOf(workspace: WorkspaceName): GroupState {
+    const groupCount = countGroups(this.parts.workspaceCount());
+    const key = `${String(groupCount)}-${String(hash32(workspace) % groupCount)}`;
+    const known = this.groups.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const address = { key, partition: key, table: RATE_TABLE };
+    const group = { address, isAsking: false, row: absentRow };
+    this.groups.set(key, group);
+    return group;
+  }
+
+  private creditsOf(group: GroupState): readonly WorkspaceCredit[] {
+    return [...this.credits.values()].filter(
+      credit => this.groupOf(credit.workspace.name) === group && isInUse(credit),
+    );
+  }
+
+  /** Time of the store as far as it has surely come. */
+  private storeTime(atLeast: number): number {
+    if (this.storeClock === undefined) {
+      return atLeast;
+    }
+    const elapsed = this.parts.timers.now() - this.storeClock.steady;
+    return Math.max(atLeast, this.storeClock.storeTime + elapsed);
+  }
+
+  private noteStoreTime(storeTime: number | undefined): void {
+    if (storeTime !== undefined) {
+      this.storeClock = { steady: this.parts.timers.now(), storeTime };
+    }
+  }
+}
+
+function isInUse(credit: WorkspaceCredit): boolean {
+  return credit.waiting > 0 || credit.wished > 0 || credit.lastHeld > 0;
+}
+
+function admissionOf(credit: WorkspaceCredit): RateAdmission {
+  return {
+    giveBack: () => {
+      credit.giveBack();
+    },
+  };
+}
+
+function parseBuckets(value: Buffer | undefined): GroupBuckets {
+  return value === undefined ? {} : (JSON.parse(value.toString()) as GroupBuckets);
+}
+
+/** Rows for a number of workspaces: a power of two, so that it seldom changes. */
+function countGroups(workspaces: number): number {
+  return 2 ** Math.max(0, Math.ceil(Math.log2(Math.max(1, workspaces) / WORKSPACES_PER_ROW)));
+}
--- a/packages/platform/src/http/httpExchange.ts
+++ b/packages/platform/src/http/httpExchange.ts
@@ -22,6 +22,8 @@
   readonly body?: Uint8Array | string;
   /** Whether repeating the request is harmless; then every failure counts as `unavailable`. */
   readonly isRead: boolean;
+  /** Longest wait for this answer, in milliseconds; the endpoint's own where it is left out. */
+  readonly timeoutMilliseconds?: number;
 }
 
 /** The whole answer. */
@@ -34,6 +36,8 @@
 const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
 /** Status by which the platform says that it did nothing. */
 const STATUS_UNAVAILABLE = 503;
+/** Status by which the platform refuses a call beyond its rate. */
+const STATUS_TOO_MANY_REQUESTS = 429;
 
 /** One HTTP exchange at a time per connection, with the failures sorted by what may have happened. */
 export class HttpExchange {
@@ -47,11 +51,13 @@
   ): Promise<Result<HttpExchangeResponse, PlatformError>> {
     try {
       const response = await this.exchange(exchange);
-      if (response.status === STATUS_UNAVAILABLE) {
+      if (response.status === STATUS_UNAVAILABLE || response.status === STATUS_TOO_MANY_REQUESTS) {
         return Err(new PlatformError('unavailable', 'the platform refused the request'));
       }
       return Ok(response);
     } catch (failure) {
+      // Idle connections may have gone silent together with the one that failed.
+      this.dropIdle();
       return Err(classifyFailure(failure, exchange.isRead));
     }
   }
@@ -61,6 +67,12 @@
     this.agent.destroy();
   }
 
+  private dropIdle(): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) {
+      sockets?.forEach(socket => socket.destroy());
+    }
+  }
+
   private async exchange(exchange: HttpExchangeRequest): Promise<HttpExchangeResponse> {
     const [host, port] = this.options.address.split(':');
     return await new Promise((resolve, reject) => {
@@ -71,7 +83,7 @@
         method: exchange.method,
         path: exchange.path,
         port,
-        signal: AbortSignal.timeout(this.options.timeoutMilliseconds),
+        signal: AbortSignal.timeout(exchange.timeoutMilliseconds ?? this.options.timeoutMilliseconds),
       });
       outgoing.on('error', reject);
       outgoing.on('response', response => {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -10,6 +10,20 @@
   Transaction,
   TransactionOutcome,
 } from './table/tableService.js';
+export type {
+  ChangesAnswer,
+  ChangesRequest,
+  PartitionedOutcome,
+  PartitionedRow,
+  PartitionedRowCheck,
+  PartitionedRowWrite,
+  PartitionedTable,
+  PartitionedTransaction,
+  RangePage,
+  RangeRequest,
+  RowAddress,
+  RowChange,
+} from './table/partitionedTable.js';
 export type { SettleOptions } from './table/transactSettled.js';
 export { transactSettled } from './table/transactSettled.js';
 export type {
@@ -27,6 +41,13 @@
   DirectoryState,
   InstanceDirectory,
 } from './directory/instanceDirectory.js';
-export type { PlatformEndpointOptions } from './http/httpExchange.js';
+export type { AdaptiveTimeoutOptions } from './http/adaptiveTimeout.js';
+export { AdaptiveTimeout } from './http/adaptiveTimeout.js';
+export type {
+  HttpExchangeRequest,
+  HttpExchangeResponse,
+  PlatformEndpointOptions,
+} from './http/httpExchange.js';
+export { HttpExchange } from './http/httpExchange.js';
 export type { Platform } from './platform.js';
 export { connectPlatform } from './platform.js';
