perf(gateway): draw credit for all workspaces of a row at most every 700 ms, settle ample budgets lazily

Ruled out: slow store (answers within 9 ms). Change: random doubling pause after conflicts; draws ahead of demand at most every 700 ms; bucket and credits share one bound; the end of a turn is written with the next turn while the budget is ample.

--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -148,7 +148,7 @@
   private makePipeline(): RequestPipeline {
     const { logger, random, table, timers, wire } = this.parts;
     return new RequestPipeline({
-      budgets: new TurnBudgets({ logger, table, timers }),
+      budgets: new TurnBudgets({ logger, random, table, timers }),
       configuration: this.configuration,
       crashes: this.crashes,
       keptTurns: new KeptTurns({ logger, rowBytes: this.options.rowBytes, table, timers }),
@@ -158,6 +158,7 @@
       rates: new WorkspaceRates({
         instance: this.options.instance,
         logger,
+        random,
         table,
         timers,
         workspaceCount: () => this.configuration.current?.configuration.workspaces.length ?? 1,
--- a/packages/gateway/src/limits/rateRow.ts
+++ b/packages/gateway/src/limits/rateRow.ts
@@ -44,17 +44,17 @@
   readonly held: number;
 }
 
-/** Part of a second's rate that instances may hold together for requests to come. */
-const HELD_SECONDS = 0.5;
-/** Part of the burst that instances may hold together for requests to come. */
-const HELD_BURST_SHARE = 0.1;
-/** Requests that instances may hold together beyond those parts: below what the operator lets pass above the limit. */
-const HELD_BASE = 12;
+/** Part of a second's rate that bucket and credits may hold beyond the burst: the operator's slack over a window of five seconds. */
+const SLACK_SECONDS = 0.5;
+/** Part of the burst that bucket and credits may hold beyond it: the operator's slack. */
+const SLACK_BURST_SHARE = 0.1;
+/** Requests that bucket and credits may hold beyond that: below what the operator lets pass above the limit. */
+const SLACK_REQUESTS = 12;
 
 /**
- * Tops up the credit of one instance. What all instances hold together stays within the slack
- * that the operator allows, so that a burst spent from the bucket and from all credits at once
- * is still within the limit; requests that already wait are served beyond that bound.
+ * Tops up the credit of one instance. What the bucket and all instances hold together stays
+ * within the burst and the slack that the operator allows, so that all of it spent at once is
+ * still within the limit.
  *
  * @example
  * const { bucket, held } = grantCredit(undefined, { burst: 20, ratePerSecond: 10 }, request);
@@ -73,32 +73,29 @@
   const surplus = Math.max(0, request.unspent - target);
   const available = refilled + neverReceived + surplus;
   const kept = request.unspent - surplus;
-  const granted = grantable(limit, others, kept, available, request);
+  const wanted = Math.max(0, target - kept);
+  const granted = Math.max(0, Math.min(wanted, Math.floor(available)));
   const held = kept + granted;
   const entry = { expiresAt: storeTime + request.validMilliseconds, requests: held };
+  const holders = held > 0 ? { ...others, [instance]: entry } : others;
+  const room = Math.max(0, mostOutstanding(limit) - totalHeld(holders));
   return {
     bucket: {
-      held: held > 0 ? { ...others, [instance]: entry } : others,
-      tokens: Math.min(limit.burst, available - granted),
+      held: holders,
+      tokens: Math.min(limit.burst, room, available - granted),
       updatedAt: Math.max(storeTime, known?.updatedAt ?? 0),
     },
     held,
   };
 }
 
-function grantable(
-  limit: RateLimit,
-  others: Readonly<Record<string, HeldCredit>>,
-  kept: number,
-  available: number,
-  { waiting, wished }: CreditRequest,
-): number {
-  const heldElsewhere = Object.values(others).reduce((sum, { requests }) => sum + requests, 0);
-  const ceiling =
-    HELD_SECONDS * limit.ratePerSecond + HELD_BURST_SHARE * limit.burst + HELD_BASE - heldElsewhere;
-  const reserve = Math.max(0, Math.min(wished, ceiling));
-  const wanted = Math.max(0, waiting + Math.floor(reserve) - kept);
-  return Math.max(0, Math.min(wanted, Math.floor(available)));
+/** Requests that the bucket and all credits may stand for together. */
+function mostOutstanding({ burst, ratePerSecond }: RateLimit): number {
+  return burst + SLACK_SECONDS * ratePerSecond + SLACK_BURST_SHARE * burst + SLACK_REQUESTS;
+}
+
+function totalHeld(held: Readonly<Record<string, HeldCredit>>): number {
+  return Object.values(held).reduce((sum, { requests }) => sum + requests, 0);
 }
 
 function refill(
--- a/packages/gateway/src/limits/workspaceCredit.ts
+++ b/packages/gateway/src/limits/workspaceCredit.ts
@@ -12,8 +12,8 @@
 const VALID_MILLISECONDS = 4_000;
 /** Time constant of the estimate of demand, in milliseconds: a few tool pauses of a program. */
 const DEMAND_MILLISECONDS = 3_000;
-/** Time for which credit is wished ahead, in seconds: twice the pause between top-ups. */
-const AHEAD_SECONDS = 1.5;
+/** Time for which credit is wished ahead, in seconds: some pauses between draws, within the time that credit is good. */
+const AHEAD_SECONDS = 2.2;
 /** Demand below which no credit is wished ahead, in requests a second. */
 const RARE_DEMAND = 0.15;
 
@@ -54,7 +54,7 @@
 
   /** Whether a top-up is due. */
   public get needsCredit(): boolean {
-    return this.waiting > 0 || this.unspent < this.wished / 2;
+    return this.waiting > 0 || this.unspent < Math.max(1, this.wished / 2);
   }
 
   /** Counts a request in the estimate of demand. */
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -27,6 +27,7 @@
   readonly instance: InstanceId;
   /** Workspaces in the configuration in force. */
   readonly workspaceCount: () => number;
+  readonly random: () => number;
 }
 
 /** The buckets of a group of workspaces: one row. */
@@ -36,6 +37,8 @@
   readonly address: RowAddress;
   row: KnownRow;
   isAsking: boolean;
+  /** When credit may be drawn ahead of demand again, by the steady clock. */
+  aheadAt: number;
 }
 
 /** Table of the buckets. */
@@ -48,6 +51,8 @@
 const WAIT_MILLISECONDS = 600;
 /** Shortest and longest time for which an empty bucket is not asked again, in milliseconds. */
 const DENIED_MILLISECONDS = { longest: 1_000, shortest: 100 };
+/** Shortest pause between draws ahead of demand, in milliseconds: a third of the time that they are meant to last. */
+const AHEAD_PAUSE_MILLISECONDS = 700;
 /** Tries of one top-up while the store fails. */
 const MAXIMUM_FAILURES = 2;
 /** When a caller may come back while the store is away, in seconds. */
@@ -142,8 +147,11 @@
   }
 
   private topUpIfDue(credit: WorkspaceCredit): void {
-    if (credit.needsCredit && credit.deniedUntil <= this.parts.timers.now()) {
-      void this.topUp(this.groupOf(credit.workspace.name));
+    const now = this.parts.timers.now();
+    const group = this.groupOf(credit.workspace.name);
+    const isDue = credit.waiting > 0 || (credit.needsCredit && group.aheadAt <= now);
+    if (isDue && credit.deniedUntil <= now) {
+      void this.topUp(group);
     }
   }
 
@@ -153,6 +161,7 @@
       return;
     }
     group.isAsking = true;
+    group.aheadAt = this.parts.timers.now() + AHEAD_PAUSE_MILLISECONDS;
     try {
       await this.ask(group);
     } finally {
@@ -182,7 +191,11 @@
         }
         return { answer: held, kind: 'write', value: Buffer.from(JSON.stringify(buckets)) };
       },
-      { maximumFailures: MAXIMUM_FAILURES, signal: new AbortController().signal },
+      {
+        maximumFailures: MAXIMUM_FAILURES,
+        random: this.parts.random,
+        signal: new AbortController().signal,
+      },
     );
     if (edited.err) {
       group.row = absentRow;
@@ -248,7 +261,7 @@
       return known;
     }
     const address = { key, partition: key, table: RATE_TABLE };
-    const group = { address, isAsking: false, row: absentRow };
+    const group = { address, aheadAt: -Infinity, isAsking: false, row: absentRow };
     this.groups.set(key, group);
     return group;
   }
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -40,6 +40,7 @@
   readonly table: PartitionedTable;
   readonly timers: TimerService;
   readonly logger: Logger;
+  readonly random: () => number;
 }
 
 /** Table of the accounts. */
@@ -48,8 +49,12 @@
 const PARTITIONS = 32;
 /** Programs whose account is remembered: several minutes of an instance's share. */
 const REMEMBERED_PROGRAMS = 10_000;
-/** How long the end of a turn may wait to be written together with the next turn, in milliseconds: within the time that callers allow for it. */
+/** How long the end of a turn may wait to be written together with the next turn when the budget is nearly spent, in milliseconds: within the time that callers allow for it. */
 const SETTLE_MILLISECONDS = 450;
+/** The same while the budget leaves room for {@link AMPLE_TURNS} more turns, in milliseconds. */
+const AMPLE_SETTLE_MILLISECONDS = 4_000;
+/** Turns for which a budget has room when it counts as ample: more than a program starts within the longer wait. */
+const AMPLE_TURNS = 6;
 /** Tries of one reservation while the store fails. */
 const MAXIMUM_FAILURES = 4;
 /** How long accounts outlive their last turn at least, in milliseconds: programs that were stopped may return. */
@@ -70,6 +75,8 @@
   private readonly accounts = new LRUCache<string, KnownRow>({ max: REMEMBERED_PROGRAMS });
   /** Ends of turns that are not yet written, by program. */
   private readonly settlements = new Map<string, Settlement[]>();
+  /** Programs whose ends of turns are being written. */
+  private readonly flushing = new Set<string>();
 
   public constructor(private readonly parts: TurnBudgetParts) {}
 
@@ -88,11 +95,16 @@
     const expiresAt =
       this.parts.timers.wallClock() +
       Math.max(MINIMUM_RETENTION_MILLISECONDS, 2 * route.retentionMilliseconds);
-    const reserved = await this.write(program, signal, account =>
-      reserveIn(account, id, most, facts.tokenBudget ?? 0, expiresAt),
-    );
+    const budget = facts.tokenBudget;
+    let isAmple = false;
+    const reserved = await this.write(program, signal, account => {
+      isAmple = committedTokens(account) + AMPLE_TURNS * most <= budget;
+      return reserveIn(account, id, most, budget, expiresAt);
+    });
     if (reserved.err) {
-      this.settle(program, { id, tokens: 0 });
+      if (reserved.val.kind === 'store-unavailable') {
+        this.settle(program, { id, tokens: 0 }, isAmple);
+      }
       return reserved;
     }
     this.parts.logger.debug(
@@ -101,7 +113,7 @@
     );
     return Ok({
       settle: tokens => {
-        this.settle(program, { id, tokens });
+        this.settle(program, { id, tokens }, isAmple);
       },
       tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
     });
@@ -146,7 +158,7 @@
         const account = reserve(applySettlements(parseAccount(row.value), taken));
         return account === 'spent' ? { answer: 'spent', kind: 'leave' } : writeOf(account);
       },
-      { maximumFailures: MAXIMUM_FAILURES, signal },
+      { maximumFailures: MAXIMUM_FAILURES, random: this.parts.random, signal },
     );
     if (edited.err) {
       this.accounts.delete(program);
@@ -171,38 +183,44 @@
     return row ?? absentRow;
   }
 
-  private settle(program: string, settlement: Settlement): void {
+  private settle(program: string, settlement: Settlement, isAmple: boolean): void {
     const waiting = this.settlements.get(program);
-    if (waiting !== undefined) {
+    if (waiting === undefined) {
+      this.settlements.set(program, [settlement]);
+    } else {
       waiting.push(settlement);
-      return;
     }
-    this.settlements.set(program, [settlement]);
-    this.parts.timers.after(SETTLE_MILLISECONDS, () => void this.flush(program));
+    const pause = isAmple ? AMPLE_SETTLE_MILLISECONDS : SETTLE_MILLISECONDS;
+    this.parts.timers.after(pause, () => void this.flush(program));
   }
 
   /** Writes the ends of turns that no later turn has taken along. */
   private async flush(program: string): Promise<void> {
-    if ((this.settlements.get(program) ?? []).length === 0) {
-      this.settlements.delete(program);
+    if ((this.settlements.get(program) ?? []).length === 0 || this.flushing.has(program)) {
       return;
     }
+    this.flushing.add(program);
     const known = this.accounts.get(program) ?? absentRow;
     const written = await this.edit(program, known, new AbortController().signal, account => account);
+    this.flushing.delete(program);
     if (written.err) {
       this.parts.logger.warn(
         { event: 'settlement-delayed', failure: written.val.message, program },
         'the end of a turn is not yet written',
       );
+      this.parts.timers.after(SETTLE_MILLISECONDS, () => void this.flush(program));
     }
-    this.parts.timers.after(SETTLE_MILLISECONDS, () => void this.flush(program));
   }
 
   private forget(program: string, written: readonly Settlement[]): void {
     const waiting = this.settlements.get(program);
     if (waiting !== undefined && written.length > 0) {
       const left = waiting.filter(settlement => !written.includes(settlement));
-      this.settlements.set(program, left);
+      if (left.length > 0) {
+        this.settlements.set(program, left);
+      } else {
+        this.settlements.delete(program);
+      }
     }
   }
 }
@@ -244,9 +262,8 @@
   budget: number,
   expiresAt: number,
 ): ProgramAccount | 'spent' {
-  const others = Object.entries(account.held).filter(([holder]) => holder !== id);
-  const committed = account.spent + others.reduce((sum, [, tokens]) => sum + tokens, 0);
-  if (committed + most > budget) {
+  const { [id]: ownHold = 0 } = account.held;
+  if (committedTokens(account) - ownHold + most > budget) {
     return 'spent';
   }
   return {
@@ -255,3 +272,8 @@
     spent: account.spent,
   };
 }
+
+/** Tokens handed over, and the most that turns under way may add. */
+function committedTokens(account: ProgramAccount): number {
+  return Object.values(account.held).reduce((sum, tokens) => sum + tokens, account.spent);
+}
--- a/packages/gateway/src/store/editRow.ts
+++ b/packages/gateway/src/store/editRow.ts
@@ -34,12 +34,16 @@
   readonly signal: AbortSignal;
   /** Tries after failures of the store. */
   readonly maximumFailures: number;
+  /** Spreads writers that met the same conflict; from 0 to 1. */
+  readonly random: () => number;
 }
 
 /** Pause after a failure of the store, in milliseconds: a few of its usual answers. */
 const FAILURE_PAUSE = 20;
-/** Longest random part of the pause after a conflict, in milliseconds: one transaction of the store. */
+/** Longest pause after a first conflict, in milliseconds: one transaction of the store; it doubles with each further one. */
 const CONFLICT_PAUSE = 6;
+/** Conflicts after which the pause grows no more. */
+const CONFLICT_DOUBLINGS = 4;
 
 /**
  * Changes a row under the condition that nobody else has. A write whose answer is lost is sent
@@ -61,6 +65,7 @@
   let isConfirmed = false;
   let storeTime: number | undefined;
   let failures = 0;
+  let conflicts = 0;
   for (;;) {
     const wanted = edit(row);
     if (wanted.kind === 'leave') {
@@ -88,12 +93,8 @@
       row = outcome.val.rows.find(found => found.key === address.key) ?? absentRow;
       storeTime = outcome.val.storeTime;
       isConfirmed = true;
-      await sleep(timers, spread(address.key, row.version), options.signal);
+      const longest = CONFLICT_PAUSE * 2 ** Math.min(conflicts++, CONFLICT_DOUBLINGS);
+      await sleep(timers, options.random() * longest, options.signal);
     }
   }
 }
-
-/** Spreads writers that met the same conflict, without a source of random numbers. */
-function spread(key: string, version: number): number {
-  return (version * 7 + key.length) % CONFLICT_PAUSE;
-}
