fix(gateway): learn the store's clock before drawing credit, and leave half of a burst for those who wait

Cause, found by workspaceRates.test.ts (failing first): an instance that had never heard from the store took the last update of the row for the present, so it refilled nothing and refused 2 requests of 27 within the rate; and 13 instances that each held credit ahead emptied a bucket of 10, so that 6 requests were refused at 60 in 100 of the rate. Change: conflicts bring the store's clock; credit ahead of demand leaves half of the burst in the bucket.

--- a/packages/core/src/logging/logger.ts
+++ b/packages/core/src/logging/logger.ts
@@ -83,6 +83,20 @@
   return destination === undefined ? pino(options) : pino(options, destination);
 }
 
+/** Bytes that may wait for a standard output that nobody reads; lines beyond are dropped. */
+const WAITING_LOG_BYTES = 1024 * 1024;
+
+/**
+ * Standard output as a destination that never holds up the process: lines are written in the
+ * background, and dropped while too many wait.
+ *
+ * @example
+ * const logger = createLogger('info', {}, createBackgroundOutput());
+ */
+export function createBackgroundOutput(): LogDestination {
+  return pino.destination({ dest: 1, maxLength: WAITING_LOG_BYTES, sync: false });
+}
+
 /** A logger that writes nothing, for tests and embedding. */
 export const silentLogger: Logger = pino({ level: 'silent' });
 
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -13,6 +13,7 @@
 import type { KeptTurns } from '../programs/keptTurns.js';
 import type { WorkspaceRates } from '../limits/workspaceRates.js';
 import type { AttemptParts, RunnableRequest, RunOutcome } from '../upstreams/attemptLoop.js';
+import type { GatewayMetrics, RequestEnd } from '../observation/gatewayMetrics.js';
 import type { AnswerSink } from './answerSink.js';
 import type { RequestFacts } from './requestFacts.js';
 
@@ -41,6 +42,7 @@
 export interface PipelineParts extends AttemptParts {
   readonly configuration: ConfigurationFollower;
   readonly rates: WorkspaceRates;
+  readonly metrics: GatewayMetrics;
   readonly budgets: TurnBudgets;
   readonly keptTurns: KeptTurns;
   readonly random: () => number;
@@ -165,6 +167,7 @@
       return { error: budget.val, kind: 'failed' };
     }
     const recorder = new TurnRecorder(budget.val, history.val.turn, watch.signal);
+    this.parts.metrics.admissionSeconds.observe((this.timers.now() - watch.receivedAt) / 1_000);
     const loop = new AttemptLoop(
       this.parts,
       { ...request, body: history.val.body },
@@ -207,10 +210,10 @@
   ): void {
     switch (outcome.kind) {
       case 'served':
-        this.logOutcome(incoming, 'served', { status: outcome.status });
+        this.noteEnd(incoming, 'served', { status: outcome.status });
         return;
       case 'interrupted':
-        this.logOutcome(incoming, 'interrupted', {});
+        this.noteEnd(incoming, 'interrupted', {});
         sink.cut();
         return;
       case 'failed':
@@ -231,12 +234,12 @@
     mayHaveRun: boolean,
   ): void {
     if (!watch.isAwaited()) {
-      this.logOutcome(incoming, 'caller-left', { mayHaveRun });
+      this.noteEnd(incoming, 'caller-left', { mayHaveRun });
       sink.cut();
       return;
     }
     if (sink.isStarted) {
-      this.logOutcome(incoming, 'cut-at-deadline', {});
+      this.noteEnd(incoming, 'cut', { reason: 'deadline' });
       sink.cut();
       return;
     }
@@ -245,7 +248,7 @@
   }
 
   private refuse(incoming: IncomingRequest, sink: AnswerSink, error: ZincringError): void {
-    this.logOutcome(incoming, 'refused', {
+    this.noteEnd(incoming, 'refused', {
       detail: error.detail,
       kind: error.kind,
       ran: error.ran,
@@ -260,22 +263,29 @@
     sink.sendWhole(error.status, headers, Buffer.from(JSON.stringify(error.toReport())));
   }
 
-  private logOutcome(
+  private noteEnd(
     incoming: IncomingRequest,
-    event: string,
+    end: RequestEnd,
     fields: Readonly<Record<string, boolean | number | string | undefined>>,
   ): void {
-    const configuration = this.parts.configuration;
+    const { configuration, metrics } = this.parts;
+    const elapsed = this.timers.now() - incoming.receivedAt;
+    metrics.requests.inc({ end, kind: String(fields['kind'] ?? 'none') });
+    metrics.requestSeconds.observe({ end }, elapsed / 1_000);
     const entry = {
       ...fields,
       configurationAge: Math.round(Math.min(configuration.ageMilliseconds(), 1e9)),
       configurationVersion: configuration.current?.configuration.version,
-      elapsed: Math.round(this.timers.now() - incoming.receivedAt),
-      event,
+      elapsed: Math.round(elapsed),
+      event: `request-${end}`,
       program: incoming.facts.programId,
       request: incoming.facts.requestId,
     };
-    this.logger.info(entry, 'a request has ended');
+    if (end === 'served') {
+      this.logger.info(entry, 'a request was served');
+      return;
+    }
+    this.logger.warn(entry, 'a request was not served');
   }
 }
 
--- a/packages/gateway/src/callers/requestWatch.ts
+++ b/packages/gateway/src/callers/requestWatch.ts
@@ -22,6 +22,8 @@
 export class RequestWatch implements RequestControl {
   /** When the caller must have its answer, by the steady clock. */
   public readonly deadline: number;
+  /** When the headers of the request had arrived, by the steady clock. */
+  public readonly receivedAt: number;
   private readonly controller = new AbortController();
   private readonly limit: TimerSubscription;
   private hasLeft = false;
@@ -31,6 +33,7 @@
       route.timeoutMilliseconds,
       request.facts.remainingMilliseconds ?? route.timeoutMilliseconds,
     );
+    this.receivedAt = request.receivedAt;
     this.deadline = request.receivedAt + wait;
     this.limit = timers.after(this.deadline - timers.now(), () => {
       this.controller.abort();
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -15,6 +15,9 @@
 import { WorkspaceRates } from '../limits/workspaceRates.js';
 import { KeptTurns } from '../programs/keptTurns.js';
 import { TurnBudgets } from '../programs/turnBudgets.js';
+import { defaultDecisionLogOptions, DecisionLog } from '../observation/decisionLog.js';
+import { GatewayMetrics } from '../observation/gatewayMetrics.js';
+import { MetricsServer } from '../observation/metricsServer.js';
 import { CrashRecord } from '../upstreams/crashRecord.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaLoads } from '../upstreams/replicaLoads.js';
@@ -34,6 +37,13 @@
   readonly makeId: () => string;
 }
 
+/** The ports that an instance listens on. */
+export interface GatewayPorts {
+  readonly callers: number;
+  readonly metrics: number;
+  readonly readiness: number;
+}
+
 /** Longest wait for news of replicas, in milliseconds: one heartbeat. */
 const REPLICA_WAIT_MILLISECONDS = 1_000;
 /** Time after an outage of the store in which replicas register again, in milliseconds: as the platform states. */
@@ -61,6 +71,9 @@
   private readonly server: GatewayServer;
   private readonly readiness: ReadinessServer;
   private readonly times: GatewayTimes;
+  private readonly metrics = new GatewayMetrics();
+  private readonly metricsServer = new MetricsServer(this.metrics);
+  private readonly logger: Logger;
   private sweeping: TimerSubscription | undefined;
   private isStopping = false;
 
@@ -68,7 +81,9 @@
     private readonly options: GatewayOptions,
     private readonly parts: GatewayParts,
   ) {
-    const { logger, table, timers } = parts;
+    const { table, timers } = parts;
+    const logger = new DecisionLog(parts.logger, timers, defaultDecisionLogOptions);
+    this.logger = logger;
     this.times = gatewayTimes(options);
     this.configuration = new ConfigurationFollower(
       table,
@@ -107,8 +122,12 @@
   }
 
   /** Ports on which callers and the balancer are answered. */
-  public get ports(): { readonly callers: number; readonly readiness: number } {
-    return { callers: this.server.port, readiness: this.readiness.port };
+  public get ports(): GatewayPorts {
+    return {
+      callers: this.server.port,
+      metrics: this.metricsServer.port,
+      readiness: this.readiness.port,
+    };
   }
 
   /** Begins to follow the store and to listen. */
@@ -121,7 +140,8 @@
     });
     await this.server.listen(this.options.callers.host, this.options.callers.port);
     await this.readiness.listen(this.options.readiness);
-    this.parts.logger.info(
+    await this.metricsServer.listen(this.options.metrics);
+    this.logger.info(
       { event: 'started', instance: this.options.instance, ...this.ports },
       'the instance serves callers',
     );
@@ -133,7 +153,7 @@
       return;
     }
     this.isStopping = true;
-    this.parts.logger.info({ event: 'stopping', underWay: this.server.underWay }, 'stopping');
+    this.logger.info({ event: 'stopping', underWay: this.server.underWay }, 'stopping');
     this.server.announceClose();
     await sleep(this.parts.timers, this.times.drainingMilliseconds);
     await this.server.close(this.times.stopMilliseconds - this.times.drainingMilliseconds);
@@ -142,17 +162,20 @@
     this.directory.stop();
     this.crashes.stop();
     this.readiness.close();
-    this.parts.logger.info({ event: 'stopped', underWay: this.server.underWay }, 'stopped');
+    this.metricsServer.close();
+    this.logger.info({ event: 'stopped', underWay: this.server.underWay }, 'stopped');
   }
 
   private makePipeline(): RequestPipeline {
-    const { logger, random, table, timers, wire } = this.parts;
+    const { logger } = this;
+    const { random, table, timers, wire } = this.parts;
     return new RequestPipeline({
       budgets: new TurnBudgets({ logger, random, table, timers }),
       configuration: this.configuration,
       crashes: this.crashes,
       keptTurns: new KeptTurns({ logger, rowBytes: this.options.rowBytes, table, timers }),
       logger,
+      metrics: this.metrics,
       pool: this.pool,
       random,
       rates: new WorkspaceRates({
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -14,6 +14,8 @@
   readonly callers: ListenAddress;
   /** Where the balancer asks whether to send callers here. */
   readonly readiness: ListenAddress;
+  /** Where metrics are served. */
+  readonly metrics: ListenAddress;
   /** Time for which a withdrawn key may still work, in milliseconds; from the operator's bounds. */
   readonly revocationMilliseconds: number;
   /** Time after which a leaving replica must get nothing new, in milliseconds; from the operator's bounds. */
--- a/packages/gateway/src/limits/rateRow.ts
+++ b/packages/gateway/src/limits/rateRow.ts
@@ -48,6 +48,8 @@
 const SLACK_SECONDS = 0.5;
 /** Part of the burst that bucket and credits may hold beyond it: the operator's slack. */
 const SLACK_BURST_SHARE = 0.1;
+/** Part of the burst that stays in the bucket for requests that wait, wherever they arrive. */
+const RESERVED_BURST_SHARE = 0.5;
 /** Requests that bucket and credits may hold beyond that: below what the operator lets pass above the limit. */
 const SLACK_REQUESTS = 12;
 
@@ -73,8 +75,10 @@
   const surplus = Math.max(0, request.unspent - target);
   const available = refilled + neverReceived + surplus;
   const kept = request.unspent - surplus;
-  const wanted = Math.max(0, target - kept);
-  const granted = Math.max(0, Math.min(wanted, Math.floor(available)));
+  const forWaiting = Math.min(Math.max(0, request.waiting - kept), wholePart(available));
+  const spare = wholePart(available - forWaiting - RESERVED_BURST_SHARE * limit.burst);
+  const ahead = Math.min(Math.max(0, target - kept - forWaiting), spare);
+  const granted = forWaiting + ahead;
   const held = kept + granted;
   const entry = { expiresAt: storeTime + request.validMilliseconds, requests: held };
   const holders = held > 0 ? { ...others, [instance]: entry } : others;
@@ -89,6 +93,10 @@
   };
 }
 
+function wholePart(amount: number): number {
+  return Math.max(0, Math.floor(amount));
+}
+
 /** Requests that the bucket and all credits may stand for together. */
 function mostOutstanding({ burst, ratePerSecond }: RateLimit): number {
   return burst + SLACK_SECONDS * ratePerSecond + SLACK_BURST_SHARE * burst + SLACK_REQUESTS;
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -182,7 +182,8 @@
       this.parts.timers,
       group.address,
       group.row,
-      row => {
+      (row, storeTime) => {
+        this.noteStoreTime(storeTime);
         const buckets = parseBuckets(row.value);
         const held = new Map<WorkspaceCredit, number>();
         for (const credit of credits) {
--- /dev/null
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -0,0 +1,57 @@
+import { Counter, Histogram, Registry } from 'prom-client';
+
+/** How a request ended, as counted. */
+export type RequestEnd =
+  | 'aborted'
+  | 'caller-left'
+  | 'cut'
+  | 'interrupted'
+  | 'refused'
+  | 'served';
+
+/** How an attempt at a replica ended, as counted. */
+export type AttemptEndLabel = 'lost' | 'not-run' | 'served';
+
+/** Bounds of the latency histograms, in seconds: from a call inside an availability zone to the longest route. */
+const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5];
+
+/**
+ * Counters and histograms of an instance, served as text on its metrics address.
+ *
+ * @example
+ * metrics.requests.inc({ end: 'served', kind: 'safe' });
+ */
+export class GatewayMetrics {
+  public readonly registry = new Registry();
+  /** Requests by how they ended and by the kind of their route or refusal. */
+  public readonly requests = new Counter({
+    help: 'Requests by how they ended and why.',
+    labelNames: ['end', 'kind'] as const,
+    name: 'zincring_requests_total',
+    registers: [this.registry],
+  });
+  public readonly requestSeconds = new Histogram({
+    buckets: LATENCY_BUCKETS,
+    help: 'Time from the headers of a request to the end of its answer.',
+    labelNames: ['end'] as const,
+    name: 'zincring_request_seconds',
+    registers: [this.registry],
+  });
+  public readonly attempts = new Counter({
+    help: 'Attempts at replicas by service and end.',
+    labelNames: ['service', 'end'] as const,
+    name: 'zincring_attempts_total',
+    registers: [this.registry],
+  });
+  public readonly admissionSeconds = new Histogram({
+    buckets: LATENCY_BUCKETS,
+    help: 'Time from the headers of a request to its first attempt.',
+    name: 'zincring_admission_seconds',
+    registers: [this.registry],
+  });
+
+  /** The text that is served. */
+  public async text(): Promise<string> {
+    return await this.registry.metrics();
+  }
+}
--- a/packages/gateway/src/store/editRow.ts
+++ b/packages/gateway/src/store/editRow.ts
@@ -48,7 +48,8 @@
 /**
  * Changes a row under the condition that nobody else has. A write whose answer is lost is sent
  * again under the same condition, so at most one of the two takes effect; `edit` must recognise
- * its own earlier write in the row that it is given.
+ * its own earlier write in the row that it is given; the steady clock of the store comes with it
+ * once the store has answered.
  *
  * @example
  * const edited = await editRow(table, timers, address, absentRow, edit, options);
@@ -58,7 +59,7 @@
   timers: TimerService,
   address: RowAddress,
   known: KnownRow,
-  edit: (row: KnownRow) => RowEdit<Answer>,
+  edit: (row: KnownRow, storeTime: number | undefined) => RowEdit<Answer>,
   options: EditOptions,
 ): Promise<Result<EditedRow<Answer>, PlatformError>> {
   let row = known;
@@ -67,7 +68,7 @@
   let failures = 0;
   let conflicts = 0;
   for (;;) {
-    const wanted = edit(row);
+    const wanted = edit(row, storeTime);
     if (wanted.kind === 'leave') {
       return Ok({ answer: wanted.answer, isConfirmed, row, storeTime });
     }
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -5,6 +5,7 @@
 import type { AnswerSink, StreamObserver } from '../callers/answerSink.js';
 import type { RequestFacts, RequestWire } from '../callers/requestFacts.js';
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
+import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { CrashRecord } from './crashRecord.js';
 import type { ReplicaEntry, ReplicaRunId } from './replica.js';
 import type { ExchangeOutcome, ReplicaAnswer } from './replicaExchange.js';
@@ -52,6 +53,7 @@
   readonly pool: ReplicaPool;
   readonly wire: RequestWire;
   readonly crashes: CrashRecord;
+  readonly metrics: GatewayMetrics;
 }
 
 /** Replicas that may refuse one request before its caller is told to come back: most of a small service. */
@@ -108,6 +110,7 @@
         return this.giveUp('no replica can take the request');
       }
       const result = await this.attempt(entry);
+      this.parts.metrics.attempts.inc({ end: result.kind, service: this.request.service.name });
       if (result.kind === 'served') {
         return result;
       }
@@ -271,7 +274,7 @@
   }
 
   private logEnd(entry: ReplicaEntry, result: AttemptResult & { readonly reason?: string }): void {
-    this.parts.logger.info(
+    this.parts.logger.warn(
       {
         event: result.kind === 'lost' ? 'attempt-lost' : 'attempt-refused',
         events: this.forwardedEvents,
--- /dev/null
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -0,0 +1,199 @@
+import type { InstanceId, WorkspaceName } from '@zincring/core';
+
+import { ManualTimerService, silentLogger } from '@zincring/core';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import type { GatewayWorkspace } from '../../src/configuration/gatewayConfiguration.js';
+
+import { WorkspaceRates } from '../../src/limits/workspaceRates.js';
+import { makeRandom } from '../support/makeRandom.js';
+import { MemoryTable } from '../support/memoryTable.js';
+import { sampleWorkspace } from '../support/samples.js';
+
+const WINDOW_SECONDS = 5;
+const OVERAGE = 0.1;
+const SLACK = 20;
+
+/** Most requests of a window that the operator lets pass. */
+function windowBound({ burst, ratePerSecond }: GatewayWorkspace): number {
+  return (ratePerSecond * WINDOW_SECONDS + burst) * (1 + OVERAGE) + SLACK;
+}
+
+function mostInWindow(times: readonly number[]): number {
+  return Math.max(
+    0,
+    ...times.map(end => times.filter(time => time <= end && time > end - 5_000).length),
+  );
+}
+
+describe(WorkspaceRates, () => {
+  let timers: ManualTimerService;
+  let store: MemoryTable;
+  const signal = new AbortController().signal;
+
+  beforeEach(() => {
+    timers = new ManualTimerService();
+    store = new MemoryTable(timers);
+  });
+
+  function makeInstance(number: number): WorkspaceRates {
+    return new WorkspaceRates({
+      instance: `entry-${String(number)}` as InstanceId,
+      logger: silentLogger,
+      random: makeRandom(number),
+      table: store.client(),
+      timers,
+      workspaceCount: () => 8,
+    });
+  }
+
+  /** Sends requests at random instances for a time; returns when they were admitted, and how many were refused. */
+  async function play(
+    instances: readonly WorkspaceRates[],
+    workspace: GatewayWorkspace,
+    perSecond: number,
+    seconds: number,
+    pick: (random: () => number) => number = random => Math.floor(random() * instances.length),
+  ): Promise<{ readonly admitted: number[]; readonly refused: number }> {
+    const random = makeRandom(99);
+    const admitted: number[] = [];
+    let refused = 0;
+    const waiting: Promise<void>[] = [];
+    for (let elapsed = 0; elapsed < seconds * 1_000; elapsed += 10) {
+      if (random() < perSecond / 100) {
+        const instance = instances[pick(random)];
+        const work = instance?.admit(workspace, signal).then(admission => {
+          if (admission.ok) {
+            admitted.push(timers.now());
+          } else {
+            refused++;
+          }
+        });
+        waiting.push(work ?? Promise.resolve());
+      }
+      await timers.advance(10);
+    }
+    await timers.advance(1_000);
+    await Promise.all(waiting);
+    return { admitted, refused };
+  }
+
+  function makeFleet(count: number): readonly WorkspaceRates[] {
+    return Array.from({ length: count }, (_unused, index) => makeInstance(index));
+  }
+
+  it('admits workspaces without a rate and requests without a workspace', async () => {
+    const rates = makeInstance(1);
+    const unlimited = sampleWorkspace({ burst: 0, ratePerSecond: 0 });
+    expect((await rates.admit(undefined, signal)).ok).toBe(true);
+    expect((await rates.admit(unlimited, signal)).ok).toBe(true);
+    expect(store.calls).toBe(0);
+  });
+
+  it.each([
+    { ratePerSecond: 10, burst: 10 },
+    { ratePerSecond: 50, burst: 50 },
+  ])('refuses none below $ratePerSecond a second over 13 instances', async limit => {
+    const { refused } = await play(
+      makeFleet(13),
+      sampleWorkspace(limit),
+      limit.ratePerSecond * 0.6,
+      10,
+    );
+    expect(refused).toBe(0);
+  });
+
+  it('refuses none below the rate when nearly all requests reach one instance', async () => {
+    const workspace = sampleWorkspace({ burst: 30, ratePerSecond: 30 });
+    const { refused } = await play(makeFleet(13), workspace, 20, 10, random =>
+      random() < 0.9 ? 0 : 1 + Math.floor(random() * 12),
+    );
+    expect(refused).toBe(0);
+  });
+
+  it.each([
+    { perSecond: 60, ratePerSecond: 10 },
+    { perSecond: 90, ratePerSecond: 30 },
+  ])('keeps $perSecond requests a second within the bound', async ({ perSecond, ratePerSecond }) => {
+    const workspace = sampleWorkspace({ burst: ratePerSecond, ratePerSecond });
+    const { admitted } = await play(makeFleet(13), workspace, perSecond, 12);
+    expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(workspace));
+    expect(admitted.length).toBeGreaterThan(ratePerSecond * 12 * 0.9);
+  });
+
+  it('stays within the bound when all instances are replaced again and again', async () => {
+    const workspace = sampleWorkspace({ burst: 10, ratePerSecond: 10 });
+    const admitted: number[] = [];
+    for (let round = 0; round < 4; round++) {
+      const part = await play(makeFleet(13), workspace, 60, 1.5);
+      admitted.push(...part.admitted);
+    }
+    expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(workspace));
+  });
+
+  it('stays within the bound while answers of the store are lost', async () => {
+    const workspace = sampleWorkspace({ burst: 10, ratePerSecond: 10 });
+    const fleet = makeFleet(5);
+    const flapping = timers.every(300, () => {
+      store.faults.losesAnswers = !store.faults.losesAnswers;
+    });
+    const { admitted } = await play(fleet, workspace, 60, 10);
+    flapping.stop();
+    expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(workspace));
+  });
+
+  it('gets its credit back from an instance that died within six seconds', async () => {
+    const workspace = sampleWorkspace({ burst: 10, ratePerSecond: 10 });
+    await play([makeInstance(1)], workspace, 9, 3);
+    await timers.advance(6_000);
+    const { refused } = await play([makeInstance(2)], workspace, 9, 3);
+    expect(refused).toBe(0);
+  });
+
+  it('binds a lowered limit within one window', async () => {
+    const fleet = makeFleet(5);
+    const wide = sampleWorkspace({ burst: 50, ratePerSecond: 50 });
+    const narrow = sampleWorkspace({ burst: 5, ratePerSecond: 5 });
+    await play(fleet, wide, 40, 4);
+    await play(fleet, narrow, 40, 4);
+    const { admitted } = await play(fleet, narrow, 40, 6);
+    expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(narrow));
+  });
+
+  it('says when to come back', async () => {
+    const workspace = sampleWorkspace({ burst: 1, ratePerSecond: 2 });
+    const rates = makeInstance(1);
+    const outcomes = [1, 2, 3, 4].map(() => rates.admit(workspace, signal));
+    await timers.advance(50);
+    const refusals = (await Promise.all(outcomes)).filter(each => each.err);
+    expect(refusals.length).toBeGreaterThan(0);
+    for (const refusal of refusals) {
+      expect(refusal.err && refusal.val.kind).toBe('rate-limited');
+      expect(refusal.err && refusal.val.retryAfterSeconds).toBeGreaterThanOrEqual(0.5);
+    }
+  });
+
+  it('gives the place of a request that did not run to the next one', async () => {
+    const rates = makeInstance(1);
+    const workspace = sampleWorkspace({ burst: 1, ratePerSecond: 0.01 });
+    const first = rates.admit(workspace, signal);
+    await timers.advance(50);
+    const admission = await first;
+    expect(admission.ok).toBe(true);
+    if (admission.ok) {
+      admission.val.giveBack();
+    }
+    expect((await rates.admit({ ...workspace }, signal)).ok).toBe(true);
+  });
+
+  it('does not refuse as over the rate when the use is not known', async () => {
+    store.faults.isRefusing = true;
+    const admission = makeInstance(1).admit(
+      sampleWorkspace({ name: 'others' as WorkspaceName }),
+      signal,
+    );
+    await timers.advance(700);
+    const outcome = await admission;
+    expect(outcome.err && outcome.val.kind).toBe('store-unavailable');
+  });
+});
--- /dev/null
+++ b/packages/gateway/tests/programs/turnBudgets.test.ts
@@ -0,0 +1,165 @@
+import type { ProgramId, Result, ZincringError } from '@zincring/core';
+
+import { ManualTimerService, silentLogger } from '@zincring/core';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import type { BudgetReservation } from '../../src/programs/turnBudgets.js';
+
+import { TurnBudgets } from '../../src/programs/turnBudgets.js';
+import { makeRandom } from '../support/makeRandom.js';
+import { MemoryTable } from '../support/memoryTable.js';
+import { sampleRoute, sampleTurn } from '../support/samples.js';
+
+type Reserved = Result<BudgetReservation | undefined, ZincringError>;
+
+const BUDGET = 1_725;
+const MOST = 575;
+
+describe(TurnBudgets, () => {
+  let timers: ManualTimerService;
+  let store: MemoryTable;
+  const signal = new AbortController().signal;
+
+  beforeEach(() => {
+    timers = new ManualTimerService();
+    store = new MemoryTable(timers);
+  });
+
+  function makeInstance(seed = 1): TurnBudgets {
+    return new TurnBudgets({
+      logger: silentLogger,
+      random: makeRandom(seed),
+      table: store.client(),
+      timers,
+    });
+  }
+
+  async function finish<Value>(work: Promise<Value>, within = 5_000): Promise<Value> {
+    let isDone = false;
+    const watched = work.finally(() => {
+      isDone = true;
+    });
+    for (let elapsed = 0; elapsed < within && !isDone; elapsed += 5) {
+      await timers.advance(5);
+    }
+    return await watched;
+  }
+
+  function isRefusal(reserved: Reserved): boolean {
+    return reserved.err && reserved.val.kind === 'budget-exhausted';
+  }
+
+  it('holds nothing for requests without a budget', async () => {
+    const reserved = await makeInstance().reserve(
+      sampleTurn('a', { tokenBudget: undefined }),
+      signal,
+    );
+    expect(reserved.ok && reserved.val).toBeUndefined();
+    expect(store.calls).toBe(0);
+  });
+
+  it('holds nothing for calls of tools', async () => {
+    const request = sampleTurn('a', {}, { route: sampleRoute({ kind: 'unsafe' }) });
+    expect((await makeInstance().reserve(request, signal)).ok).toBe(true);
+    expect(store.calls).toBe(0);
+  });
+
+  it('never lets sub-agents at many instances pass the budget together', async () => {
+    const instances = Array.from({ length: 13 }, (_unused, index) => makeInstance(index + 1));
+    const started = instances.flatMap((instance, index) => [
+      instance.reserve(sampleTurn(`a${String(index)}`), signal),
+      instance.reserve(sampleTurn(`b${String(index)}`), signal),
+    ]);
+    const reserved = await finish(Promise.all(started));
+    const granted = reserved.filter(each => each.ok).length;
+    expect(granted).toBe(Math.floor(BUDGET / MOST));
+    expect(reserved.filter(isRefusal)).toHaveLength(reserved.length - granted);
+  });
+
+  it('counts what was handed over, not the most', async () => {
+    const instance = makeInstance();
+    let handed = 0;
+    for (let turn = 0; turn < 20; turn++) {
+      const reserved = await finish(instance.reserve(sampleTurn(`t${String(turn)}`), signal));
+      if (reserved.err) {
+        break;
+      }
+      reserved.val?.settle(230);
+      handed += 230;
+    }
+    expect(handed).toBe(230 * 6);
+  });
+
+  it('tells other instances in time what is free again', async () => {
+    const first = makeInstance(1);
+    const second = makeInstance(2);
+    for (const id of ['a', 'b', 'c']) {
+      const reserved = await finish(first.reserve(sampleTurn(id), signal));
+      expect(reserved.ok).toBe(true);
+      if (reserved.ok) {
+        reserved.val?.settle(100);
+      }
+    }
+    await timers.advance(1_000);
+    expect((await finish(second.reserve(sampleTurn('d'), signal))).ok).toBe(true);
+  });
+
+  it('counts the most of turns whose instance died', async () => {
+    await finish(makeInstance(1).reserve(sampleTurn('a'), signal));
+    await finish(makeInstance(2).reserve(sampleTurn('b'), signal));
+    await finish(makeInstance(3).reserve(sampleTurn('c'), signal));
+    const reserved = await finish(makeInstance(4).reserve(sampleTurn('d'), signal));
+    expect(isRefusal(reserved)).toBe(true);
+  });
+
+  it('does not hold twice when the answer of the store is lost', async () => {
+    store.faults.losesAnswers = true;
+    const instance = makeInstance();
+    const reserving = instance.reserve(sampleTurn('a'), signal);
+    await timers.advance(410);
+    store.faults.losesAnswers = false;
+    expect((await finish(reserving)).ok).toBe(true);
+    expect((await finish(instance.reserve(sampleTurn('b'), signal))).ok).toBe(true);
+    expect((await finish(instance.reserve(sampleTurn('c'), signal))).ok).toBe(true);
+    expect(isRefusal(await finish(instance.reserve(sampleTurn('d'), signal)))).toBe(true);
+  });
+
+  it('refuses truthfully and at once with a time to come back while the store is away', async () => {
+    store.faults.isRefusing = true;
+    const reserved = await finish(makeInstance().reserve(sampleTurn('a'), signal), 500);
+    expect(reserved.err && reserved.val.kind).toBe('store-unavailable');
+    expect(reserved.err && reserved.val.ran).toBe('no');
+    expect(reserved.err && reserved.val.retryAfterSeconds).toBeGreaterThan(0);
+  });
+
+  it('keeps the programs of workspaces apart', async () => {
+    const instance = makeInstance();
+    const other = { workspace: 'others' as never };
+    for (const id of ['a', 'b', 'c']) {
+      await finish(instance.reserve(sampleTurn(id), signal));
+    }
+    expect((await finish(instance.reserve(sampleTurn('d', {}, other), signal))).ok).toBe(true);
+  });
+
+  it('reads the account again before it refuses by what it remembers', async () => {
+    const first = makeInstance(1);
+    const second = makeInstance(2);
+    const held = await finish(first.reserve(sampleTurn('a'), signal));
+    await finish(second.reserve(sampleTurn('b'), signal));
+    await finish(second.reserve(sampleTurn('c'), signal));
+    if (held.ok) {
+      held.val?.settle(0);
+    }
+    await timers.advance(1_000);
+    expect((await finish(second.reserve(sampleTurn('d'), signal))).ok).toBe(true);
+  });
+
+  it('keeps programs apart', async () => {
+    const instance = makeInstance();
+    for (const id of ['a', 'b', 'c']) {
+      await finish(instance.reserve(sampleTurn(id), signal));
+    }
+    const other = sampleTurn('d', { programId: 'program-2' as ProgramId });
+    expect((await finish(instance.reserve(other, signal))).ok).toBe(true);
+  });
+});
