--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,7 @@
   platform: ['core'],
   coordination: ['core', 'platform'],
   scheduling: ['core'],
+  gateway: ['core', 'platform', 'scheduling'],
   instance: ['core', 'rules', 'protocol', 'platform', 'coordination', 'scheduling'],
   control: ['core', 'rules', 'protocol', 'platform', 'coordination'],
   'stand-ins': ['core', 'rules', 'platform', 'coordination', 'scheduling'],
@@ -45,11 +46,31 @@
   },
 }));
 
+/** The adapter of the users' platform: nothing imports it. */
+const adapterBoundary = {
+  files: ['platform/src/**/*.ts'],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        paths: ['control', 'instance', 'protocol', 'rules', 'scheduling', 'stand-ins'].map(
+          name => ({
+            name: `@zincring/${name}`,
+            message: 'The adapter translates; decisions live in the packages.',
+          }),
+        ),
+        patterns: [{ group: ['@zincring/*/*'], message: 'Import the package by its name only.' }],
+      },
+    ],
+  },
+};
+
 /** Only the private package and the tests start processes. */
 const noProcesses = {
   files: packageNames
     .filter(name => name !== 'stand-ins')
-    .map(name => `packages/${name}/src/**/*.ts`),
+    .map(name => `packages/${name}/src/**/*.ts`)
+    .concat('platform/src/**/*.ts'),
   rules: {
     'no-restricted-syntax': [
       'error',
@@ -63,10 +84,18 @@
 };
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'build/**', 'coverage/**', 'packages/protocol/src/generated/**'] },
+  {
+    ignores: [
+      '**/dist/**',
+      'build/**',
+      'coverage/**',
+      'target/**',
+      'packages/protocol/src/generated/**',
+    ],
+  },
   eslint.configs.recommended,
   {
-    files: ['packages/**/*.ts', 'vitest.config.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts', 'vitest.config.ts'],
     extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
@@ -85,7 +114,7 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     plugins: { jsdoc },
     rules: {
       'jsdoc/require-jsdoc': [
@@ -99,9 +128,10 @@
     },
   },
   {
-    files: ['packages/*/tests/**/*.ts'],
+    files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: { 'max-lines-per-function': 'off', '@typescript-eslint/no-non-null-assertion': 'off' },
   },
   ...boundaryRules,
+  adapterBoundary,
   noProcesses,
 );
--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -1,6 +1,6 @@
 import type { Logger, TimerService } from '@zincring/core';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 
 import { createServer } from 'node:http';
 
@@ -49,7 +49,7 @@
       },
     );
     this.server.on('clientError', (failure: Error, socket) => {
-      this.refuseMalformed(failure, socket as Socket);
+      this.refuseMalformed(failure, socket);
     });
   }
 
@@ -117,7 +117,11 @@
     }
     this.parts.pipeline.handle(incoming, answer).catch((failure: unknown) => {
       this.parts.logger.error(
-        { event: 'request-fault', failure: failureText(failure), request: incoming.facts.requestId },
+        {
+          event: 'request-fault',
+          failure: failureText(failure),
+          request: incoming.facts.requestId,
+        },
         'a request met an unexpected fault',
       );
       answer.cut();
@@ -143,10 +147,10 @@
     };
   }
 
-  private refuseMalformed(failure: Error, socket: Socket): void {
-    const code = (failure as { readonly code?: unknown }).code;
+  private refuseMalformed(failure: Error, socket: Duplex): void {
+    const { code } = failure as { readonly code?: string };
     this.parts.logger.info(
-      { event: 'malformed-request', failure: String(code ?? failure.message) },
+      { event: 'malformed-request', failure: code ?? failure.message },
       'a connection sent no valid request',
     );
     if (!socket.writable || code === 'ECONNRESET') {
@@ -158,15 +162,11 @@
   }
 }
 
-function statusOfMalformed(code: unknown): string {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW':
-      return '431 Request Header Fields Too Large';
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return '408 Request Timeout';
-    default:
-      return '400 Bad Request';
+function statusOfMalformed(code: string | undefined): string {
+  if (code === 'HPE_HEADER_OVERFLOW') {
+    return '431 Request Header Fields Too Large';
   }
+  return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
 }
 
 function headerBytes(headers: readonly string[]): number {
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -112,10 +112,12 @@
     const isFresh = configuration.isFresh() || (await this.refreshConfiguration());
     const index = configuration.current;
     if (index === undefined) {
-      return Err(new ZincringError('instance-not-ready', { retryAfterSeconds: STALE_RETRY_SECONDS }));
+      return Err(
+        new ZincringError('instance-not-ready', { retryAfterSeconds: STALE_RETRY_SECONDS }),
+      );
     }
     const admitted = admitByConfiguration(index, incoming);
-    if (isFresh || (admitted.ok && admitted.val.route.isOpen)) {
+    if (isFresh || (admitted.ok && admitted.val.route.isOpen && configuration.isUsable())) {
       return admitted;
     }
     return Err(
@@ -306,7 +308,9 @@
   }
   const service = index.findService(pickService(route, facts));
   if (service === undefined) {
-    return Err(new ZincringError('upstream-unavailable', { detail: 'the service is not described' }));
+    return Err(
+      new ZincringError('upstream-unavailable', { detail: 'the service is not described' }),
+    );
   }
   return Ok({
     maximumBodyBytes: index.configuration.callerLimits.maximumBodyBytes,
--- a/packages/gateway/src/configuration/configurationFollower.ts
+++ b/packages/gateway/src/configuration/configurationFollower.ts
@@ -18,6 +18,8 @@
 export interface ConfigurationFollowerOptions {
   /** Age up to which the configuration counts as current, in milliseconds. */
   readonly freshMilliseconds: number;
+  /** Age up to which routes that need no key are served, in milliseconds. */
+  readonly usableMilliseconds: number;
   /** Longest wait of one request for changes, in milliseconds. */
   readonly waitMilliseconds: number;
 }
@@ -80,6 +82,11 @@
     return this.index !== undefined && this.ageMilliseconds() < this.options.freshMilliseconds;
   }
 
+  /** Whether the configuration is recent enough for routes that need no key. */
+  public isUsable(): boolean {
+    return this.index !== undefined && this.ageMilliseconds() < this.options.usableMilliseconds;
+  }
+
   /** Calls the listener with each new configuration. */
   public subscribe(listener: (index: ConfigurationIndex) => void): void {
     this.listeners.push(listener);
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -12,6 +12,7 @@
 import { GatewayServer } from '../callers/gatewayServer.js';
 import { RequestPipeline } from '../callers/requestPipeline.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { WatchedTable } from '../store/watchedTable.js';
 import { WorkspaceRates } from '../limits/workspaceRates.js';
 import { KeptTurns } from '../programs/keptTurns.js';
 import { TurnBudgets } from '../programs/turnBudgets.js';
@@ -52,6 +53,8 @@
 const OUTAGE_MILLISECONDS = 2_500;
 /** Pause between sweeps of connections to replicas that have left, in milliseconds. */
 const SWEEP_MILLISECONDS = 1_000;
+/** Time for giving back held tokens during a stop, in milliseconds: within the rest of the grace period. */
+const RELEASE_MILLISECONDS = 400;
 /** Connections that one instance opens to a replica at most. */
 const MAXIMUM_CONNECTIONS = 16;
 
@@ -74,6 +77,8 @@
   private readonly metrics = new GatewayMetrics();
   private readonly metricsServer = new MetricsServer(this.metrics);
   private readonly logger: Logger;
+  private readonly table: WatchedTable;
+  private readonly budgets: TurnBudgets;
   private sweeping: TimerSubscription | undefined;
   private isStopping = false;
 
@@ -81,7 +86,9 @@
     private readonly options: GatewayOptions,
     private readonly parts: GatewayParts,
   ) {
-    const { table, timers } = parts;
+    const { timers } = parts;
+    const table = this.watchStore(parts.table, timers);
+    this.table = table;
     const logger = new DecisionLog(parts.logger, timers, defaultDecisionLogOptions);
     this.logger = logger;
     this.times = gatewayTimes(options);
@@ -92,6 +99,7 @@
       logger,
       {
         freshMilliseconds: this.times.freshMilliseconds,
+        usableMilliseconds: options.staleConfigurationMilliseconds,
         waitMilliseconds: this.times.configurationWaitMilliseconds,
       },
     );
@@ -102,6 +110,13 @@
       waitMilliseconds: REPLICA_WAIT_MILLISECONDS,
     });
     this.crashes = new CrashRecord({ logger, makeId: parts.makeId, table, timers });
+    this.budgets = new TurnBudgets({
+      holder: `${options.instance}/${parts.makeId()}`,
+      logger,
+      random: parts.random,
+      table,
+      timers,
+    });
     const loads = new ReplicaLoads(timers, entry => this.connectionsTo(entry));
     this.pool = new ReplicaPool(this.directory, loads, options.availabilityZone, parts.random);
     this.server = new GatewayServer({
@@ -158,6 +173,7 @@
     await sleep(this.parts.timers, this.times.drainingMilliseconds);
     await this.server.close(this.times.stopMilliseconds - this.times.drainingMilliseconds);
     this.sweeping?.stop();
+    await Promise.race([this.budgets.releaseAll(), sleep(this.parts.timers, RELEASE_MILLISECONDS)]);
     this.configuration.stop();
     this.directory.stop();
     this.crashes.stop();
@@ -166,11 +182,21 @@
     this.logger.info({ event: 'stopped', underWay: this.server.underWay }, 'stopped');
   }
 
+  private watchStore(table: PartitionedTable, timers: TimerService): WatchedTable {
+    return new WatchedTable(table, timers, (call, name, isAnswered, milliseconds) => {
+      const outcome = isAnswered ? 'answered' : 'failed';
+      this.metrics.storeCalls.inc({ call, outcome, table: name });
+      if (call !== 'changes') {
+        this.metrics.storeSeconds.observe({ call }, milliseconds / 1_000);
+      }
+    });
+  }
+
   private makePipeline(): RequestPipeline {
-    const { logger } = this;
-    const { random, table, timers, wire } = this.parts;
+    const { budgets, logger, table } = this;
+    const { random, timers, wire } = this.parts;
     return new RequestPipeline({
-      budgets: new TurnBudgets({ logger, random, table, timers }),
+      budgets,
       configuration: this.configuration,
       crashes: this.crashes,
       keptTurns: new KeptTurns({ logger, rowBytes: this.options.rowBytes, table, timers }),
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -18,6 +18,8 @@
   readonly metrics: ListenAddress;
   /** Time for which a withdrawn key may still work, in milliseconds; from the operator's bounds. */
   readonly revocationMilliseconds: number;
+  /** Time for which an older configuration may be in force while the store is troubled, in milliseconds; from the operator's bounds. */
+  readonly staleConfigurationMilliseconds: number;
   /** Time after which a leaving replica must get nothing new, in milliseconds; from the operator's bounds. */
   readonly drainMilliseconds: number;
   /** Time between the request to stop and the forced end, in milliseconds; from the operator's bounds. */
--- a/packages/gateway/src/limits/workspaceCredit.ts
+++ b/packages/gateway/src/limits/workspaceCredit.ts
@@ -8,12 +8,18 @@
 /** How a wait for credit ended. */
 export type CreditAnswer = 'denied' | 'granted' | 'unknown';
 
+interface CreditWaiter {
+  readonly answer: (answer: CreditAnswer) => void;
+  /** By the steady clock. */
+  readonly since: number;
+}
+
 /** How long credit is good at its holder, in milliseconds: shorter than the store counts it. */
 const VALID_MILLISECONDS = 4_000;
 /** Time constant of the estimate of demand, in milliseconds: a few tool pauses of a program. */
 const DEMAND_MILLISECONDS = 3_000;
 /** Time for which credit is wished ahead, in seconds: some pauses between draws, within the time that credit is good. */
-const AHEAD_SECONDS = 2.2;
+const AHEAD_SECONDS = 3;
 /** Demand below which no credit is wished ahead, in requests a second. */
 const RARE_DEMAND = 0.15;
 
@@ -27,7 +33,7 @@
   private grantedAt: Moment | undefined;
   private demand = 0;
   private demandAt: number;
-  private waiters: ((answer: CreditAnswer) => void)[] = [];
+  private waiters: CreditWaiter[] = [];
 
   public constructor(
     private readonly timers: TimerService,
@@ -79,9 +85,15 @@
     }
   }
 
-  /** Calls the waiter once credit has come or was denied. */
-  public wait(waiter: (answer: CreditAnswer) => void): void {
-    this.waiters.push(waiter);
+  /** How long the first of those who wait has waited, in milliseconds. */
+  public get longestWait(): number {
+    const [first] = this.waiters;
+    return first === undefined ? 0 : this.timers.now() - first.since;
+  }
+
+  /** Calls the listener once credit has come or was denied. */
+  public wait(answer: (answer: CreditAnswer) => void): void {
+    this.waiters.push({ answer, since: this.timers.now() });
   }
 
   /** Takes in a grant; `spent` is what was spent since the request for it was made. */
@@ -91,12 +103,19 @@
     this.grantedAt = sentAt;
   }
 
-  /** Answers those who wait, first come first served. */
-  public answerWaiters(otherwise: CreditAnswer): void {
+  /** Gives credit to those who wait while there is any, first come first served. */
+  public serveWaiters(): void {
+    while (this.waiters.length > 0 && this.take()) {
+      this.waiters.shift()?.answer('granted');
+    }
+  }
+
+  /** Ends the wait of those who are left. */
+  public dismissWaiters(answer: CreditAnswer): void {
     const waiters = this.waiters;
     this.waiters = [];
     for (const waiter of waiters) {
-      waiter(this.take() ? 'granted' : otherwise);
+      waiter.answer(answer);
     }
   }
 
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -1,9 +1,10 @@
 import type { InstanceId, Logger, Result, TimerService, WorkspaceName } from '@zincring/core';
-import type { PartitionedTable, RowAddress } from '@zincring/platform';
+import type { RowAddress } from '@zincring/platform';
 
 import { Err, hash32, Ok, ZincringError } from '@zincring/core';
 
 import type { GatewayWorkspace } from '../configuration/gatewayConfiguration.js';
+import type { WatchedTable } from '../store/watchedTable.js';
 import type { KnownRow } from '../store/editRow.js';
 import type { CreditAnswer } from './workspaceCredit.js';
 import type { WorkspaceBucket } from './rateRow.js';
@@ -21,7 +22,7 @@
 
 /** What a {@link WorkspaceRates} works with. */
 export interface WorkspaceRatesParts {
-  readonly table: PartitionedTable;
+  readonly table: WatchedTable;
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly instance: InstanceId;
@@ -49,6 +50,8 @@
 const STORE_VALID_MILLISECONDS = 5_500;
 /** Longest wait of a request for credit, in milliseconds: some answers of a slow store. */
 const WAIT_MILLISECONDS = 600;
+/** Longest wait for the rate to have room again, in milliseconds: a fraction of what callers allow for an answer. */
+const PATIENCE_MILLISECONDS = 250;
 /** Shortest and longest time for which an empty bucket is not asked again, in milliseconds. */
 const DENIED_MILLISECONDS = { longest: 1_000, shortest: 100 };
 /** Shortest pause between draws ahead of demand, in milliseconds: a third of the time that they are meant to last. */
@@ -92,7 +95,8 @@
     if (credit.deniedUntil > this.parts.timers.now()) {
       return Err(this.rateLimited(credit));
     }
-    switch (await this.waitForCredit(credit, signal)) {
+    const answer = this.parts.table.isAway ? 'unknown' : await this.waitForCredit(credit, signal);
+    switch (answer) {
       case 'granted':
         return Ok(admissionOf(credit));
       case 'denied':
@@ -118,10 +122,7 @@
     return credit;
   }
 
-  private async waitForCredit(
-    credit: WorkspaceCredit,
-    signal: AbortSignal,
-  ): Promise<CreditAnswer> {
+  private async waitForCredit(credit: WorkspaceCredit, signal: AbortSignal): Promise<CreditAnswer> {
     return await new Promise(resolve => {
       let isSettled = false;
       const settle = (answer: CreditAnswer): void => {
@@ -161,20 +162,21 @@
       return;
     }
     group.isAsking = true;
-    group.aheadAt = this.parts.timers.now() + AHEAD_PAUSE_MILLISECONDS;
+    group.aheadAt =
+      this.parts.timers.now() + AHEAD_PAUSE_MILLISECONDS * (0.75 + this.parts.random() / 2);
+    const asked = this.creditsOf(group);
     try {
-      await this.ask(group);
+      await this.ask(group, asked);
     } finally {
       group.isAsking = false;
     }
-    const waiting = this.creditsOf(group).find(credit => credit.waiting > 0);
-    if (waiting !== undefined) {
-      this.topUpIfDue(waiting);
+    // Requests that came during the draw, for workspaces that had no part in it.
+    if (this.creditsOf(group).some(credit => credit.waiting > 0 && !asked.includes(credit))) {
+      void this.topUp(group);
     }
   }
 
-  private async ask(group: GroupState): Promise<void> {
-    const credits = this.creditsOf(group);
+  private async ask(group: GroupState, credits: readonly WorkspaceCredit[]): Promise<void> {
     const sentAt = momentOf(this.parts.timers);
     const unspentAtStart = new Map(credits.map(credit => [credit, credit.unspent]));
     const edited = await editRow<ReadonlyMap<WorkspaceCredit, number>>(
@@ -205,7 +207,7 @@
         'no credit could be drawn',
       );
       credits.forEach(credit => {
-        credit.answerWaiters('unknown');
+        credit.dismissWaiters('unknown');
       });
       return;
     }
@@ -214,8 +216,8 @@
     for (const [credit, held] of edited.val.answer) {
       const spent = Math.max(0, (unspentAtStart.get(credit) ?? 0) - credit.unspent);
       credit.receive(held, spent, sentAt);
-      this.noteDenial(credit);
-      credit.answerWaiters('denied');
+      credit.serveWaiters();
+      this.judgeWaiters(credit);
     }
   }
 
@@ -234,18 +236,28 @@
     return held;
   }
 
-  private noteDenial(credit: WorkspaceCredit): void {
-    if (credit.waiting <= credit.unspent) {
+  /** Lets those wait for whom the rate soon has room again, and denies the others. */
+  private judgeWaiters(credit: WorkspaceCredit): void {
+    if (credit.waiting === 0) {
+      return;
+    }
+    const { name, ratePerSecond } = credit.workspace;
+    const refillMilliseconds = 1_000 / ratePerSecond;
+    const expected = credit.longestWait + credit.waiting * refillMilliseconds;
+    if (expected <= PATIENCE_MILLISECONDS) {
+      this.parts.timers.after(refillMilliseconds, () => {
+        this.topUpIfDue(credit);
+      });
       return;
     }
     const { longest, shortest } = DENIED_MILLISECONDS;
-    const pause = (1_000 * (credit.waiting - credit.unspent + 1)) / credit.workspace.ratePerSecond;
-    credit.deniedUntil =
-      this.parts.timers.now() + Math.min(longest, Math.max(shortest, pause));
+    const pause = Math.min(longest, Math.max(shortest, credit.waiting * refillMilliseconds));
+    credit.deniedUntil = this.parts.timers.now() + pause;
     this.parts.logger.info(
-      { event: 'rate-exhausted', unserved: credit.waiting, workspace: credit.workspace.name },
+      { event: 'rate-exhausted', pause, unserved: credit.waiting, workspace: name },
       'the workspace has used up its rate',
     );
+    credit.dismissWaiters('denied');
   }
 
   private rateLimited(credit: WorkspaceCredit): ZincringError {
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -1,13 +1,7 @@
 import { Counter, Histogram, Registry } from 'prom-client';
 
 /** How a request ended, as counted. */
-export type RequestEnd =
-  | 'aborted'
-  | 'caller-left'
-  | 'cut'
-  | 'interrupted'
-  | 'refused'
-  | 'served';
+export type RequestEnd = 'aborted' | 'caller-left' | 'cut' | 'interrupted' | 'refused' | 'served';
 
 /** How an attempt at a replica ended, as counted. */
 export type AttemptEndLabel = 'lost' | 'not-run' | 'served';
@@ -49,6 +43,19 @@
     name: 'zincring_admission_seconds',
     registers: [this.registry],
   });
+  public readonly storeCalls = new Counter({
+    help: 'Calls to the store by kind, table and outcome.',
+    labelNames: ['call', 'table', 'outcome'] as const,
+    name: 'zincring_store_calls_total',
+    registers: [this.registry],
+  });
+  public readonly storeSeconds = new Histogram({
+    buckets: LATENCY_BUCKETS,
+    help: 'Time of transactions and reads of the store.',
+    labelNames: ['call'] as const,
+    name: 'zincring_store_seconds',
+    registers: [this.registry],
+  });
 
   /** The text that is served. */
   public async text(): Promise<string> {
--- a/packages/gateway/src/programs/keptTurns.ts
+++ b/packages/gateway/src/programs/keptTurns.ts
@@ -1,11 +1,12 @@
 import type { Logger, Result, TimerService } from '@zincring/core';
-import type { PartitionedRow, PartitionedTable, PlatformError } from '@zincring/platform';
+import type { PartitionedRow, PlatformError } from '@zincring/platform';
 
 import { Err, hash32, Ok, sleep, ZincringError } from '@zincring/core';
 import { LRUCache } from 'lru-cache';
 
 import type { TurnId } from '../callers/requestFacts.js';
 import type { RunnableRequest } from '../upstreams/attemptLoop.js';
+import type { WatchedTable } from '../store/watchedTable.js';
 import type { KeptTurn } from './keptTurnRows.js';
 
 import { decodeTurn, encodeTurn, isChunkOf, TURN_TABLE } from './keptTurnRows.js';
@@ -28,7 +29,7 @@
 
 /** What a {@link KeptTurns} works with. */
 export interface KeptTurnParts {
-  readonly table: PartitionedTable;
+  readonly table: WatchedTable;
   readonly timers: TimerService;
   readonly logger: Logger;
   /** Most bytes that one row holds. */
@@ -122,8 +123,12 @@
     if (cached !== undefined) {
       return Ok(cached);
     }
-    let failure = 'not tried';
-    for (let tries = 0; tries < MAXIMUM_READS && !signal.aborted; tries++) {
+    let failure = 'the store is away';
+    for (
+      let tries = 0;
+      tries < MAXIMUM_READS && !signal.aborted && !this.parts.table.isAway;
+      tries++
+    ) {
       const rows = await this.readRows(id);
       if (rows.ok) {
         const turn = decodeTurn(id, rows.val);
@@ -186,7 +191,10 @@
         removals: [],
         writes,
       });
-      if (outcome.ok && (outcome.val.status === 'committed' || isSameTurn(outcome.val.rows, writes))) {
+      if (
+        outcome.ok &&
+        (outcome.val.status === 'committed' || isSameTurn(outcome.val.rows, writes))
+      ) {
         this.cache.set(turn.id, turn);
         return true;
       }
@@ -213,7 +221,9 @@
   rows: readonly PartitionedRow[],
   writes: readonly { readonly key: string; readonly value: Buffer }[],
 ): boolean {
-  return rows.some(row => writes.some(({ key, value }) => key === row.key && value.equals(row.value)));
+  return rows.some(row =>
+    writes.some(({ key, value }) => key === row.key && value.equals(row.value)),
+  );
 }
 
 function storeError(detail: string): ZincringError {
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -1,16 +1,13 @@
-import type { Brand, Logger, Result, TimerService } from '@zincring/core';
-import type { PartitionedTable, RowAddress } from '@zincring/platform';
+import type { Result } from '@zincring/core';
+import type { RowAddress } from '@zincring/platform';
 
 import { Err, hash32, Ok, ZincringError } from '@zincring/core';
-import { LRUCache } from 'lru-cache';
 
 import type { RunnableRequest } from '../upstreams/attemptLoop.js';
-import type { KnownRow, RowEdit } from '../store/editRow.js';
+import type { BudgetDemand } from './budgetRow.js';
+import type { BudgetDecision, ProgramBudgetParts } from './programBudget.js';
 
-import { absentRow, editRow } from '../store/editRow.js';
-
-/** Identifier of one reservation: the request that it was made for. */
-type ReservationId = Brand<string, 'ReservationId'>;
+import { ProgramBudget } from './programBudget.js';
 
 /** Tokens held for one turn. */
 export interface BudgetReservation {
@@ -20,65 +17,33 @@
   readonly tokensPerEvent: number;
 }
 
-/** What the store keeps of a program. */
-interface ProgramAccount {
-  /** Tokens handed over by turns that have ended. */
-  readonly spent: number;
-  /** The most that each turn under way may hand over. */
-  readonly held: Readonly<Record<string, number>>;
-  /** When the row may be removed, by the wall clock, in milliseconds. */
-  readonly expiresAt: number;
-}
-
-interface Settlement {
-  readonly id: ReservationId;
-  readonly tokens: number;
-}
-
-/** What a {@link TurnBudgets} works with. */
-export interface TurnBudgetParts {
-  readonly table: PartitionedTable;
-  readonly timers: TimerService;
-  readonly logger: Logger;
-  readonly random: () => number;
-}
-
 /** Table of the accounts. */
 export const BUDGET_TABLE = 'budgets';
-/** Partitions of the table: their transactions run one after another, and a program needs two a turn. */
+/** Partitions of the table: their transactions run one after another, and a program needs one or two a turn. */
 const PARTITIONS = 32;
-/** Programs whose account is remembered: several minutes of an instance's share. */
-const REMEMBERED_PROGRAMS = 10_000;
-/** How long the end of a turn may wait to be written together with the next turn when the budget is nearly spent, in milliseconds: within the time that callers allow for it. */
-const SETTLE_MILLISECONDS = 450;
-/** The same while the budget leaves room for {@link AMPLE_TURNS} more turns, in milliseconds. */
-const AMPLE_SETTLE_MILLISECONDS = 4_000;
-/** Turns for which a budget has room when it counts as ample: more than a program starts within the longer wait. */
-const AMPLE_TURNS = 6;
-/** Tries of one reservation while the store fails. */
-const MAXIMUM_FAILURES = 4;
 /** How long accounts outlive their last turn at least, in milliseconds: programs that were stopped may return. */
 const MINIMUM_RETENTION_MILLISECONDS = 60_000;
 /** When a caller may come back while the store is away, in seconds. */
 const STORE_RETRY_SECONDS = 0.4;
+/** Pause between looks for programs that have no turns here any more, in milliseconds. */
+const SWEEP_MILLISECONDS = 1_000;
 
 /**
  * Keeps programs within their token budgets over all instances. A turn holds the most that it can
- * generate before it is sent, and settles for what it handed over; the account of a program is
- * one row, changed under a condition.
+ * generate before it is sent, and settles for what it handed over.
  *
  * @example
  * const reservation = await budgets.reserve(request, signal);
  * reservation.val?.settle(253);
  */
 export class TurnBudgets {
-  private readonly accounts = new LRUCache<string, KnownRow>({ max: REMEMBERED_PROGRAMS });
-  /** Ends of turns that are not yet written, by program. */
-  private readonly settlements = new Map<string, Settlement[]>();
-  /** Programs whose ends of turns are being written. */
-  private readonly flushing = new Set<string>();
+  private readonly programs = new Map<string, ProgramBudget>();
 
-  public constructor(private readonly parts: TurnBudgetParts) {}
+  public constructor(private readonly parts: ProgramBudgetParts) {
+    parts.timers.every(SWEEP_MILLISECONDS, () => {
+      this.sweep();
+    });
+  }
 
   /** Holds what a turn may generate; nothing is held for requests without a budget. */
   public async reserve(
@@ -86,194 +51,86 @@
     signal: AbortSignal,
   ): Promise<Result<BudgetReservation | undefined, ZincringError>> {
     const { facts, route, service } = request;
-    if (route.kind !== 'streaming' || facts.tokenBudget === undefined || facts.programId === undefined) {
-      return Ok(undefined);
-    }
-    const program = `${request.workspace ?? ''}/${facts.programId}`;
-    const id = (facts.requestId ?? '') as string as ReservationId;
-    const most = facts.maximumOutputTokens ?? facts.tokenBudget;
-    const expiresAt =
-      this.parts.timers.wallClock() +
-      Math.max(MINIMUM_RETENTION_MILLISECONDS, 2 * route.retentionMilliseconds);
     const budget = facts.tokenBudget;
-    let isAmple = false;
-    const reserved = await this.write(program, signal, account => {
-      isAmple = committedTokens(account) + AMPLE_TURNS * most <= budget;
-      return reserveIn(account, id, most, budget, expiresAt);
-    });
-    if (reserved.err) {
-      if (reserved.val.kind === 'store-unavailable') {
-        this.settle(program, { id, tokens: 0 }, isAmple);
-      }
-      return reserved;
+    if (route.kind !== 'streaming' || budget === undefined || facts.programId === undefined) {
+      return Ok(undefined);
     }
-    this.parts.logger.debug(
-      { event: 'budget-reserved', most, program, request: id },
-      'tokens are held for a turn',
+    const name = `${request.workspace ?? ''}/${facts.programId}`;
+    const program = this.programOf(name);
+    const demand: BudgetDemand = { budget, most: facts.maximumOutputTokens ?? budget };
+    const retention = Math.max(MINIMUM_RETENTION_MILLISECONDS, 2 * route.retentionMilliseconds);
+    const decision = await program.reserve(
+      demand,
+      this.parts.timers.wallClock() + retention,
+      signal,
     );
+    this.logDecision(request, demand, decision);
+    const refusal = refusalOf(decision);
+    if (refusal !== undefined) {
+      return Err(refusal);
+    }
     return Ok({
       settle: tokens => {
-        this.settle(program, { id, tokens }, isAmple);
+        program.settle(demand.most, tokens);
       },
       tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
     });
   }
 
-  private async write(
-    program: string,
-    signal: AbortSignal,
-    reserve: (account: ProgramAccount) => ProgramAccount | 'spent',
-  ): Promise<Result<void, ZincringError>> {
-    const cached = this.accounts.get(program);
-    const first = await this.edit(program, cached ?? absentRow, signal, reserve);
-    if (first.err || first.val.answer === 'reserved') {
-      return first.err ? first : Ok.EMPTY;
-    }
-    const last =
-      first.val.isConfirmed || cached === undefined
-        ? first
-        : await this.edit(program, await this.readAccount(program), signal, reserve);
-    if (last.err) {
-      return last;
-    }
-    return last.val.answer === 'reserved' ? Ok.EMPTY : Err(new ZincringError('budget-exhausted'));
+  /** Gives back all that is held, before a planned end. */
+  public async releaseAll(): Promise<void> {
+    await Promise.all([...this.programs.values()].map(program => program.releaseNow()));
   }
 
-  private async edit(
-    program: string,
-    known: KnownRow,
-    signal: AbortSignal,
-    reserve: (account: ProgramAccount) => ProgramAccount | 'spent',
-  ): Promise<
-    Result<{ readonly answer: 'reserved' | 'spent'; readonly isConfirmed: boolean }, ZincringError>
-  > {
-    let taken: readonly Settlement[] = [];
-    const edited = await editRow<'reserved' | 'spent'>(
-      this.parts.table,
-      this.parts.timers,
-      addressOf(program),
-      known,
-      row => {
-        taken = [...(this.settlements.get(program) ?? [])];
-        const account = reserve(applySettlements(parseAccount(row.value), taken));
-        return account === 'spent' ? { answer: 'spent', kind: 'leave' } : writeOf(account);
-      },
-      { maximumFailures: MAXIMUM_FAILURES, random: this.parts.random, signal },
-    );
-    if (edited.err) {
-      this.accounts.delete(program);
-      return Err(
-        new ZincringError('store-unavailable', {
-          detail: edited.val.message,
-          retryAfterSeconds: STORE_RETRY_SECONDS,
-        }),
-      );
+  private programOf(name: string): ProgramBudget {
+    const known = this.programs.get(name);
+    if (known !== undefined) {
+      return known;
     }
-    this.accounts.set(program, edited.val.row);
-    if (edited.val.answer === 'reserved') {
-      this.forget(program, taken);
-    }
-    return Ok({ answer: edited.val.answer, isConfirmed: edited.val.isConfirmed });
+    const program = new ProgramBudget(addressOf(name), this.parts);
+    this.programs.set(name, program);
+    return program;
   }
 
-  private async readAccount(program: string): Promise<KnownRow> {
-    const address = addressOf(program);
-    const page = await this.parts.table.read({ ...address, from: address.key, limit: 1 });
-    const row = page.ok ? page.val.rows.find(({ key }) => key === address.key) : undefined;
-    return row ?? absentRow;
-  }
-
-  private settle(program: string, settlement: Settlement, isAmple: boolean): void {
-    const waiting = this.settlements.get(program);
-    if (waiting === undefined) {
-      this.settlements.set(program, [settlement]);
-    } else {
-      waiting.push(settlement);
-    }
-    const pause = isAmple ? AMPLE_SETTLE_MILLISECONDS : SETTLE_MILLISECONDS;
-    this.parts.timers.after(pause, () => void this.flush(program));
-  }
-
-  /** Writes the ends of turns that no later turn has taken along. */
-  private async flush(program: string): Promise<void> {
-    if ((this.settlements.get(program) ?? []).length === 0 || this.flushing.has(program)) {
-      return;
-    }
-    this.flushing.add(program);
-    const known = this.accounts.get(program) ?? absentRow;
-    const written = await this.edit(program, known, new AbortController().signal, account => account);
-    this.flushing.delete(program);
-    if (written.err) {
-      this.parts.logger.warn(
-        { event: 'settlement-delayed', failure: written.val.message, program },
-        'the end of a turn is not yet written',
-      );
-      this.parts.timers.after(SETTLE_MILLISECONDS, () => void this.flush(program));
-    }
-  }
-
-  private forget(program: string, written: readonly Settlement[]): void {
-    const waiting = this.settlements.get(program);
-    if (waiting !== undefined && written.length > 0) {
-      const left = waiting.filter(settlement => !written.includes(settlement));
-      if (left.length > 0) {
-        this.settlements.set(program, left);
+  private sweep(): void {
+    for (const [name, program] of this.programs) {
+      if (program.isForgettable) {
+        this.programs.delete(name);
       } else {
-        this.settlements.delete(program);
+        program.releaseIfIdle();
       }
     }
   }
-}
-
-function addressOf(program: string): RowAddress {
-  return { key: program, partition: String(hash32(program) % PARTITIONS), table: BUDGET_TABLE };
-}
 
-function parseAccount(value: Buffer | undefined): ProgramAccount {
-  return value === undefined
-    ? { expiresAt: 0, held: {}, spent: 0 }
-    : (JSON.parse(value.toString()) as ProgramAccount);
-}
-
-function writeOf(account: ProgramAccount): RowEdit<'reserved'> {
-  return { answer: 'reserved', kind: 'write', value: Buffer.from(JSON.stringify(account)) };
-}
-
-function applySettlements(
-  account: ProgramAccount,
-  settlements: readonly Settlement[],
-): ProgramAccount {
-  const held = { ...account.held };
-  let spent = account.spent;
-  for (const { id, tokens } of settlements) {
-    if (held[id] !== undefined) {
-      spent += tokens;
-      // eslint-disable-next-line @typescript-eslint/no-dynamic-delete
-      delete held[id];
+  private logDecision(
+    request: RunnableRequest,
+    { budget, most }: BudgetDemand,
+    decision: BudgetDecision,
+  ): void {
+    const fields = { budget, event: `budget-${decision}`, most, request: request.facts.requestId };
+    if (decision === 'held' || decision === 'held-ahead') {
+      this.parts.logger.debug(fields, 'tokens are held for a turn');
+      return;
     }
+    this.parts.logger.warn(fields, 'no tokens are held for a turn');
   }
-  return { ...account, held, spent };
 }
 
-function reserveIn(
-  account: ProgramAccount,
-  id: ReservationId,
-  most: number,
-  budget: number,
-  expiresAt: number,
-): ProgramAccount | 'spent' {
-  const { [id]: ownHold = 0 } = account.held;
-  if (committedTokens(account) - ownHold + most > budget) {
-    return 'spent';
+function refusalOf(decision: BudgetDecision): ZincringError | undefined {
+  switch (decision) {
+    case 'held':
+    case 'held-ahead':
+      return undefined;
+    case 'spent':
+      return new ZincringError('budget-exhausted');
+    case 'unknown':
+      return new ZincringError('store-unavailable', {
+        detail: 'the budget of the program is not known',
+        retryAfterSeconds: STORE_RETRY_SECONDS,
+      });
   }
-  return {
-    expiresAt: Math.max(account.expiresAt, expiresAt),
-    held: { ...account.held, [id]: most },
-    spent: account.spent,
-  };
 }
 
-/** Tokens handed over, and the most that turns under way may add. */
-function committedTokens(account: ProgramAccount): number {
-  return Object.values(account.held).reduce((sum, tokens) => sum + tokens, account.spent);
+function addressOf(program: string): RowAddress {
+  return { key: program, partition: String(hash32(program) % PARTITIONS), table: BUDGET_TABLE };
 }
--- a/packages/gateway/src/upstreams/replicaAgent.ts
+++ b/packages/gateway/src/upstreams/replicaAgent.ts
@@ -31,7 +31,9 @@
   public override keepSocketAlive(socket: Socket): boolean {
     socket.on('data', destroyOnData);
     socket.resume();
-    return super.keepSocketAlive(socket) as unknown as boolean;
+    super.keepSocketAlive(socket);
+    // Node keeps the socket only if this is true, although its types say nothing is returned.
+    return true;
   }
 
   public override reuseSocket(socket: Socket, request: ClientRequest): void {
--- /dev/null
+++ b/packages/gateway/tests/callers/eventSplitter.test.ts
@@ -0,0 +1,29 @@
+import { describe, expect, it } from 'vitest';
+
+import { EventSplitter } from '../../src/callers/eventSplitter.js';
+
+const STREAM = 'id: 1\ndata: one\n\nid: 2\r\ndata: two\r\ndata: lines\r\n\r\ndata:three\n\n';
+
+describe(EventSplitter, () => {
+  it.each([1, 2, 3, 7, 1_000])('finds the events in chunks of %i bytes', size => {
+    const splitter = new EventSplitter();
+    const bytes = Buffer.from(STREAM);
+    const events = [];
+    for (let start = 0; start < bytes.length; start += size) {
+      events.push(...splitter.push(bytes.subarray(start, start + size)));
+    }
+    expect(events.map(event => event.id)).toEqual(['1', '2', undefined]);
+    expect(events.map(event => event.data.toString())).toEqual(['one', 'two\nlines', 'three']);
+    expect(Buffer.concat(events.map(event => event.bytes)).toString()).toBe(STREAM);
+    expect(splitter.pendingBytes).toBe(0);
+  });
+
+  it.each(['id: 1\ndata: on', 'id: 1\ndata: one\n', 'data'])(
+    'holds back half an event: %j',
+    text => {
+      const splitter = new EventSplitter();
+      expect(splitter.push(Buffer.from(text))).toEqual([]);
+      expect(splitter.pendingBytes).toBe(text.length);
+    },
+  );
+});
--- a/packages/gateway/tests/configuration/configurationFollower.test.ts
+++ b/packages/gateway/tests/configuration/configurationFollower.test.ts
@@ -28,7 +28,7 @@
       sampleConfigurationSource,
       timers,
       silentLogger,
-      { freshMilliseconds: FRESH, waitMilliseconds: 1_000 },
+      { freshMilliseconds: FRESH, usableMilliseconds: 5_000, waitMilliseconds: 1_000 },
     );
     store.put(configurationAddress, sampleConfiguration(7));
     follower.start();
@@ -41,7 +41,7 @@
       sampleConfigurationSource,
       timers,
       silentLogger,
-      { freshMilliseconds: FRESH, waitMilliseconds: 1_000 },
+      { freshMilliseconds: FRESH, usableMilliseconds: 5_000, waitMilliseconds: 1_000 },
     );
     expect(unknowing.current).toBeUndefined();
     expect(unknowing.isFresh()).toBe(false);
--- /dev/null
+++ b/packages/gateway/tests/lifecycle/gateway.test.ts
@@ -0,0 +1,346 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
+import { silentLogger, SystemTimerService } from '@zincring/core';
+import { request as startRequest } from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import type { AvailabilityZone, InstanceId } from '@zincring/core';
+import type { GatewayRoute } from '../../src/configuration/gatewayConfiguration.js';
+import type { Behaviour } from '../support/fakeReplica.js';
+
+import { Gateway } from '../../src/lifecycle/gateway.js';
+import {
+  answers,
+  answersTwice,
+  answersUnframed,
+  babbles,
+  confuses,
+  FakeReplica,
+  misdirects,
+  refuses,
+  resets,
+  stalls,
+  streams,
+  truncates,
+} from '../support/fakeReplica.js';
+import { LiveTable } from '../support/liveTable.js';
+import { plainWire } from '../support/plainWire.js';
+import {
+  configurationAddress,
+  plainService,
+  replicaTable,
+  sampleConfiguration,
+  sampleConfigurationSource,
+  sampleReplica,
+  sampleReplicaSource,
+  sampleRoute,
+  sampleWorkspace,
+} from '../support/samples.js';
+
+interface Reply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer ended as its framing says. */
+  readonly isWhole: boolean;
+}
+
+interface Fleet {
+  readonly gateway: Gateway;
+  readonly replicas: readonly FakeReplica[];
+  readonly store: LiveTable;
+  send(options?: SendOptions): Promise<Reply>;
+}
+
+interface SendOptions {
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly method?: string;
+  readonly body?: string;
+  readonly path?: string;
+  readonly leaveAfter?: number;
+}
+
+const unsafeRoute = sampleRoute({
+  kind: 'unsafe',
+  services: [{ service: plainService.name, weight: 1 }],
+});
+const safeRoute: GatewayRoute = { ...unsafeRoute, kind: 'safe' };
+const streamRoute: GatewayRoute = { ...unsafeRoute, kind: 'streaming' };
+const resumableRoute: GatewayRoute = { ...streamRoute, isResumable: true };
+
+const cleanups: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) {
+    await cleanup();
+  }
+});
+
+async function startFleet(
+  route: GatewayRoute,
+  behaviours: readonly (readonly Behaviour[])[],
+): Promise<Fleet> {
+  const store = new LiveTable();
+  const replicas: FakeReplica[] = [];
+  for (const [index, behaviour] of behaviours.entries()) {
+    const replica = new FakeReplica(behaviour);
+    const port = await replica.start();
+    cleanups.push(() => {
+      replica.stop();
+    });
+    replicas.push(replica);
+    store.put(
+      { key: `r${String(index)}`, partition: '', table: replicaTable },
+      sampleReplica(`r${String(index)}`, { port, service: plainService.name }),
+    );
+  }
+  store.put(
+    configurationAddress,
+    sampleConfiguration(1, {
+      routes: [route],
+      workspaces: [sampleWorkspace({ burst: 0, ratePerSecond: 0 })],
+    }),
+  );
+  const gateway = new Gateway(
+    {
+      availabilityZone: 'nelson' as AvailabilityZone,
+      callers: { host: '127.0.0.1', port: 0 },
+      drainMilliseconds: 2_000,
+      graceMilliseconds: 1_000,
+      instance: 'entry-1' as InstanceId,
+      metrics: { host: '127.0.0.1', port: 0 },
+      readiness: { host: '127.0.0.1', port: 0 },
+      revocationMilliseconds: 5_000,
+      rowBytes: 65_536,
+      staleConfigurationMilliseconds: 5_000,
+    },
+    {
+      configurationSource: sampleConfigurationSource,
+      logger: silentLogger,
+      makeId: () => 'id',
+      random: () => 0,
+      replicaSource: sampleReplicaSource,
+      table: store.client(),
+      timers: new SystemTimerService(),
+      wire: plainWire,
+    },
+  );
+  await gateway.start();
+  cleanups.push(async () => {
+    await gateway.stop();
+  });
+  await waitUntil(() => gateway.isReady);
+  return {
+    gateway,
+    replicas,
+    send: async options => await send(gateway.ports.callers, options),
+    store,
+  };
+}
+
+async function waitUntil(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) {
+    await new Promise(resolve => setTimeout(resolve, 2));
+  }
+}
+
+async function send(port: number, options: SendOptions = {}): Promise<Reply> {
+  const { body, headers, leaveAfter, method = 'POST', path = '/summaries/7?full=1' } = options;
+  return await new Promise((resolve, reject) => {
+    const outgoing = startRequest({
+      agent: false,
+      headers: {
+        host: 'agents.example',
+        key: 'key-of-clerks',
+        'request-id': 'request-1',
+        ...headers,
+      },
+      host: '127.0.0.1',
+      method,
+      path,
+      port,
+    });
+    outgoing.on('error', reject);
+    outgoing.on('response', response => {
+      const chunks: Buffer[] = [];
+      const finish = (): void => {
+        resolve({
+          body: Buffer.concat(chunks).toString(),
+          headers: response.headers,
+          isWhole: response.complete,
+          status: response.statusCode ?? 0,
+        });
+      };
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', () => undefined);
+      response.on('close', finish);
+    });
+    outgoing.end(body);
+    if (leaveAfter !== undefined) {
+      setTimeout(() => outgoing.destroy(new Error('left')), leaveAfter);
+    }
+  });
+}
+
+function runsOf({ replicas }: Fleet): number {
+  return replicas.reduce((sum, replica) => sum + replica.seen.length, 0);
+}
+
+describe('an instance that serves directly', () => {
+  it('forwards a request as it came, without the key, and its answer as it is', async () => {
+    const fleet = await startFleet(unsafeRoute, [[answers('done')]]);
+    const reply = await fleet.send({
+      body: 'input',
+      headers: { connection: 'keep-alive, x-hop', 'x-hop': 'gone', 'x-own': 'kept' },
+    });
+    expect(reply).toMatchObject({ body: 'done', isWhole: true, status: 200 });
+    expect(reply.headers['server-stamp']).toBe('s1');
+    const seen = fleet.replicas[0]!.seen[0]!;
+    expect(seen).toMatchObject({ body: 'input', method: 'POST', path: '/summaries/7?full=1' });
+    expect(seen.headers.get('x-own')).toBe('kept');
+    expect(seen.headers.get('expected')).toBe('r0');
+    expect(seen.headers.get('workspace')).toBe('clerks');
+    expect(seen.headers.has('key')).toBe(false);
+  });
+
+  it.each([
+    ['an unknown path', { path: '/other/' }, 404],
+    ['an unknown host', { headers: { host: 'other.example' } }, 404],
+    ['an unknown key', { headers: { key: 'wrong' } }, 401],
+    ['a body that is too large', { body: 'x'.repeat(5_000) }, 413],
+  ])('refuses %s', async (_name, options, status) => {
+    const fleet = await startFleet(unsafeRoute, [[answers('done')]]);
+    expect((await fleet.send(options)).status).toBe(status);
+    expect(runsOf(fleet)).toBe(0);
+  });
+
+  it.each([
+    ['refuses', refuses],
+    ['is another one', misdirects],
+  ])('sends an unsafe request on when a replica %s', async (_name, behaviour) => {
+    const fleet = await startFleet(unsafeRoute, [[behaviour], [behaviour], [answers('done')]]);
+    for (let round = 0; round < 3; round++) {
+      expect((await fleet.send()).status).toBe(200);
+    }
+  });
+
+  it('says that a request did not run when all replicas refuse it', async () => {
+    const fleet = await startFleet(unsafeRoute, [[refuses], [refuses]]);
+    const reply = await fleet.send();
+    expect(reply.status).toBe(503);
+    expect(Number(reply.headers['retry-after'])).toBeGreaterThan(0);
+  });
+
+  const lostAnswers: readonly (readonly [string, Behaviour])[] = [
+    ['resets the connection', resets],
+    ['breaks its answer off', truncates],
+    ['answers another request', confuses],
+    ['sends no answer', babbles],
+  ];
+
+  it.each(lostAnswers)(
+    'runs an unsafe request once when the replica %s',
+    async (_name, behaviour) => {
+      const fleet = await startFleet(unsafeRoute, [[behaviour], [behaviour]]);
+      expect((await fleet.send()).status).toBe(502);
+      expect(runsOf(fleet)).toBe(1);
+    },
+  );
+
+  it.each(lostAnswers)(
+    'runs a safe request again when the replica %s',
+    async (_name, behaviour) => {
+      const fleet = await startFleet(safeRoute, [[behaviour, answers('done')], [answers('done')]]);
+      const reply = await fleet.send({ method: 'GET' });
+      expect(reply).toMatchObject({ body: 'done', status: 200 });
+      expect(runsOf(fleet)).toBe(2);
+    },
+  );
+
+  it('runs a safe request no more often than its route allows', async () => {
+    const fleet = await startFleet(safeRoute, [[resets], [resets], [resets], [resets]]);
+    expect((await fleet.send({ method: 'GET' })).status).toBe(502);
+    expect(runsOf(fleet)).toBe(2);
+  });
+
+  it.each([0, 5])('never gives a late second answer to the next request (%i ms)', async pause => {
+    const fleet = await startFleet(safeRoute, [[answersTwice('mine', pause), answers('next')]]);
+    expect((await fleet.send({ method: 'GET' })).body).toBe('mine');
+    await new Promise(resolve => setTimeout(resolve, 2 * pause));
+    const reply = await fleet.send({ headers: { 'request-id': 'request-2' }, method: 'GET' });
+    expect(reply.body).not.toBe('other');
+  });
+
+  it('takes an answer that ends with its connection', async () => {
+    const fleet = await startFleet(unsafeRoute, [[answersUnframed('all of it')]]);
+    expect(await fleet.send()).toMatchObject({ body: 'all of it', isWhole: true, status: 200 });
+  });
+
+  it('passes on the failure of a replica that ran an unsafe request', async () => {
+    const fleet = await startFleet(unsafeRoute, [[answers('broken', '500 Failed')]]);
+    expect(await fleet.send()).toMatchObject({ body: 'broken', status: 500 });
+  });
+
+  it('ends a request at the time of its route', async () => {
+    const fleet = await startFleet({ ...unsafeRoute, timeoutMilliseconds: 60 }, [[stalls]]);
+    expect((await fleet.send()).status).toBe(504);
+  });
+
+  it('closes the connection of a safe request whose caller left', async () => {
+    const fleet = await startFleet(safeRoute, [[stalls]]);
+    await expect(fleet.send({ leaveAfter: 30, method: 'GET' })).rejects.toThrow('left');
+    await waitUntil(() => fleet.replicas[0]!.closed === 1);
+    expect(runsOf(fleet)).toBe(1);
+  });
+
+  it('hands over the events of a stream', async () => {
+    const fleet = await startFleet(streamRoute, [[streams([1, 2, 3], 'whole')]]);
+    const reply = await fleet.send({ body: 'input' });
+    expect(reply.isWhole).toBe(true);
+    expect(reply.body.match(/id: \d+/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
+  });
+
+  it.each(['break', 'half-event'] as const)('goes on after a stream ended with a %s', async end => {
+    const behaviour: Behaviour = (socket, request) => {
+      const isResumed = request.headers.has('last-event-id');
+      const answer = isResumed ? streams([3, 4], 'whole') : streams([1, 2], end);
+      answer(socket, request);
+    };
+    const fleet = await startFleet(resumableRoute, [[behaviour], [behaviour]]);
+    const reply = await fleet.send({ body: 'input' });
+    const ids = reply.body.match(/id: \d+/g) ?? [];
+    expect(ids).toEqual(['id: 1', 'id: 2', 'id: 3', 'id: 4']);
+    expect(reply.isWhole).toBe(true);
+    expect(fleet.replicas.map(replica => replica.seen.length)).toEqual([1, 1]);
+  });
+
+  it('does not let a broken stream look complete', async () => {
+    const fleet = await startFleet(streamRoute, [[streams([1, 2], 'break')]]);
+    const reply = await fleet.send({ body: 'input' });
+    expect(reply.isWhole).toBe(false);
+    expect(runsOf(fleet)).toBe(1);
+  });
+
+  it('answers 503 to keyed requests and is not ready before it knows a configuration', async () => {
+    const fleet = await startFleet(unsafeRoute, [[answers('done')]]);
+    fleet.store.isRefusing = true;
+    await waitUntil(() => !fleet.gateway.isReady);
+    expect((await fleet.send()).status).toBe(503);
+    expect(runsOf(fleet)).toBe(0);
+  }, 20_000);
+
+  it('answers what is under way when it is asked to stop', async () => {
+    const late: Behaviour = (socket, request) => {
+      setTimeout(() => {
+        answers('late')(socket, request);
+      }, 100);
+    };
+    const fleet = await startFleet(unsafeRoute, [[late]]);
+    const reply = fleet.send();
+    await waitUntil(() => runsOf(fleet) === 1);
+    const stopped = fleet.gateway.stop();
+    expect(fleet.gateway.isReady).toBe(false);
+    expect(await reply).toMatchObject({ body: 'late', status: 200 });
+    await stopped;
+  });
+});
--- a/packages/gateway/tests/limits/workspaceRates.test.ts
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -6,6 +6,7 @@
 import type { GatewayWorkspace } from '../../src/configuration/gatewayConfiguration.js';
 
 import { WorkspaceRates } from '../../src/limits/workspaceRates.js';
+import { WatchedTable } from '../../src/store/watchedTable.js';
 import { makeRandom } from '../support/makeRandom.js';
 import { MemoryTable } from '../support/memoryTable.js';
 import { sampleWorkspace } from '../support/samples.js';
@@ -41,7 +42,7 @@
       instance: `entry-${String(number)}` as InstanceId,
       logger: silentLogger,
       random: makeRandom(number),
-      table: store.client(),
+      table: new WatchedTable(store.client(), timers),
       timers,
       workspaceCount: () => 8,
     });
@@ -114,12 +115,15 @@
   it.each([
     { perSecond: 60, ratePerSecond: 10 },
     { perSecond: 90, ratePerSecond: 30 },
-  ])('keeps $perSecond requests a second within the bound', async ({ perSecond, ratePerSecond }) => {
-    const workspace = sampleWorkspace({ burst: ratePerSecond, ratePerSecond });
-    const { admitted } = await play(makeFleet(13), workspace, perSecond, 12);
-    expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(workspace));
-    expect(admitted.length).toBeGreaterThan(ratePerSecond * 12 * 0.9);
-  });
+  ])(
+    'keeps $perSecond requests a second within the bound',
+    async ({ perSecond, ratePerSecond }) => {
+      const workspace = sampleWorkspace({ burst: ratePerSecond, ratePerSecond });
+      const { admitted } = await play(makeFleet(13), workspace, perSecond, 12);
+      expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(workspace));
+      expect(admitted.length).toBeGreaterThan(ratePerSecond * 12 * 0.9);
+    },
+  );
 
   it('stays within the bound when all instances are replaced again and again', async () => {
     const workspace = sampleWorkspace({ burst: 10, ratePerSecond: 10 });
@@ -160,6 +164,16 @@
     expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(narrow));
   });
 
+  it('serves a workspace whose first request comes during a draw for another', async () => {
+    const rates = makeInstance(1);
+    const first = rates.admit(sampleWorkspace(), signal);
+    await timers.advance(2);
+    const second = rates.admit(sampleWorkspace({ name: 'others' as WorkspaceName }), signal);
+    await timers.advance(100);
+    expect((await first).ok).toBe(true);
+    expect((await second).ok).toBe(true);
+  });
+
   it('says when to come back', async () => {
     const workspace = sampleWorkspace({ burst: 1, ratePerSecond: 2 });
     const rates = makeInstance(1);
@@ -168,8 +182,9 @@
     const refusals = (await Promise.all(outcomes)).filter(each => each.err);
     expect(refusals.length).toBeGreaterThan(0);
     for (const refusal of refusals) {
-      expect(refusal.err && refusal.val.kind).toBe('rate-limited');
-      expect(refusal.err && refusal.val.retryAfterSeconds).toBeGreaterThanOrEqual(0.5);
+      const error = refusal.val;
+      expect(error.kind).toBe('rate-limited');
+      expect(error.retryAfterSeconds).toBeGreaterThanOrEqual(0.5);
     }
   });
 
--- a/packages/gateway/tests/programs/turnBudgets.test.ts
+++ b/packages/gateway/tests/programs/turnBudgets.test.ts
@@ -7,6 +7,8 @@
 
 import { TurnBudgets } from '../../src/programs/turnBudgets.js';
 import { makeRandom } from '../support/makeRandom.js';
+import { WatchedTable } from '../../src/store/watchedTable.js';
+import { finishWithin } from '../support/finishWithin.js';
 import { MemoryTable } from '../support/memoryTable.js';
 import { sampleRoute, sampleTurn } from '../support/samples.js';
 
@@ -27,22 +29,16 @@
 
   function makeInstance(seed = 1): TurnBudgets {
     return new TurnBudgets({
+      holder: `entry-${String(seed)}`,
       logger: silentLogger,
       random: makeRandom(seed),
-      table: store.client(),
+      table: new WatchedTable(store.client(), timers),
       timers,
     });
   }
 
   async function finish<Value>(work: Promise<Value>, within = 5_000): Promise<Value> {
-    let isDone = false;
-    const watched = work.finally(() => {
-      isDone = true;
-    });
-    for (let elapsed = 0; elapsed < within && !isDone; elapsed += 5) {
-      await timers.advance(5);
-    }
-    return await watched;
+    return await finishWithin(timers, work, within);
   }
 
   function isRefusal(reserved: Reserved): boolean {
--- /dev/null
+++ b/packages/gateway/tests/support/plainWire.ts
@@ -0,0 +1,57 @@
+import type { AnswerFacts, RequestFacts, RequestWire } from '../../src/callers/requestFacts.js';
+
+import { sampleFacts } from './samples.js';
+
+/** A wire of the tests' own: headers in lower case, values as they are. */
+export const plainWire: RequestWire = {
+  ownHeaders: (requestId, retryAfterSeconds) => [
+    ...(requestId === undefined ? [] : ['request-id', requestId]),
+    ...(retryAfterSeconds === undefined ? [] : ['retry-after', String(retryAfterSeconds)]),
+  ],
+  readAnswer: (status, headers): AnswerFacts => {
+    const fields = toFields(headers);
+    return {
+      isEncoded: fields.has('content-encoding'),
+      isNotExecuted: fields.has('not-executed') || status === 421,
+      isSealed: fields.has('server-stamp'),
+      requestId: fields.get('request-id'),
+    };
+  },
+  readFacts: headers => {
+    const fields = toFields(headers);
+    return sampleFacts({
+      key: fields.get('key'),
+      lastEventId: fields.get('last-event-id'),
+      remainingMilliseconds: Number(fields.get('remaining') ?? 3_000),
+      requestId: fields.get('request-id') as RequestFacts['requestId'],
+    });
+  },
+  toCallerHeaders: headers => without(headers, ['connection', 'transfer-encoding']),
+  toReplicaHeaders: (headers, sending) => [
+    ...without(headers, ['connection', 'content-length', 'key', 'last-event-id', 'remaining']),
+    'expected',
+    sending.replicaId,
+    'remaining',
+    String(sending.remainingMilliseconds),
+    ...(sending.workspace === undefined ? [] : ['workspace', sending.workspace]),
+    ...(sending.lastEventId === undefined ? [] : ['last-event-id', sending.lastEventId]),
+    ...(sending.contentLength === undefined
+      ? []
+      : ['content-length', String(sending.contentLength)]),
+  ],
+};
+
+function toFields(headers: readonly string[]): ReadonlyMap<string, string> {
+  const fields = new Map<string, string>();
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    fields.set((headers[index] ?? '').toLowerCase(), headers[index + 1] ?? '');
+  }
+  return fields;
+}
+
+function without(headers: readonly string[], names: readonly string[]): string[] {
+  return headers.filter((_text, index) => {
+    const name = headers[index - (index % 2)] ?? '';
+    return !names.includes(name.toLowerCase());
+  });
+}
--- /dev/null
+++ b/packages/gateway/tests/upstreams/replicaDirectory.test.ts
@@ -0,0 +1,104 @@
+import { ManualTimerService, silentLogger } from '@zincring/core';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { ReplicaDirectory } from '../../src/upstreams/replicaDirectory.js';
+import { MemoryTable } from '../support/memoryTable.js';
+import {
+  engineService,
+  replicaTable,
+  sampleReplica,
+  sampleReplicaSource,
+} from '../support/samples.js';
+
+const DRAIN = 2_000;
+
+describe(ReplicaDirectory, () => {
+  let timers: ManualTimerService;
+  let store: MemoryTable;
+  let directory: ReplicaDirectory;
+
+  const addressOf = (id: string): { key: string; partition: string; table: string } => ({
+    key: id,
+    partition: '',
+    table: replicaTable,
+  });
+
+  beforeEach(async () => {
+    timers = new ManualTimerService();
+    store = new MemoryTable(timers);
+    directory = new ReplicaDirectory(store.client(), sampleReplicaSource, timers, silentLogger, {
+      outageMilliseconds: 2_500,
+      pauseMilliseconds: 500,
+      returnMilliseconds: 1_900,
+      waitMilliseconds: 1_000,
+    });
+    store.put(addressOf('r1'), sampleReplica('r1'));
+    store.put(addressOf('r2'), sampleReplica('r2'));
+    directory.start();
+    await timers.advance(100);
+  });
+
+  function usable(): readonly string[] {
+    return directory
+      .replicasOf(engineService.name)
+      .filter(entry => !entry.isDraining)
+      .map(entry => entry.id);
+  }
+
+  it('knows the replicas of a service', () => {
+    expect(usable()).toEqual(['r1', 'r2']);
+  });
+
+  it.each([
+    ['drains', () => sampleReplica('r1', { isDraining: true })],
+    ['is replaced by an entry of another writer', () => 'not an entry'],
+  ])('stops using a replica that %s in time', async (_name, entry) => {
+    store.put(addressOf('r1'), entry());
+    await timers.advance(DRAIN / 2);
+    expect(usable()).toEqual(['r2']);
+  });
+
+  it('stops using a replica that is gone in time', async () => {
+    store.remove(addressOf('r1'));
+    await timers.advance(DRAIN / 2);
+    expect(usable()).toEqual(['r2']);
+  });
+
+  it('keeps the others when an entry cannot be read', async () => {
+    store.put(addressOf('r3'), 'not an entry');
+    await timers.advance(1_000);
+    expect(usable()).toEqual(['r1', 'r2']);
+  });
+
+  it('keeps the replicas while the store is away', async () => {
+    store.faults.isSilent = true;
+    await timers.advance(10_000);
+    expect(usable()).toEqual(['r1', 'r2']);
+  });
+
+  it('waits for entries that lapsed while the store was away', async () => {
+    store.faults.isSilent = true;
+    await timers.advance(6_000);
+    store.remove(addressOf('r1'));
+    store.remove(addressOf('r2'));
+    store.compact();
+    store.faults.isSilent = false;
+    await timers.advance(1_000);
+    expect(usable()).toEqual(['r1', 'r2']);
+    store.put(addressOf('r2'), sampleReplica('r2'));
+    await timers.advance(2_500);
+    expect(usable()).toEqual(['r2']);
+  });
+
+  it('tells a replica that started again under its id from the earlier run', async () => {
+    const runs: string[] = [];
+    directory.subscribe(change => {
+      if (change.kind === 'seen') {
+        runs.push(change.entry.runId);
+      }
+    });
+    store.put(addressOf('r1'), sampleReplica('r1', { runId: 'r1@2' as never }));
+    await timers.advance(1_000);
+    expect(runs).toEqual(['r1@2']);
+  });
+});
--- a/packages/platform/src/http/adaptiveTimeout.ts
+++ b/packages/platform/src/http/adaptiveTimeout.ts
@@ -26,7 +26,8 @@
 
   /** The wait for the next answer, in milliseconds. */
   public get milliseconds(): number {
-    return Math.min(this.options.longestMilliseconds, Math.max(this.floor, PATIENCE * this.usual));
+    const wait = Math.max(this.floor, PATIENCE * this.usual);
+    return Math.round(Math.min(this.options.longestMilliseconds, wait));
   }
 
   /** Takes in an answer. */
--- a/packages/platform/src/http/httpExchange.ts
+++ b/packages/platform/src/http/httpExchange.ts
@@ -83,7 +83,9 @@
         method: exchange.method,
         path: exchange.path,
         port,
-        signal: AbortSignal.timeout(exchange.timeoutMilliseconds ?? this.options.timeoutMilliseconds),
+        signal: AbortSignal.timeout(
+          exchange.timeoutMilliseconds ?? this.options.timeoutMilliseconds,
+        ),
       });
       outgoing.on('error', reject);
       outgoing.on('response', response => {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,7 +8,7 @@
       {
         extends: true,
         test: {
-          include: ['packages/*/tests/**/*.test.ts'],
+          include: ['packages/*/tests/**/*.test.ts', 'platform/tests/**/*.test.ts'],
           exclude: ['**/*.process.test.ts'],
           name: 'focused',
           testTimeout: 60_000,
@@ -19,7 +19,7 @@
         test: {
           fileParallelism: false,
           hookTimeout: 120_000,
-          include: ['packages/*/tests/**/*.process.test.ts'],
+          include: ['packages/*/tests/**/*.process.test.ts', 'platform/tests/**/*.process.test.ts'],
           name: 'process',
           testTimeout: 180_000,
         },
