fix(instance): strange peers fail calls only; ports are reserved; binaries run on a fresh clone

Change: SessionManager of our own in core, which listens as long as the session exists. Cause 2: ports found free were let go and taken again before the instance bound them. Change: PortReservations outside the kernel's range, held at a second loopback address. Cause 3: npm links binaries at install time, when dist/ does not exist. Change: bin/ files in the repository. Ruled out: a postinstall build (needs the whole tool chain).

--- /dev/null
+++ b/packages/control/bin/zincringctl.js
@@ -0,0 +1,3 @@
+#!/usr/bin/env node
+// npm links this file before the build has made what it loads.
+import '../dist/bin.js';
--- a/packages/control/src/context/operatorClients.ts
+++ b/packages/control/src/context/operatorClients.ts
@@ -7,8 +7,8 @@
 import type { Result } from '@zincring/core';
 
 import { createClient } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
-import { Err, failureText, Ok } from '@zincring/core';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import { Err, failureText, Ok, SessionManager, SystemTimerService } from '@zincring/core';
 import { OperatorService } from '@zincring/protocol';
 
 /** What zincringctl asks of one instance; a failure is told as text. */
@@ -30,11 +30,12 @@
 
 /** Speaks to the instances over HTTP/2, with one connection each. */
 export class ConnectOperatorClients implements OperatorClients {
-  private readonly sessions = new Map<string, Http2SessionManager>();
+  private readonly sessions = new Map<string, SessionManager>();
 
   public at(address: string): OperatorClient {
     const baseUrl = `http://${address}`;
-    const sessionManager = this.sessions.get(address) ?? new Http2SessionManager(baseUrl);
+    const sessionManager =
+      this.sessions.get(address) ?? new SessionManager(baseUrl, new SystemTimerService());
     this.sessions.set(address, sessionManager);
     const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager });
     return new ConnectOperatorClient(createClient(OperatorService, transport));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,8 @@
 export { toZincringError, ZincringError } from './errors/zincringError.js';
 export { Err, Ok } from './result/result.js';
 export type { Result } from './result/result.js';
+export type { SessionCheckOptions } from './http2/sessionManager.js';
+export { SessionManager } from './http2/sessionManager.js';
 export type { TimerService, TimerSubscription } from './time/timerService.js';
 export { sleep } from './time/timerService.js';
 export { SystemTimerService } from './time/systemTimerService.js';
@@ -22,7 +24,12 @@
   sha256Hex,
 } from './hashing/hash.js';
 export type { LogDestination, LogFields, Logger, LogLevel } from './logging/logger.js';
-export { createBackgroundOutput, createLogger, failureText, silentLogger } from './logging/logger.js';
+export {
+  createBackgroundOutput,
+  createLogger,
+  failureText,
+  silentLogger,
+} from './logging/logger.js';
 export { redactSecrets } from './logging/redactSecrets.js';
 export type { Metrics, MetricTags, StatsdOptions } from './metrics/metrics.js';
 export { createStatsdMetrics, discardingMetrics } from './metrics/metrics.js';
--- a/packages/instance/src/configuration/peerConfigurationSource.ts
+++ b/packages/instance/src/configuration/peerConfigurationSource.ts
@@ -3,8 +3,8 @@
 import type { ConfigurationChange, ReadConfigurationResponse } from '@zincring/protocol';
 
 import { createClient } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
-import { Err, failureText, Ok } from '@zincring/core';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import { Err, failureText, Ok, SessionManager, SystemTimerService } from '@zincring/core';
 import { OperatorService } from '@zincring/protocol';
 
 import type { ConfigurationSource, SourceFailure } from './configurationSource.js';
@@ -18,7 +18,7 @@
 
   public async read({ after }: UpdateRequest): Promise<Result<Update, SourceFailure>> {
     const baseUrl = `http://${this.address}`;
-    const sessionManager = new Http2SessionManager(baseUrl);
+    const sessionManager = new SessionManager(baseUrl, new SystemTimerService());
     try {
       const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager });
       const response = await createClient(OperatorService, transport).readConfiguration(
--- a/packages/instance/src/peers/peerClients.ts
+++ b/packages/instance/src/peers/peerClients.ts
@@ -1,7 +1,9 @@
 import type { Client } from '@connectrpc/connect';
+import type { TimerService } from '@zincring/core';
 
 import { createClient } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import { SessionManager, SystemTimerService } from '@zincring/core';
 import { PeerService } from '@zincring/protocol';
 
 /** A client of one instance. */
@@ -9,7 +11,7 @@
 
 interface Connection {
   readonly client: PeerClient;
-  readonly sessions: Http2SessionManager;
+  readonly sessions: SessionManager;
 }
 
 /** Silence on a connection with open streams after which it is checked, in milliseconds. */
@@ -22,6 +24,8 @@
 export class PeerClients {
   private readonly connections = new Map<string, Connection>();
 
+  public constructor(private readonly timers: TimerService = new SystemTimerService()) {}
+
   /** The client of a peer address. */
   public at(address: string): PeerClient {
     const known = this.connections.get(address);
@@ -29,9 +33,9 @@
       return known.client;
     }
     const baseUrl = `http://${address}`;
-    const sessions = new Http2SessionManager(baseUrl, {
-      pingIntervalMs: PING_INTERVAL_MILLISECONDS,
-      pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+    const sessions = new SessionManager(baseUrl, this.timers, {
+      intervalMilliseconds: PING_INTERVAL_MILLISECONDS,
+      timeoutMilliseconds: PING_TIMEOUT_MILLISECONDS,
     });
     const transport = createConnectTransport({
       baseUrl,
--- a/packages/stand-ins/src/launch/fleet.ts
+++ b/packages/stand-ins/src/launch/fleet.ts
@@ -9,7 +9,7 @@
 import type { StandInProcess } from './standInProcess.js';
 
 import { launch } from './childProcess.js';
-import { findFreePort } from './freePort.js';
+import { PortReservations } from './portReservations.js';
 import { launchStandIn } from './standInProcess.js';
 import { waitUntil } from './waitUntil.js';
 
@@ -53,6 +53,7 @@
   public readonly instances: FleetInstance[] = [];
   public readonly upstreams: FleetUpstream[] = [];
   private readonly leaving = new Set<string>();
+  private readonly ports = new PortReservations();
 
   private constructor(
     public readonly platform: StandInProcess,
@@ -86,9 +87,9 @@
     const id = `entry-${this.instances.length + 1}`;
     const zone = this.zoneOf(this.instances.length);
     const [callerPort, peerPort, operatorPort] = [
-      await findFreePort(),
-      await findFreePort(),
-      await findFreePort(),
+      await this.ports.reserve(),
+      await this.ports.reserve(),
+      await this.ports.reserve(),
     ];
     const settings = {
       callerAddress: `127.0.0.1:${callerPort}`,
@@ -214,6 +215,7 @@
       this.platform.process,
     ];
     await Promise.all(processes.map(async process => process.kill()));
+    this.ports.release();
     await rm(this.directory, { force: true, recursive: true });
   }
 
--- /dev/null
+++ b/packages/stand-ins/tests/portReservations.test.ts
@@ -0,0 +1,38 @@
+import { createServer } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { PortReservations } from '../src/launch/portReservations.js';
+
+describe(PortReservations, () => {
+  const launchers = [new PortReservations(), new PortReservations()];
+
+  afterEach(() => {
+    launchers.forEach(launcher => {
+      launcher.release();
+    });
+  });
+
+  it('never hands a port to two launchers', async () => {
+    const ports: number[] = [];
+    for (let round = 0; round < 10; round++) {
+      for (const launcher of launchers) {
+        ports.push(await launcher.reserve());
+      }
+    }
+    expect(new Set(ports).size).toBe(ports.length);
+  });
+
+  it('hands out ports on which a process can listen', async () => {
+    const port = await launchers[0]!.reserve();
+    const server = createServer();
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, '127.0.0.1', resolve);
+    });
+    server.close();
+  });
+
+  it('hands out ports that the kernel gives to no connection', async () => {
+    expect(await launchers[0]!.reserve()).toBeLessThan(32_768);
+  });
+});
