--- a/packages/gateway/src/programs/budgetRow.ts
+++ b/packages/gateway/src/programs/budgetRow.ts
@@ -106,8 +106,8 @@
   holder: string,
   ended: number,
 ): BudgetAccount {
-  const { [holder]: _own, ...holds } = account.holds;
-  return { ...account, holds, spent: account.spent + ended };
+  const holds = Object.entries(account.holds).filter(([name]) => name !== holder);
+  return { ...account, holds: Object.fromEntries(holds), spent: account.spent + ended };
 }
 
 function totalHeld(holds: Readonly<Record<string, BudgetHold>>): number {
--- a/packages/instance/tests/peers/strangePeers.test.ts
+++ b/packages/instance/tests/peers/strangePeers.test.ts
@@ -68,7 +68,7 @@
 
   it.each(strangers)('fails a read of the configuration when it %s', async (_name, behaviour) => {
     const source = new PeerConfigurationSource(await listen(behaviour));
-    const read = await source.read({ after: 0 } as never);
+    const read = await source.read({ after: 0 });
     await new Promise(resolve => setTimeout(resolve, LATE_MILLISECONDS));
     expect(read.err).toBe(true);
     expect(escaped).toEqual([]);
