feat(gateway): send callers elsewhere early when the store cannot be reached

Change: not ready after 1.6 s without any answer of the store; answers then close their connection; refusals that another instance may serve ask for 0.03 to 0.1 s.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -19,6 +19,8 @@
   readonly wire: RequestWire;
   readonly timers: TimerService;
   readonly logger: Logger;
+  /** Whether callers are served here; otherwise their connections are closed after each answer. */
+  readonly isInTouch: () => boolean;
 }
 
 /** Largest headers that the server can be told to accept, in bytes; the operator's limit is checked beside it. */
@@ -103,7 +105,7 @@
   }
 
   private take(request: IncomingMessage, response: ServerResponse): void {
-    const answer = new CallerAnswer(response, () => this.isClosing);
+    const answer = new CallerAnswer(response, () => this.isClosing || !this.parts.isInTouch());
     request.on('error', () => undefined);
     response.on('error', () => undefined);
     this.requestsUnderWay++;
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -59,7 +59,7 @@
 /** How long a request waits for a fresh look at the configuration, in milliseconds: a few answers of the store. */
 const REFRESH_WAIT_MILLISECONDS = 150;
 /** When a caller may come back to an instance without a current configuration, in seconds: other instances may have one. */
-const STALE_RETRY_SECONDS = 0.2;
+const STALE_RETRY_SECONDS = 0.03;
 /** Urgency of requests at engines when the operator ranks them first; the engines' scale ends at 9. */
 const FIRST_URGENCY = 1;
 const LAST_URGENCY = 9;
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -53,6 +53,8 @@
 const OUTAGE_MILLISECONDS = 2_500;
 /** Pause between sweeps of connections to replicas that have left, in milliseconds. */
 const SWEEP_MILLISECONDS = 1_000;
+/** Silence of the store after which callers should go elsewhere, in milliseconds: over one wait of a feed. */
+const SILENCE_MILLISECONDS = 1_600;
 /** Time for giving back held tokens during a stop, in milliseconds: within the rest of the grace period. */
 const RELEASE_MILLISECONDS = 400;
 /** Connections that one instance opens to a replica at most. */
@@ -120,6 +122,7 @@
     const loads = new ReplicaLoads(timers, entry => this.connectionsTo(entry));
     this.pool = new ReplicaPool(this.directory, loads, options.availabilityZone, parts.random);
     this.server = new GatewayServer({
+      isInTouch: () => this.isInTouch,
       logger,
       pipeline: this.makePipeline(),
       timers,
@@ -133,7 +136,19 @@
 
   /** Whether callers should be sent here. */
   public get isReady(): boolean {
-    return !this.isStopping && this.configuration.isFresh() && this.directory.isKnown;
+    return !this.isStopping && this.isInTouch;
+  }
+
+  /**
+   * Whether requests with a key can be served here for a while. An instance without the store says
+   * so early, since the balancer needs two seconds to turn callers away.
+   */
+  private get isInTouch(): boolean {
+    return (
+      this.configuration.isFresh() &&
+      this.directory.isKnown &&
+      this.table.silenceMilliseconds() < SILENCE_MILLISECONDS
+    );
   }
 
   /** Ports on which callers and the balancer are answered. */
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -59,8 +59,8 @@
 const AHEAD_PAUSE_MILLISECONDS = 1_500;
 /** Tries of one draw while the store fails. */
 const MAXIMUM_FAILURES = 2;
-/** When a caller may come back while the store is away, in seconds. */
-const STORE_RETRY_SECONDS = 0.4;
+/** When a caller may come back while the store is away, in seconds: another instance may reach it. */
+const STORE_RETRY_SECONDS = 0.1;
 
 const unlimited: RateAdmission = { giveBack: () => undefined };
 
--- a/packages/gateway/src/programs/keptTurns.ts
+++ b/packages/gateway/src/programs/keptTurns.ts
@@ -44,8 +44,8 @@
 const FAILURE_PAUSE = 30;
 /** Reads of one turn while the store fails. */
 const MAXIMUM_READS = 4;
-/** When a caller may come back while the store is away, in seconds. */
-const STORE_RETRY_SECONDS = 0.4;
+/** When a caller may come back while the store is away, in seconds: another instance may reach it. */
+const STORE_RETRY_SECONDS = 0.1;
 
 type Chain = readonly KeptTurn[];
 
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -25,8 +25,8 @@
 const PARTITIONS = 32;
 /** How long accounts outlive their last turn at least, in milliseconds: programs that were stopped may return. */
 const MINIMUM_RETENTION_MILLISECONDS = 60_000;
-/** When a caller may come back while the store is away, in seconds. */
-const STORE_RETRY_SECONDS = 0.4;
+/** When a caller may come back while the store is away, in seconds: another instance may reach it. */
+const STORE_RETRY_SECONDS = 0.1;
 /** Pause between looks for programs that have no turns here any more, in milliseconds. */
 const SWEEP_MILLISECONDS = 1_000;
 
--- a/packages/gateway/src/store/watchedTable.ts
+++ b/packages/gateway/src/store/watchedTable.ts
@@ -51,6 +51,11 @@
     );
   }
 
+  /** Time since the last answer, in milliseconds. */
+  public silenceMilliseconds(): number {
+    return this.timers.now() - this.answeredAt;
+  }
+
   public async read(request: RangeRequest): Promise<Result<RangePage, PlatformError>> {
     return await this.watch('read', request.table, this.inner.read(request));
   }
--- a/packages/gateway/tests/lifecycle/gateway.test.ts
+++ b/packages/gateway/tests/lifecycle/gateway.test.ts
@@ -321,14 +321,28 @@
     expect(runsOf(fleet)).toBe(1);
   });
 
-  it('answers 503 to keyed requests and is not ready before it knows a configuration', async () => {
+  it('answers 503 to requests with a key once its configuration may be old', async () => {
     const fleet = await startFleet(unsafeRoute, [[answers('done')]]);
     fleet.store.isRefusing = true;
     await waitUntil(() => !fleet.gateway.isReady);
-    expect((await fleet.send()).status).toBe(503);
+    await new Promise(resolve => setTimeout(resolve, 2_000));
+    const reply = await fleet.send({ headers: { connection: 'keep-alive' } });
+    expect(reply.status).toBe(503);
+    expect(reply.headers.connection).toBe('close');
     expect(runsOf(fleet)).toBe(0);
   }, 20_000);
 
+  it('leaves the rotation well before it must refuse requests', async () => {
+    const fleet = await startFleet(unsafeRoute, [[answers('done')]]);
+    const usual = await fleet.send({ headers: { connection: 'keep-alive' } });
+    expect(usual.headers.connection).toBe('keep-alive');
+    fleet.store.isRefusing = true;
+    await waitUntil(() => !fleet.gateway.isReady);
+    const reply = await fleet.send({ headers: { connection: 'keep-alive' } });
+    expect(reply.status).toBe(200);
+    expect(reply.headers.connection).toBe('close');
+  }, 20_000);
+
   it('answers what is under way when it is asked to stop', async () => {
     const late: Behaviour = (socket, request) => {
       setTimeout(() => {
