--- /dev/null
+++ b/packages/gateway/tests/observation/decisionLog.test.ts
@@ -0,0 +1,54 @@
+import { createLogger, ManualTimerService } from '@zincring/core';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { DecisionLog } from '../../src/observation/decisionLog.js';
+
+const OPTIONS = { failuresPerSecond: 20, usualPerSecond: 10 };
+
+describe(DecisionLog, () => {
+  let timers: ManualTimerService;
+  let lines: { event?: string; usual?: number; failures?: number }[];
+  let log: DecisionLog;
+
+  beforeEach(() => {
+    timers = new ManualTimerService();
+    lines = [];
+    const logger = createLogger(
+      'info',
+      {},
+      { write: line => lines.push(JSON.parse(line) as object) },
+    );
+    log = new DecisionLog(logger, timers, OPTIONS);
+  });
+
+  it('writes everything below its bound', async () => {
+    for (let second = 0; second < 10; second++) {
+      log.info({ event: 'request-served' }, 'served');
+      log.warn({ event: 'request-refused' }, 'refused');
+      await timers.advance(1_000);
+    }
+    expect(lines).toHaveLength(20);
+  });
+
+  it('stays within its bound at ten times the load and tells what it dropped', async () => {
+    for (let elapsed = 0; elapsed < 10_000; elapsed += 10) {
+      log.info({ event: 'request-served' }, 'served');
+      log.warn({ event: 'request-refused' }, 'refused');
+      await timers.advance(10);
+    }
+    const count = (event: string): number => lines.filter(line => line.event === event).length;
+    expect(count('request-served')).toBe(100);
+    expect(count('request-refused')).toBe(200);
+    const dropped = lines.filter(line => line.event === 'lines-dropped');
+    expect(dropped.reduce((sum, line) => sum + (line.usual ?? 0), 0)).toBe(900);
+    expect(dropped.reduce((sum, line) => sum + (line.failures ?? 0), 0)).toBe(800);
+  });
+
+  it('never lets usual lines crowd out failures', () => {
+    for (let line = 0; line < 1_000; line++) {
+      log.info({ event: 'request-served' }, 'served');
+    }
+    log.error({ event: 'request-fault' }, 'fault');
+    expect(lines.at(-1)?.event).toBe('request-fault');
+  });
+});
--- /dev/null
+++ b/packages/gateway/tests/upstreams/crashRecord.test.ts
@@ -0,0 +1,81 @@
+import { ManualTimerService, silentLogger } from '@zincring/core';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { CrashRecord } from '../../src/upstreams/crashRecord.js';
+import { MemoryTable } from '../support/memoryTable.js';
+import { sampleReplica, sampleTurn } from '../support/samples.js';
+
+describe(CrashRecord, () => {
+  let timers: ManualTimerService;
+  let store: MemoryTable;
+  let instances: CrashRecord[];
+  let ids: number;
+
+  beforeEach(async () => {
+    timers = new ManualTimerService();
+    store = new MemoryTable(timers);
+    ids = 0;
+    instances = [1, 2, 3].map(
+      () =>
+        new CrashRecord({
+          logger: silentLogger,
+          makeId: () => `crash-${String(ids++)}`,
+          table: store.client(),
+          timers,
+        }),
+    );
+    instances.forEach(instance => {
+      instance.start();
+    });
+    await timers.advance(100);
+  });
+
+  const poison = sampleTurn('a', {}, { body: Buffer.from('poison') });
+
+  it('refuses a request everywhere after it crashed three replicas at several instances', async () => {
+    instances[0]!.note(poison, sampleReplica('r1'));
+    instances[1]!.note(poison, sampleReplica('r2'));
+    await timers.advance(2_500);
+    expect(instances.map(instance => instance.check(poison))).toEqual([
+      undefined,
+      undefined,
+      undefined,
+    ]);
+    instances[2]!.note(poison, sampleReplica('r1'));
+    await timers.advance(2_900);
+    for (const instance of instances) {
+      const refusal = instance.check(poison);
+      expect(refusal?.ran).toBe('no');
+      expect(refusal?.status).toBe(503);
+    }
+  });
+
+  it('counts a body, not the request id, which is new with each attempt', async () => {
+    for (const id of ['a', 'b', 'c']) {
+      const attempt = sampleTurn(id, {}, { body: Buffer.from('poison') });
+      instances[0]!.note(attempt, sampleReplica('r1'));
+    }
+    await timers.advance(100);
+    const again = sampleTurn('d', {}, { body: Buffer.from('poison') });
+    expect(instances[0]!.check(again)).toBeDefined();
+    const other = sampleTurn('d', {}, { body: Buffer.from('harmless') });
+    expect(instances[0]!.check(other)).toBeUndefined();
+  });
+
+  it('remembers own crashes while the store is away', async () => {
+    store.faults.isRefusing = true;
+    for (let crash = 0; crash < 3; crash++) {
+      instances[0]!.note(poison, sampleReplica('r1'));
+    }
+    await timers.advance(100);
+    expect(instances[0]!.check(poison)).toBeDefined();
+  });
+
+  it('lets the request run again after a while', async () => {
+    for (let crash = 0; crash < 3; crash++) {
+      instances[0]!.note(poison, sampleReplica('r1'));
+    }
+    await timers.advance(130_000);
+    expect(instances[0]!.check(poison)).toBeUndefined();
+  });
+});
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -24,3 +24,4 @@
 export { PlainServiceServer } from './service/plainServiceServer.js';
 export type { StandInHandler, StandInRequest } from './util/jsonServer.js';
 export { readJson, sendJson, serveStandIn } from './util/jsonServer.js';
+export { PortReservations } from './launch/portReservations.js';
