--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -12,14 +12,16 @@
 import { GatewayServer } from '../callers/gatewayServer.js';
 import { RequestPipeline } from '../callers/requestPipeline.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { RowSweeper } from '../store/rowSweeper.js';
 import { WatchedTable } from '../store/watchedTable.js';
 import { WorkspaceRates } from '../limits/workspaceRates.js';
 import { KeptTurns } from '../programs/keptTurns.js';
-import { TurnBudgets } from '../programs/turnBudgets.js';
+import { sweptTurns } from '../programs/keptTurnRows.js';
+import { sweptBudgets, TurnBudgets } from '../programs/turnBudgets.js';
 import { defaultDecisionLogOptions, DecisionLog } from '../observation/decisionLog.js';
 import { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import { MetricsServer } from '../observation/metricsServer.js';
-import { CrashRecord } from '../upstreams/crashRecord.js';
+import { CrashRecord, sweptCrashes } from '../upstreams/crashRecord.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaLoads } from '../upstreams/replicaLoads.js';
 import { ReplicaPool } from '../upstreams/replicaPool.js';
@@ -81,6 +83,7 @@
   private readonly logger: Logger;
   private readonly table: WatchedTable;
   private readonly budgets: TurnBudgets;
+  private readonly sweeper: RowSweeper;
   private sweeping: TimerSubscription | undefined;
   private isStopping = false;
 
@@ -119,6 +122,11 @@
       table,
       timers,
     });
+    this.sweeper = new RowSweeper({ logger, random: parts.random, table, timers }, [
+      sweptTurns,
+      sweptBudgets,
+      sweptCrashes,
+    ]);
     const loads = new ReplicaLoads(timers, entry => this.connectionsTo(entry));
     this.pool = new ReplicaPool(this.directory, loads, options.availabilityZone, parts.random);
     this.server = new GatewayServer({
@@ -165,6 +173,7 @@
     this.configuration.start();
     this.directory.start();
     this.crashes.start();
+    this.sweeper.start();
     this.sweeping = this.parts.timers.every(SWEEP_MILLISECONDS, () => {
       this.pool.sweep();
     });
@@ -192,6 +201,7 @@
     this.configuration.stop();
     this.directory.stop();
     this.crashes.stop();
+    this.sweeper.stop();
     this.readiness.close();
     this.metricsServer.close();
     this.logger.info({ event: 'stopped', underWay: this.server.underWay }, 'stopped');
--- a/packages/gateway/src/programs/keptTurnRows.ts
+++ b/packages/gateway/src/programs/keptTurnRows.ts
@@ -1,6 +1,7 @@
 import type { WorkspaceName } from '@zincring/core';
 
 import type { TurnId } from '../callers/requestFacts.js';
+import type { SweptTable } from '../store/rowSweeper.js';
 
 /** A turn that has ended, with what it added to the history. */
 export interface KeptTurn {
@@ -31,6 +32,8 @@
 
 /** Table of the kept turns. */
 export const TURN_TABLE = 'turns';
+/** Partitions of the table: a turn is one transaction, and those of a partition run one after another. */
+export const TURN_PARTITIONS = 32;
 /** Separates the id of a turn from the number of a further chunk; it sorts after all ids. */
 const CHUNK_MARK = '~';
 /** Room left in a row for its head, in bytes: some hundred ids of ancestors. */
@@ -57,13 +60,30 @@
     inputBytes: turn.input.length,
     workspace: turn.workspace ?? null,
   };
-  return pieces.map((piece, index) =>
-    index === 0
-      ? { key: turn.id, value: Buffer.concat([Buffer.from(`${JSON.stringify(head)}\n`), piece]) }
-      : { key: `${turn.id}${CHUNK_MARK}${String(index).padStart(4, '0')}`, value: piece },
-  );
+  const headLine = Buffer.from(`${JSON.stringify(head)}\n`);
+  return pieces.map((piece, index) => ({
+    key: keyOf(turn.id, index),
+    value: index === 0 ? Buffer.concat([headLine, piece]) : piece,
+  }));
 }
 
+function keyOf(id: string, chunk: number): string {
+  return chunk === 0 ? id : `${id}${CHUNK_MARK}${String(chunk).padStart(4, '0')}`;
+}
+
+function readHead(value: Buffer): TurnHead {
+  return JSON.parse(value.subarray(0, value.indexOf(LINE_FEED)).toString()) as TurnHead;
+}
+
+/** The kept turns, for removal after their end. */
+export const sweptTurns: SweptTable = {
+  expiresAt: row => (row.key.includes(CHUNK_MARK) ? undefined : readHead(row.value).expiresAt),
+  keysOf: row =>
+    Array.from({ length: readHead(row.value).chunks }, (_unused, index) => keyOf(row.key, index)),
+  partitions: Array.from({ length: TURN_PARTITIONS }, (_unused, index) => String(index)),
+  table: TURN_TABLE,
+};
+
 /**
  * Restores a turn from its rows in the order of their keys; `undefined` when there are none.
  *
@@ -76,7 +96,7 @@
     return undefined;
   }
   const end = first.value.indexOf(LINE_FEED);
-  const head = JSON.parse(first.value.subarray(0, end).toString()) as TurnHead;
+  const head = readHead(first.value);
   const pieces = rest.slice(0, head.chunks - 1).map(({ value }) => value);
   const content = Buffer.concat([first.value.subarray(end + 1), ...pieces]);
   return {
--- a/packages/gateway/src/programs/keptTurns.ts
+++ b/packages/gateway/src/programs/keptTurns.ts
@@ -9,7 +9,7 @@
 import type { WatchedTable } from '../store/watchedTable.js';
 import type { KeptTurn } from './keptTurnRows.js';
 
-import { decodeTurn, encodeTurn, isChunkOf, TURN_TABLE } from './keptTurnRows.js';
+import { decodeTurn, encodeTurn, isChunkOf, TURN_PARTITIONS, TURN_TABLE } from './keptTurnRows.js';
 
 /** A turn that is under way and will be kept. */
 export interface KeptTurnDraft {
@@ -36,8 +36,6 @@
   readonly rowBytes: number;
 }
 
-/** Partitions of the table: a turn is one transaction, and those of a partition run one after another. */
-const PARTITIONS = 32;
 /** Memory for turns of running programs, in bytes: a small part of the smallest instance. */
 const CACHE_BYTES = 12 * 1024 * 1024;
 /** Pause between tries while the store fails, in milliseconds: a few of its usual answers. */
@@ -214,7 +212,7 @@
 const LINE_FEED = Buffer.from('\n');
 
 function partitionOf(id: TurnId): string {
-  return String(hash32(id) % PARTITIONS);
+  return String(hash32(id) % TURN_PARTITIONS);
 }
 
 function isSameTurn(
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -4,7 +4,8 @@
 import { Err, hash32, Ok, ZincringError } from '@zincring/core';
 
 import type { RunnableRequest } from '../upstreams/attemptLoop.js';
-import type { BudgetDemand } from './budgetRow.js';
+import type { SweptTable } from '../store/rowSweeper.js';
+import type { BudgetAccount, BudgetDemand } from './budgetRow.js';
 import type { BudgetDecision, ProgramBudgetParts } from './programBudget.js';
 
 import { ProgramBudget } from './programBudget.js';
@@ -23,6 +24,13 @@
 export const BUDGET_TABLE = 'budgets';
 /** Partitions of the table: their transactions run one after another, and a program needs one or two a turn. */
 const PARTITIONS = 32;
+/** The accounts, for removal after their end. */
+export const sweptBudgets: SweptTable = {
+  expiresAt: row => (JSON.parse(row.value.toString()) as BudgetAccount).expiresAt,
+  keysOf: row => [row.key],
+  partitions: Array.from({ length: PARTITIONS }, (_unused, index) => String(index)),
+  table: BUDGET_TABLE,
+};
 /** How long accounts outlive their last turn at least, in milliseconds: programs that were stopped may return. */
 const MINIMUM_RETENTION_MILLISECONDS = 60_000;
 /** When a caller may come back while the store is away, in seconds: another instance may reach it. */
--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -6,6 +6,8 @@
   RowChange,
 } from '@zincring/platform';
 
+import { failureText } from '@zincring/core';
+
 import type { Moment } from '../configuration/contactAge.js';
 
 import { ContactAge, momentOf } from '../configuration/contactAge.js';
@@ -71,7 +73,7 @@
 
   /** Begins to follow. */
   public start(): void {
-    void this.step();
+    this.follow();
   }
 
   /** Ends: nothing is told afterwards. */
@@ -88,13 +90,28 @@
     return await this.refreshing;
   }
 
+  private follow(): void {
+    this.step().catch((failure: unknown) => {
+      this.logger.error(
+        { event: 'follow-fault', failure: failureText(failure), table: this.options.table },
+        'reading the table anew',
+      );
+      this.after = undefined;
+      this.pausing = this.timers.after(LONGEST_BACKOFF, () => {
+        this.follow();
+      });
+    });
+  }
+
   private async step(): Promise<void> {
     const isAnswered = this.after === undefined ? await this.refresh() : await this.readChanges();
     if (this.isStopped) {
       return;
     }
     this.noteContact(isAnswered);
-    this.pausing = this.timers.after(this.nextPause(isAnswered), () => void this.step());
+    this.pausing = this.timers.after(this.nextPause(isAnswered), () => {
+      this.follow();
+    });
   }
 
   private nextPause(isAnswered: boolean): number {
--- a/packages/gateway/src/upstreams/crashRecord.ts
+++ b/packages/gateway/src/upstreams/crashRecord.ts
@@ -6,6 +6,7 @@
 import { Quarantine } from '@zincring/scheduling';
 
 import type { RunnableRequest } from './attemptLoop.js';
+import type { SweptTable } from '../store/rowSweeper.js';
 import type { ReplicaEntry } from './replica.js';
 
 import { TableFollower } from '../store/tableFollower.js';
@@ -28,6 +29,13 @@
 
 /** Table in which instances tell each other of crashes. */
 export const CRASH_TABLE = 'crashes';
+/** The crashes, for removal after their end. */
+export const sweptCrashes: SweptTable = {
+  expiresAt: row => (JSON.parse(row.value.toString()) as StoredCrash).at + REFUSED_MILLISECONDS,
+  keysOf: row => [row.key],
+  partitions: [''],
+  table: CRASH_TABLE,
+};
 /** Crashes after which a request is refused: the callers' pages allow three. */
 const MAXIMUM_CRASHES = 3;
 /** Time for which a request is refused, in milliseconds: several comebacks of a replica. */
