feat(gateway): leave replicas alone that fail twice in a row, whatever their health checks say

Load that it answers: replicas that fail part of their requests while healthy. At most half of a service is left alone.

--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -202,6 +202,8 @@
         if (outcome.kind === 'lost') {
           this.parts.crashes.note(this.request, entry);
         }
+      } else if (this.control.isAwaited()) {
+        loads.noteEnd(entry, 'failed');
       }
       return outcome.kind === 'lost' ? outcome : { kind: 'not-run', reason: outcome.reason };
     }
@@ -220,7 +222,7 @@
       answer.discard();
       return { kind: 'lost', reason: 'the answer does not bear the seal of the replica' };
     }
-    loads.noteEnd(entry, 'answered');
+    loads.noteEnd(entry, answer.status >= 500 ? 'failed' : 'answered');
     return await this.takeAnswer(entry, answer);
   }
 
--- a/packages/gateway/src/upstreams/replicaLoads.ts
+++ b/packages/gateway/src/upstreams/replicaLoads.ts
@@ -5,7 +5,7 @@
 import { ReplicaAgent } from './replicaAgent.js';
 
 /** How an attempt at a replica ended, as far as it says something of the replica. */
-export type AttemptEnd = 'answered' | 'full' | 'misdirected' | 'unreachable';
+export type AttemptEnd = 'answered' | 'failed' | 'full' | 'misdirected' | 'unreachable';
 
 /** What this instance knows of one run of a replica by its own use. */
 export interface ReplicaLoadState {
@@ -22,6 +22,8 @@
 const AVOID_MILLISECONDS = 1_000;
 /** Longest time for which a failing replica is avoided, in milliseconds: its entry lapses by then. */
 const LONGEST_AVOID_MILLISECONDS = 8_000;
+/** Failed answers in a row after which a replica is avoided, whatever its health checks say. */
+const FAILURES_IN_A_ROW = 2;
 /** Time for which a replica that refused for lack of room is avoided, in milliseconds: about one short call. */
 const FULL_MILLISECONDS = 100;
 
@@ -68,6 +70,12 @@
       case 'answered':
         state.failures = 0;
         return;
+      case 'failed':
+        // One failure is the request's own as often as the replica's.
+        if (++state.failures >= FAILURES_IN_A_ROW) {
+          state.avoidedUntil = this.timers.now() + avoidTime(state.failures - FAILURES_IN_A_ROW);
+        }
+        return;
       case 'full':
         state.avoidedUntil = Math.max(state.avoidedUntil, this.timers.now() + FULL_MILLISECONDS);
         return;
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -14,6 +14,9 @@
 /** Sessions whose replica is remembered: several minutes of an instance's share of the sessions. */
 const REMEMBERED_SESSIONS = 20_000;
 
+/** Part of the replicas of a service that may be left alone at the same time. */
+const MAXIMUM_AVOIDED_SHARE = 0.5;
+
 /** What a choice is made for. */
 export interface PoolRequest {
   readonly service: GatewayService;
@@ -64,13 +67,16 @@
     service: GatewayService,
     excluded: ReadonlySet<ReplicaRunId>,
   ): readonly PlacementCandidate[] {
-    return this.directory
-      .replicasOf(service.name)
-      .filter(entry => !entry.isDraining && !excluded.has(entry.runId))
+    const entries = this.directory.replicasOf(service.name).filter(entry => !entry.isDraining);
+    const avoided = entries.filter(entry => this.loads.isAvoided(entry)).length;
+    // When most replicas fail, the cause lies elsewhere, and the rest would be overrun.
+    const isAvoiding = avoided <= entries.length * MAXIMUM_AVOIDED_SHARE;
+    return entries
+      .filter(entry => !excluded.has(entry.runId))
       .map(entry => ({
         entry,
         inFlight: this.loads.of(entry).inFlight,
-        isAvoided: this.loads.isAvoided(entry),
+        isAvoided: isAvoiding && this.loads.isAvoided(entry),
       }));
   }
 }
