--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -152,7 +152,7 @@
     if (rate.err) {
       return { error: rate.val, kind: 'failed' };
     }
-    const outcome = await this.serveTurn(request, admission.workspace, sink, watch);
+    const outcome = await this.serveTurn(request, sink, watch);
     if (outcome.kind === 'failed' && outcome.error.ran === 'no') {
       rate.val.giveBack();
     }
@@ -161,7 +161,6 @@
 
   private async serveTurn(
     request: RunnableRequest,
-    workspace: GatewayWorkspace | undefined,
     sink: AnswerSink,
     watch: RequestWatch,
   ): Promise<RunOutcome> {
@@ -174,7 +173,7 @@
       return { error: budget.val, kind: 'failed' };
     }
     if (budget.val?.beginsProgram === true) {
-      this.parts.rates.noteBeginning(workspace);
+      this.parts.rates.noteBeginning();
     }
     const recorder = new TurnRecorder(budget.val, history.val.turn, watch.signal);
     this.parts.metrics.admissionSeconds.observe((this.timers.now() - watch.receivedAt) / 1_000);
--- a/packages/gateway/src/limits/programSize.ts
+++ b/packages/gateway/src/limits/programSize.ts
@@ -8,7 +8,7 @@
 const BOUNDS = { largest: 60, smallest: 2 };
 
 /**
- * Estimates how many requests a program of a workspace makes, from the requests and the beginnings
+ * Estimates how many requests a program makes, from the requests and the beginnings
  * that this instance sees.
  *
  * @example
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -33,7 +33,6 @@
 /** The draws on the bucket of one workspace. */
 interface Draws {
   readonly credit: WorkspaceCredit;
-  readonly programSize: ProgramSize;
   readonly address: RowAddress;
   row: KnownRow;
   /** When the store last told the row, by the steady clock. */
@@ -61,6 +60,8 @@
 const AHEAD_PAUSE_MILLISECONDS = 1_500;
 /** Time for which a row is likely still as the store told it, in milliseconds: several instances draw on it each second. */
 const RECENT_MILLISECONDS = 40;
+/** Part of a used-up rate that goes to programs that begin then: some of it is owed to those under way. */
+const BEGINNING_SHARE = 0.85;
 /** Tries of one draw while the store fails. */
 const MAXIMUM_FAILURES = 2;
 /** When a caller may come back while the store is away, in seconds: another instance may reach it. */
@@ -78,6 +79,8 @@
  */
 export class WorkspaceRates {
   private readonly workspaces = new Map<WorkspaceName, Draws>();
+  /** Of all workspaces together, since an instance sees few programs of each. */
+  private readonly programSize = new ProgramSize();
   private storeClock: { readonly storeTime: number; readonly steady: number } | undefined;
 
   public constructor(private readonly parts: WorkspaceRatesParts) {}
@@ -95,7 +98,7 @@
       return Ok(unlimited);
     }
     const draws = this.drawsOf(workspace);
-    draws.programSize.noteRequest();
+    this.programSize.noteRequest();
     if (draws.credit.isScarce && (await beginsProgram())) {
       const beginning = await this.takePlace(this.beginningsOf(draws), signal);
       if (beginning.err) {
@@ -106,10 +109,8 @@
   }
 
   /** Takes in that a program has had its first turn here. */
-  public noteBeginning(workspace: GatewayWorkspace | undefined): void {
-    if (workspace !== undefined) {
-      this.workspaces.get(workspace.name)?.programSize.noteBeginning();
-    }
+  public noteBeginning(): void {
+    this.programSize.noteBeginning();
   }
 
   private async takePlace(
@@ -154,7 +155,6 @@
       credit: new WorkspaceCredit(this.parts.timers, workspace),
       isAsking: false,
       knownAt: -Infinity,
-      programSize: new ProgramSize(),
       row: absentRow,
     };
     this.workspaces.set(name, draws);
@@ -287,12 +287,12 @@
   /** The rate at which programs may begin: as many as the rate of their requests can finish. */
   private beginningsOf(draws: Draws): Draws {
     const { burst, name, ratePerSecond } = draws.credit.workspace;
-    const requests = draws.programSize.requests;
+    const { requests } = this.programSize;
     return this.drawsOf({
       ...draws.credit.workspace,
-      burst: Math.max(1, burst / requests),
+      burst: Math.max(1, (burst * BEGINNING_SHARE) / requests),
       name: `${name}/programs` as WorkspaceName,
-      ratePerSecond: ratePerSecond / requests,
+      ratePerSecond: (ratePerSecond * BEGINNING_SHARE) / requests,
     });
   }
 
--- a/packages/gateway/tests/limits/workspaceRates.test.ts
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -206,7 +206,7 @@
           return;
         }
         if (call === 0) {
-          instance.noteBeginning(workspace);
+          instance.noteBeginning();
         }
         await sleep(timers, 150);
       }
