--- a/packages/gateway/src/limits/rateRow.ts
+++ b/packages/gateway/src/limits/rateRow.ts
@@ -102,8 +102,13 @@
   return Math.max(0, Math.floor(amount));
 }
 
-/** Requests that the bucket and all credits may stand for together. */
-function mostOutstanding({ burst, ratePerSecond }: RateLimit): number {
+/**
+ * Requests that the bucket and all credits may stand for together.
+ *
+ * @example
+ * mostOutstanding({ burst: 10, ratePerSecond: 10 }); // 28
+ */
+export function mostOutstanding({ burst, ratePerSecond }: RateLimit): number {
   return burst + SLACK_SECONDS * ratePerSecond + SLACK_BURST_SHARE * burst + SLACK_REQUESTS;
 }
 
--- a/packages/gateway/src/limits/workspaceCredit.ts
+++ b/packages/gateway/src/limits/workspaceCredit.ts
@@ -4,6 +4,7 @@
 import type { Moment } from '../configuration/contactAge.js';
 
 import { momentOf } from '../configuration/contactAge.js';
+import { mostOutstanding } from './rateRow.js';
 
 /** How a wait for credit ended. */
 export type CreditAnswer = 'denied' | 'granted' | 'unknown';
@@ -11,14 +12,20 @@
 /** How long a workspace counts as using more than its rate, in milliseconds: about the time that a program takes. */
 const SCARCE_MILLISECONDS = 2_000;
 
+/** When a grant was asked for, and how long the store counts it. */
+export interface GrantTimes {
+  readonly sentAt: Moment;
+  readonly storeValidMilliseconds: number;
+}
+
 interface CreditWaiter {
   readonly answer: (answer: CreditAnswer) => void;
   /** By the steady clock. */
   readonly since: number;
 }
 
-/** How long credit is good at its holder, in milliseconds: shorter than the store counts it. */
-const VALID_MILLISECONDS = 4_000;
+/** How long credit is good at its holder, in milliseconds, and how much longer the store counts it. */
+const VALIDITY = { margin: 1_400, rare: 2_000, steady: 4_000 };
 /** Time constant of the estimate of demand, in milliseconds: a few tool pauses of a program. */
 const DEMAND_MILLISECONDS = 3_000;
 /** Time for which credit is wished ahead, in seconds: some pauses between draws, within the time that credit is good. */
@@ -29,8 +36,8 @@
 const LOW_SHARE = 0.25;
 /** Most credit that a draw for rare requests brings for the calls that a program makes next. */
 const LARGEST_BESIDE = 3;
-/** Part of the burst that such credit may be. */
-const BESIDE_BURST_SHARE = 0.1;
+/** Part of what bucket and credits may stand for together that such credit may be. */
+const BESIDE_SHARE = 0.1;
 
 /** The credit that this instance holds of one workspace, and the demand that it sees. */
 export class WorkspaceCredit {
@@ -41,6 +48,7 @@
   public deniedUntil = -Infinity;
   private unspentCredit = 0;
   private grantedAt: Moment | undefined;
+  private validMilliseconds = VALIDITY.rare;
   private demand = 0;
   private demandAt: number;
   private waiters: CreditWaiter[] = [];
@@ -73,6 +81,11 @@
     return demand < RARE_DEMAND ? this.beside() : Math.ceil(demand * AHEAD_SECONDS);
   }
 
+  /** How long the store is to count a grant made now, in milliseconds; its holder counts less. */
+  public get storeValidMilliseconds(): number {
+    return this.validityOfGrant() + VALIDITY.margin;
+  }
+
   /** Whether a top-up is due. */
   public get needsCredit(): boolean {
     const isSteady = this.currentDemand() >= RARE_DEMAND;
@@ -124,7 +137,12 @@
   }
 
   /** Takes in a grant; `spent` is what was spent since the request for it was made. */
-  public receive(held: number, spent: number, sentAt: Moment): void {
+  public receive(
+    held: number,
+    spent: number,
+    { sentAt, storeValidMilliseconds }: GrantTimes,
+  ): void {
+    this.validMilliseconds = storeValidMilliseconds - VALIDITY.margin;
     this.lastHeld = held;
     this.unspentCredit = Math.max(0, held - spent);
     this.grantedAt = sentAt;
@@ -146,8 +164,12 @@
     }
   }
 
+  private validityOfGrant(): number {
+    return this.currentDemand() < RARE_DEMAND ? VALIDITY.rare : VALIDITY.steady;
+  }
+
   private beside(): number {
-    const share = Math.round(this.workspace.burst * BESIDE_BURST_SHARE);
+    const share = Math.round(mostOutstanding(this.workspace) * BESIDE_SHARE);
     return Math.max(1, Math.min(LARGEST_BESIDE, share));
   }
 
@@ -162,6 +184,6 @@
     }
     const now = momentOf(this.timers);
     const elapsed = Math.max(now.steady - this.grantedAt.steady, now.wall - this.grantedAt.wall);
-    return elapsed < VALID_MILLISECONDS;
+    return elapsed < this.validMilliseconds;
   }
 }
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -46,8 +46,6 @@
 export const RATE_TABLE = 'rates';
 /** Partitions of the table: the transactions of one run one after another. */
 const PARTITIONS = 32;
-/** How long the store counts credit as held, in milliseconds: longer than its holder does, by the delay of slow answers. */
-const STORE_VALID_MILLISECONDS = 5_500;
 /** Longest wait of a request for credit, in milliseconds: some answers of a slow store. */
 const WAIT_MILLISECONDS = 800;
 /** Longest wait for the rate to have room again, in milliseconds: a fraction of what callers allow for an answer. */
@@ -203,6 +201,7 @@
   private async draw(draws: Draws): Promise<void> {
     const { credit } = draws;
     const sentAt = momentOf(this.parts.timers);
+    const { storeValidMilliseconds } = credit;
     let unspentWhenSent = credit.unspent;
     const edited = await editRow<CreditGrant>(
       this.parts.table,
@@ -212,7 +211,7 @@
       (row, storeTime) => {
         this.noteStoreTime(storeTime);
         unspentWhenSent = credit.unspent;
-        const grant = this.grant(parseBucket(row.value), credit);
+        const grant = this.grant(parseBucket(row.value), credit, storeValidMilliseconds);
         if (!grant.isChanged) {
           return { answer: grant, kind: 'leave' };
         }
@@ -241,19 +240,23 @@
     const spent = Math.max(0, unspentWhenSent - credit.unspent);
     credit.noteUse(edited.val.answer.isScarce);
     if (edited.val.answer.isChanged) {
-      credit.receive(edited.val.answer.held, spent, sentAt);
+      credit.receive(edited.val.answer.held, spent, { sentAt, storeValidMilliseconds });
     }
     credit.serveWaiters();
     this.judgeWaiters(draws);
   }
 
-  private grant(bucket: WorkspaceBucket | undefined, credit: WorkspaceCredit): CreditGrant {
+  private grant(
+    bucket: WorkspaceBucket | undefined,
+    credit: WorkspaceCredit,
+    validMilliseconds: number,
+  ): CreditGrant {
     return grantCredit(bucket, credit.workspace, {
       instance: this.parts.instance,
       lastHeld: credit.lastHeld,
       storeTime: this.storeTime(bucket?.updatedAt ?? 0),
       unspent: credit.unspent,
-      validMilliseconds: STORE_VALID_MILLISECONDS,
+      validMilliseconds,
       waiting: credit.waiting,
       wished: credit.wished,
     });
