--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -180,10 +180,7 @@
     await this.server.listen(this.options.callers.host, this.options.callers.port);
     await this.readiness.listen(this.options.readiness);
     await this.metricsServer.listen(this.options.metrics);
-    this.logger.info(
-      { event: 'started', ...this.ports },
-      'the instance serves callers',
-    );
+    this.logger.info({ event: 'started', ...this.ports }, 'the instance serves callers');
   }
 
   /** Leaves the rotation, answers what is under way, and ends. */
