--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -5,12 +5,14 @@
 import { createServer } from 'node:http';
 
 import type { CallerLimits } from '../configuration/gatewayConfiguration.js';
+import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { RequestWire } from './requestFacts.js';
 import type { IncomingRequest, RequestPipeline } from './requestPipeline.js';
 
 import { failureText } from '@zincring/core';
 
 import { CallerAnswer } from './callerAnswer.js';
+import { listenOn, portOf } from '../util/listen.js';
 import { readRequestBody } from './readRequestBody.js';
 
 /** What a {@link GatewayServer} works with. */
@@ -35,7 +37,7 @@
  *
  * @example
  * const server = new GatewayServer(parts);
- * await server.listen('10.1.0.11', 8368);
+ * await server.listen({ host: '10.1.0.11', port: 8368 });
  */
 export class GatewayServer {
   private readonly server: Server;
@@ -61,17 +63,13 @@
   }
 
   /** Listens; the port 0 takes any. */
-  public async listen(host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({ backlog: 1_024, host, port }, resolve);
-    });
+  public async listen(address: ListenAddress): Promise<void> {
+    await listenOn(this.server, address);
   }
 
   /** The port that the server listens on. */
   public get port(): number {
-    const address = this.server.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
+    return portOf(this.server);
   }
 
   /** Applies the operator's bounds to connections. */
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -45,7 +45,6 @@
   readonly metrics: GatewayMetrics;
   readonly budgets: TurnBudgets;
   readonly keptTurns: KeptTurns;
-  readonly random: () => number;
 }
 
 /** Where a request may go and for whom. */
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -177,7 +177,7 @@
     this.sweeping = this.parts.timers.every(SWEEP_MILLISECONDS, () => {
       this.pool.sweep();
     });
-    await this.server.listen(this.options.callers.host, this.options.callers.port);
+    await this.server.listen(this.options.callers);
     await this.readiness.listen(this.options.readiness);
     await this.metricsServer.listen(this.options.metrics);
     this.logger.info({ event: 'started', ...this.ports }, 'the instance serves callers');
@@ -225,7 +225,6 @@
       logger,
       metrics: this.metrics,
       pool: this.pool,
-      random,
       rates: new WorkspaceRates({
         instance: this.options.instance,
         logger,
--- a/packages/gateway/src/lifecycle/readinessServer.ts
+++ b/packages/gateway/src/lifecycle/readinessServer.ts
@@ -4,6 +4,8 @@
 
 import type { ListenAddress } from './gatewayOptions.js';
 
+import { listenOn, portOf } from '../util/listen.js';
+
 /**
  * Tells the balancer whether callers should be sent here; the path does not matter.
  *
@@ -22,17 +24,13 @@
   }
 
   /** Listens; the port 0 takes any. */
-  public async listen({ host, port }: ListenAddress): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({ host, port }, resolve);
-    });
+  public async listen(address: ListenAddress): Promise<void> {
+    await listenOn(this.server, address);
   }
 
   /** The port that the server listens on. */
   public get port(): number {
-    const address = this.server.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
+    return portOf(this.server);
   }
 
   /** Closes at once. */
--- /dev/null
+++ b/packages/gateway/src/util/listen.ts
@@ -0,0 +1,30 @@
+import type { Server } from 'node:net';
+
+import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
+
+/** Connections that may wait to be accepted: those of all callers of an instance after a pause. */
+const BACKLOG = 1_024;
+
+/**
+ * Makes a server listen; the port 0 takes any.
+ *
+ * @example
+ * await listenOn(server, { host: '10.1.0.11', port: 8369 });
+ */
+export async function listenOn(server: Server, { host, port }: ListenAddress): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ backlog: BACKLOG, host, port }, resolve);
+  });
+}
+
+/**
+ * The port that a server listens on; 0 when it does not listen.
+ *
+ * @example
+ * portOf(server); // 8369
+ */
+export function portOf(server: Server): number {
+  const address = server.address();
+  return typeof address === 'object' && address !== null ? address.port : 0;
+}
