fix(gateway): know a turn that crashes replicas again when it goes on from earlier turns

Cause: crashes were counted under the body that the replica received, with the history before it, and looked up under the body that the caller sent. Found by reading the change; gateway.test.ts failed first (502 four times where the fourth is 503). Also: tokens are settled when the attempts end by a fault, and the place in the rate of a request that ended unsent goes back.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -139,10 +139,6 @@
     watch: RequestWatch,
   ): Promise<RunOutcome> {
     const request = this.toRunnable(incoming, admission, body, watch);
-    const suspect = this.parts.crashes.check(request);
-    if (suspect !== undefined) {
-      return { error: suspect, kind: 'failed' };
-    }
     const rate = await this.parts.rates.admit(
       admission.workspace,
       watch.signal,
@@ -152,7 +148,7 @@
       return { error: rate.val, kind: 'failed' };
     }
     const outcome = await this.serveTurn(request, sink, watch);
-    if (outcome.kind === 'failed' && outcome.error.ran === 'no') {
+    if (hasNotRun(outcome)) {
       rate.val.giveBack();
     }
     return outcome;
@@ -167,6 +163,11 @@
     if (history.err) {
       return { error: history.val, kind: 'failed' };
     }
+    const composed = { ...request, body: history.val.body };
+    const suspect = this.parts.crashes.check(composed);
+    if (suspect !== undefined) {
+      return { error: suspect, kind: 'failed' };
+    }
     const budget = await this.parts.budgets.reserve(request, watch.signal);
     if (budget.err) {
       return { error: budget.val, kind: 'failed' };
@@ -178,14 +179,16 @@
     this.parts.metrics.admissionSeconds.observe((this.timers.now() - watch.receivedAt) / 1_000);
     const loop = new AttemptLoop(
       this.parts,
-      { ...request, body: history.val.body },
+      composed,
       sink,
       request.route.kind === 'streaming' ? recorder : undefined,
       watch,
     );
-    const outcome = await loop.run();
-    recorder.settle();
-    return outcome;
+    try {
+      return await loop.run();
+    } finally {
+      recorder.settle();
+    }
   }
 
   private toRunnable(
@@ -297,6 +300,12 @@
   }
 }
 
+function hasNotRun(outcome: RunOutcome): boolean {
+  return outcome.kind === 'failed'
+    ? outcome.error.ran === 'no'
+    : outcome.kind === 'aborted' && !outcome.mayHaveRun;
+}
+
 function admitByConfiguration(
   index: ConfigurationIndex,
   { facts, host, path }: IncomingRequest,
--- a/packages/gateway/src/configuration/contactAge.ts
+++ b/packages/gateway/src/configuration/contactAge.ts
@@ -19,7 +19,7 @@
 /**
  * Time since the last proof that what this process believes was current, in milliseconds. A proof
  * is a request to the store that was answered; it counts from when the request was sent. The
- * steady clock stands still while a machine is suspended, and the wall clock may be set back, so
+ * steady clock stands still while an instance is suspended, and the wall clock may be set back, so
  * the larger of the two elapsed times counts.
  *
  * @example
--- a/packages/gateway/src/upstreams/crashRecord.ts
+++ b/packages/gateway/src/upstreams/crashRecord.ts
@@ -36,7 +36,7 @@
   partitions: [''],
   table: CRASH_TABLE,
 };
-/** Crashes after which a request is refused: the callers' pages allow three. */
+/** Crashes after which a request is refused: as many as the operator allows a request. */
 const MAXIMUM_CRASHES = 3;
 /** Time for which a request is refused, in milliseconds: several comebacks of a replica. */
 const REFUSED_MILLISECONDS = 120_000;
--- a/packages/gateway/tests/lifecycle/gateway.test.ts
+++ b/packages/gateway/tests/lifecycle/gateway.test.ts
@@ -68,6 +68,7 @@
 const streamRoute: GatewayRoute = { ...unsafeRoute, kind: 'streaming' };
 const resumableRoute: GatewayRoute = { ...streamRoute, isResumable: true };
 
+let ids = 0;
 const cleanups: (() => Promise<void> | void)[] = [];
 
 afterEach(async () => {
@@ -117,7 +118,7 @@
     {
       configurationSource: sampleConfigurationSource,
       logger: silentLogger,
-      makeId: () => 'id',
+      makeId: () => `id-${String(ids++)}`,
       random: () => 0,
       replicaSource: sampleReplicaSource,
       table: store.client(),
@@ -321,6 +322,28 @@
     expect(runsOf(fleet)).toBe(1);
   });
 
+  it.each([
+    ['its own input alone', undefined],
+    ['a chain of turns', 'turn-a'],
+  ])('refuses a turn that crashed three replicas with %s', async (_name, previousTurn) => {
+    const behaviour: Behaviour = (socket, request) => {
+      const answer = request.body.includes('poison') ? resets : streams([1], 'whole');
+      answer(socket, request);
+    };
+    const fleet = await startFleet({ ...streamRoute, keepsTurns: true }, [[behaviour]]);
+    await fleet.send({ body: 'hello', headers: { 'request-id': 'turn-a' } });
+    const statuses: number[] = [];
+    for (let attempt = 0; attempt < 4; attempt++) {
+      const headers = {
+        'request-id': `poison-${String(attempt)}`,
+        ...(previousTurn === undefined ? {} : { 'previous-turn': previousTurn }),
+      };
+      statuses.push((await fleet.send({ body: 'poison', headers })).status);
+    }
+    expect(statuses).toEqual([502, 502, 502, 503]);
+    expect(runsOf(fleet)).toBe(4);
+  });
+
   it('answers 503 to requests with a key once its configuration may be old', async () => {
     const fleet = await startFleet(unsafeRoute, [[answers('done')]]);
     fleet.store.isRefusing = true;
--- a/packages/gateway/tests/support/plainWire.ts
+++ b/packages/gateway/tests/support/plainWire.ts
@@ -22,6 +22,7 @@
     return sampleFacts({
       key: fields.get('key'),
       lastEventId: fields.get('last-event-id'),
+      previousTurn: fields.get('previous-turn') as RequestFacts['previousTurn'],
       remainingMilliseconds: Number(fields.get('remaining') ?? 3_000),
       requestId: fields.get('request-id') as RequestFacts['requestId'],
     });
