fix(gateway): never take over a hold of tokens whose use is not known

Change: each object that holds tokens has a name of its own; a hold that is left behind counts as spent.

--- a/packages/gateway/src/programs/budgetRow.ts
+++ b/packages/gateway/src/programs/budgetRow.ts
@@ -1,4 +1,4 @@
-/** Tokens that one run of an instance may hand over. */
+/** Tokens that one holder at one instance may hand over. */
 export interface BudgetHold {
   readonly tokens: number;
   /** Number of the write that set it, by which its writer recognises a write whose answer was lost. */
--- a/packages/gateway/src/programs/programBudget.ts
+++ b/packages/gateway/src/programs/programBudget.ts
@@ -17,7 +17,10 @@
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly random: () => number;
-  /** Names this run of the instance; no other run ever has the same name. */
+  /**
+   * Names this object among all that ever hold tokens. One that is made anew for a program must not
+   * take over a hold of before: it does not know what was handed over from it.
+   */
   readonly holder: string;
 }
 
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -51,6 +51,7 @@
  */
 export class TurnBudgets {
   private readonly programs = new Map<string, ProgramBudget>();
+  private made = 0;
 
   public constructor(private readonly parts: ProgramBudgetParts) {
     parts.timers.every(SWEEP_MILLISECONDS, () => {
@@ -117,7 +118,8 @@
     if (known !== undefined) {
       return known;
     }
-    const program = new ProgramBudget(addressOf(name), this.parts);
+    const holder = `${this.parts.holder}.${String(this.made++)}`;
+    const program = new ProgramBudget(addressOf(name), { ...this.parts, holder });
     this.programs.set(name, program);
     return program;
   }
--- a/packages/gateway/tests/programs/turnBudgets.test.ts
+++ b/packages/gateway/tests/programs/turnBudgets.test.ts
@@ -150,6 +150,28 @@
     expect((await finish(second.reserve(sampleTurn('d'), signal))).ok).toBe(true);
   });
 
+  it('remembers what a program was handed before a long pause', async () => {
+    const instance = makeInstance();
+    const budget = 10_000;
+    let handed = 0;
+    const runTurns = async (from: number, to: number): Promise<void> => {
+      for (let turn = from; turn < to; turn++) {
+        const request = sampleTurn(`t${String(turn)}`, { tokenBudget: budget });
+        const reserved = await finish(instance.reserve(request, signal));
+        if (reserved.err) {
+          return;
+        }
+        reserved.val?.settle(MOST);
+        handed += MOST;
+      }
+    };
+    await runTurns(0, 4);
+    await timers.advance(30_000);
+    await runTurns(4, 40);
+    expect(handed).toBeGreaterThan(budget / 2);
+    expect(handed).toBeLessThanOrEqual(budget + MOST);
+  });
+
   it('keeps programs apart', async () => {
     const instance = makeInstance();
     for (const id of ['a', 'b', 'c']) {
