--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -83,6 +83,8 @@
   private readonly logger: Logger;
   private readonly table: WatchedTable;
   private readonly budgets: TurnBudgets;
+  /** Names this run of the instance among all that ever hold tokens or credit. */
+  private readonly holder: string;
   private readonly sweeper: RowSweeper;
   private sweeping: TimerSubscription | undefined;
   private isStopping = false;
@@ -115,8 +117,9 @@
       waitMilliseconds: REPLICA_WAIT_MILLISECONDS,
     });
     this.crashes = new CrashRecord({ logger, makeId: parts.makeId, table, timers });
+    this.holder = `${options.instance}/${parts.makeId()}`;
     this.budgets = new TurnBudgets({
-      holder: `${options.instance}/${parts.makeId()}`,
+      holder: this.holder,
       logger,
       random: parts.random,
       table,
@@ -226,6 +229,7 @@
       metrics: this.metrics,
       pool: this.pool,
       rates: new WorkspaceRates({
+        holder: this.holder,
         instance: this.options.instance,
         logger,
         random,
--- a/packages/gateway/src/limits/rateRow.ts
+++ b/packages/gateway/src/limits/rateRow.ts
@@ -24,7 +24,7 @@
 
 /** What an instance asks of a bucket. */
 export interface CreditRequest {
-  readonly instance: string;
+  readonly holder: string;
   /** Credit that the instance knows to hold, spent credit not counted. */
   readonly unspent: number;
   /** Credit that the instance knew to hold when it last heard from the store. */
@@ -72,9 +72,9 @@
   limit: RateLimit,
   request: CreditRequest,
 ): CreditGrant {
-  const { instance, storeTime } = request;
+  const { holder, storeTime } = request;
   const refilled = refill(known, limit, storeTime);
-  const { [instance]: own, ...others } = dropExpired(known?.held ?? {}, storeTime);
+  const { [holder]: own, ...others } = dropExpired(known?.held ?? {}, storeTime);
   // Credit of a grant whose answer was lost was never spent and goes back.
   const neverReceived = Math.max(0, (own?.requests ?? request.lastHeld) - request.lastHeld);
   const outstanding = refilled + neverReceived + request.unspent + totalHeld(others);
@@ -89,7 +89,7 @@
   const granted = forWaiting + ahead;
   const held = kept + granted;
   const entry = { expiresAt: storeTime + request.validMilliseconds, requests: held };
-  const holders = held > 0 ? { ...others, [instance]: entry } : others;
+  const holders = held > 0 ? { ...others, [holder]: entry } : others;
   const room = Math.max(0, mostOutstanding(limit) - totalHeld(holders));
   const tokens = Math.min(limit.burst, room, available - granted);
   return {
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -27,6 +27,8 @@
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly instance: InstanceId;
+  /** Names this run of the instance: credit of an earlier run may have been spent, so it lapses. */
+  readonly holder: string;
   readonly random: () => number;
 }
 
@@ -283,7 +285,7 @@
     validMilliseconds: number,
   ): CreditGrant {
     return grantCredit(bucket, credit.limit, {
-      instance: this.parts.instance,
+      holder: this.parts.holder,
       lastHeld: credit.lastHeld,
       storeTime: this.storeTime(bucket?.updatedAt ?? 0),
       unspent: credit.unspent,
--- a/packages/gateway/tests/limits/workspaceRates.test.ts
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -44,8 +44,11 @@
     store = new MemoryTable(timers);
   });
 
+  let runs = 0;
+
   function makeInstance(number: number): WorkspaceRates {
     return new WorkspaceRates({
+      holder: `run-${String(runs++)}`,
       instance: `entry-${String(number)}` as InstanceId,
       logger: silentLogger,
       random: makeRandom(number),
@@ -61,6 +64,7 @@
     perSecond: number,
     seconds: number,
     pick: (random: () => number) => number = random => Math.floor(random() * instances.length),
+    endsWithLast = true,
   ): Promise<{ readonly admitted: number[]; readonly refused: number }> {
     const random = makeRandom(99);
     const admitted: number[] = [];
@@ -80,8 +84,10 @@
       }
       await timers.advance(10);
     }
-    await timers.advance(1_000);
-    await Promise.all(waiting);
+    if (endsWithLast) {
+      await timers.advance(1_000);
+      await Promise.all(waiting);
+    }
     return { admitted, refused };
   }
 
@@ -155,6 +161,16 @@
     expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(workspace));
   });
 
+  it('does not count credit as unused that instances spent before they were killed', async () => {
+    const workspace = sampleWorkspace({ burst: 40, ratePerSecond: 40 });
+    const first = makeFleet(13);
+    const steady = await play(first, workspace, 24, 4, undefined, false);
+    const surge = await play(first, workspace, 1_000, 0.1, undefined, false);
+    const after = await play(makeFleet(13), workspace, 400, 5);
+    const admitted = [...steady.admitted, ...surge.admitted, ...after.admitted];
+    expect(mostInWindow(admitted)).toBeLessThanOrEqual(windowBound(workspace));
+  });
+
   it('stays within the bound while answers of the store are lost', async () => {
     const workspace = sampleWorkspace({ burst: 10, ratePerSecond: 10 });
     const fleet = makeFleet(5);
