--- a/packages/core/src/http2/sessionManager.ts
+++ b/packages/core/src/http2/sessionManager.ts
@@ -48,8 +48,10 @@
       { ...headers, ':method': method, ':path': path },
       options,
     );
-    this.openStreams++;
-    this.heardAt = this.timers.now();
+    // Further streams on a silent connection must not make it look alive.
+    if (this.openStreams++ === 0) {
+      this.heardAt = this.timers.now();
+    }
     stream.once('close', () => {
       this.openStreams--;
     });
