feat(gateway): tell callers to come back later when the whole zone is without its store

Programs whose turns are refused use up all tries within about a second, since Retry-After is 0.03 to 0.1 s (traced: refused at 21.28, .43, .68, .83 s). Callers honour up to a third of their time, so tries could span 3.5 s. Ruled out: holding requests until the store is back (a request that cannot be served is answered at once). Change: the balancer sends new connections to an instance out of rotation only when most of its zone is out; such an instance answers with a Retry-After of 1 s. An outage of one instance keeps the short one.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -6,6 +6,7 @@
 
 import type { CallerLimits } from '../configuration/gatewayConfiguration.js';
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
+import type { RotationWatch } from '../lifecycle/rotationWatch.js';
 import type { RequestWire } from './requestFacts.js';
 import type { IncomingRequest, RequestPipeline } from './requestPipeline.js';
 
@@ -23,6 +24,7 @@
   readonly logger: Logger;
   /** Whether callers are served here; otherwise their connections are closed after each answer. */
   readonly isInTouch: () => boolean;
+  readonly rotation: RotationWatch;
 }
 
 /** Largest headers that the server can be told to accept, in bytes; the operator's limit is checked beside it. */
@@ -52,6 +54,9 @@
         this.take(request, response);
       },
     );
+    this.server.on('connection', () => {
+      parts.rotation.noteConnection();
+    });
     this.server.on('clientError', (failure: Error, socket) => {
       this.refuseMalformed(failure, socket);
     });
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -11,6 +11,7 @@
 } from '../configuration/gatewayConfiguration.js';
 import type { TurnBudgets } from '../programs/turnBudgets.js';
 import type { KeptTurns } from '../programs/keptTurns.js';
+import type { RotationWatch } from '../lifecycle/rotationWatch.js';
 import type { WorkspaceRates } from '../limits/workspaceRates.js';
 import type { AttemptParts, RunnableRequest, RunOutcome } from '../upstreams/attemptLoop.js';
 import type { GatewayMetrics, RequestEnd } from '../observation/gatewayMetrics.js';
@@ -45,6 +46,7 @@
   readonly metrics: GatewayMetrics;
   readonly budgets: TurnBudgets;
   readonly keptTurns: KeptTurns;
+  readonly rotation: RotationWatch;
 }
 
 /** Where a request may go and for whom. */
@@ -263,17 +265,24 @@
       detail: error.detail,
       kind: error.kind,
       ran: error.ran,
+      retryAfter: this.retryAfterSeconds(error),
       status: error.status,
     });
     if (sink.isStarted) {
       sink.cut();
       return;
     }
-    const retryAfter = error.retryAfterSeconds ?? undefined;
+    const retryAfter = this.retryAfterSeconds(error);
     const headers = this.parts.wire.ownHeaders(incoming.facts.requestId, retryAfter);
     sink.sendWhole(error.status, headers, Buffer.from(JSON.stringify(error.toReport())));
   }
 
+  private retryAfterSeconds({ kind, retryAfterSeconds }: ZincringError): number | undefined {
+    const usual = retryAfterSeconds ?? undefined;
+    const isOutage = kind === 'instance-not-ready' || kind === 'store-unavailable';
+    return isOutage ? this.parts.rotation.retryAfterSeconds(usual) : usual;
+  }
+
   private noteEnd(
     incoming: IncomingRequest,
     end: RequestEnd,
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -27,6 +27,7 @@
 import { ReplicaPool } from '../upstreams/replicaPool.js';
 import { gatewayTimes } from './gatewayOptions.js';
 import { ReadinessServer } from './readinessServer.js';
+import { RotationWatch } from './rotationWatch.js';
 
 /** The world of a {@link Gateway}. */
 export interface GatewayParts {
@@ -77,6 +78,7 @@
   private readonly pool: ReplicaPool;
   private readonly server: GatewayServer;
   private readonly readiness: ReadinessServer;
+  private readonly rotation = new RotationWatch();
   private readonly times: GatewayTimes;
   private readonly metrics = new GatewayMetrics();
   private readonly metricsServer = new MetricsServer(this.metrics);
@@ -136,10 +138,11 @@
       isInTouch: () => this.isInTouch,
       logger,
       pipeline: this.makePipeline(),
+      rotation: this.rotation,
       timers,
       wire: parts.wire,
     });
-    this.readiness = new ReadinessServer(() => this.isReady);
+    this.readiness = new ReadinessServer(() => this.isReady, this.rotation);
     this.configuration.subscribe(index => {
       this.server.applyLimits(index.configuration.callerLimits);
     });
@@ -236,6 +239,7 @@
         table,
         timers,
       }),
+      rotation: this.rotation,
       timers,
       wire,
     });
--- a/packages/gateway/src/lifecycle/readinessServer.ts
+++ b/packages/gateway/src/lifecycle/readinessServer.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 
 import type { ListenAddress } from './gatewayOptions.js';
+import type { RotationWatch } from './rotationWatch.js';
 
 import { listenOn, portOf } from '../util/listen.js';
 
@@ -10,15 +11,17 @@
  * Tells the balancer whether callers should be sent here; the path does not matter.
  *
  * @example
- * await new ReadinessServer(() => gateway.isReady).listen({ host: '10.1.0.11', port: 8369 });
+ * await new ReadinessServer(() => gateway.isReady, rotation).listen({ host: '10.1.0.11', port: 8369 });
  */
 export class ReadinessServer {
   private readonly server: Server;
 
-  public constructor(isReady: () => boolean) {
+  public constructor(isReady: () => boolean, rotation: RotationWatch) {
     this.server = createServer((request, response) => {
       request.resume();
-      response.writeHead(isReady() ? 200 : 503, { 'Content-Length': 0 });
+      const answer = isReady();
+      rotation.noteCheck(answer);
+      response.writeHead(answer ? 200 : 503, { 'Content-Length': 0 });
       response.end();
     });
   }
--- a/packages/gateway/tests/lifecycle/gateway.test.ts
+++ b/packages/gateway/tests/lifecycle/gateway.test.ts
@@ -50,6 +50,8 @@
   readonly replicas: readonly FakeReplica[];
   readonly store: LiveTable;
   send(options?: SendOptions): Promise<Reply>;
+  /** Asks as the balancer does. */
+  checkReadiness(): Promise<unknown>;
 }
 
 interface SendOptions {
@@ -132,6 +134,7 @@
   });
   await waitUntil(() => gateway.isReady);
   return {
+    checkReadiness: async () => await send(gateway.ports.readiness, { method: 'GET' }),
     gateway,
     replicas,
     send: async options => await send(gateway.ports.callers, options),
@@ -366,6 +369,20 @@
     expect(reply.headers.connection).toBe('close');
   }, 20_000);
 
+  it('tells callers to come back later when they arrive although it left the rotation', async () => {
+    const fleet = await startFleet(unsafeRoute, [[answers('done')]]);
+    fleet.store.isRefusing = true;
+    await waitUntil(() => !fleet.gateway.isReady);
+    await new Promise(resolve => setTimeout(resolve, 2_000));
+    await fleet.checkReadiness();
+    expect((await fleet.send()).headers['retry-after']).toBe('0.03');
+    await fleet.checkReadiness();
+    expect((await fleet.send()).headers['retry-after']).toBe('1');
+    fleet.store.isRefusing = false;
+    await waitUntil(() => fleet.gateway.isReady);
+    expect((await fleet.send()).status).toBe(200);
+  }, 20_000);
+
   it('answers what is under way when it is asked to stop', async () => {
     const late: Behaviour = (socket, request) => {
       setTimeout(() => {
