perf(gateway): give each table and each workspace partitions of their own

A partition takes 200 transactions a second whatever their tables, and rates, budgets and turns shared the names 0 to 31: one busy workspace blocked a 32nd of all programs. Ruled out: the store's total (rates were answered at the same time). Change: PartitionSet; a partition for each bucket, 256 for budgets, 64 for turns.

--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -51,8 +51,6 @@
 
 /** Table of the buckets. */
 export const RATE_TABLE = 'rates';
-/** Partitions of the table: the transactions of one run one after another. */
-const PARTITIONS = 32;
 /** Longest wait of a request for credit, in milliseconds: some answers of a slow store. */
 const WAIT_MILLISECONDS = 800;
 /** Longest wait for the rate to have room again, in milliseconds: a fraction of what callers allow for an answer. */
@@ -181,7 +179,7 @@
       return known;
     }
     const draws: Draws = {
-      address: { key: name, partition: String(hash32(name) % PARTITIONS), table: RATE_TABLE },
+      address: { key: name, partition: `${RATE_TABLE}-${name}`, table: RATE_TABLE },
       aheadAt: -Infinity,
       credit: new WorkspaceCredit(this.parts.timers, bucket),
       isAsking: false,
--- a/packages/gateway/src/programs/keptTurnRows.ts
+++ b/packages/gateway/src/programs/keptTurnRows.ts
@@ -3,6 +3,8 @@
 import type { TurnId } from '../callers/requestFacts.js';
 import type { SweptTable } from '../store/rowSweeper.js';
 
+import { PartitionSet } from '../store/partitionSet.js';
+
 /** A turn that has ended, with what it added to the history. */
 export interface KeptTurn {
   readonly id: TurnId;
@@ -32,8 +34,8 @@
 
 /** Table of the kept turns. */
 export const TURN_TABLE = 'turns';
-/** Partitions of the table: a turn is one transaction, and those of a partition run one after another. */
-export const TURN_PARTITIONS = 32;
+/** Partitions of the table: a turn is one transaction, so each has room for many programs. */
+export const turnPartitions = new PartitionSet(TURN_TABLE, 64);
 /** Separates the id of a turn from the number of a further chunk; it sorts after all ids. */
 const CHUNK_MARK = '~';
 /** Room left in a row for its head, in bytes: some hundred ids of ancestors. */
@@ -80,7 +82,7 @@
   expiresAt: row => (row.key.includes(CHUNK_MARK) ? undefined : readHead(row.value).expiresAt),
   keysOf: row =>
     Array.from({ length: readHead(row.value).chunks }, (_unused, index) => keyOf(row.key, index)),
-  partitions: Array.from({ length: TURN_PARTITIONS }, (_unused, index) => String(index)),
+  partitions: turnPartitions.names,
   table: TURN_TABLE,
 };
 
--- a/packages/gateway/src/programs/keptTurns.ts
+++ b/packages/gateway/src/programs/keptTurns.ts
@@ -1,7 +1,7 @@
 import type { Logger, Result, TimerService } from '@zincring/core';
 import type { PartitionedRow, PlatformError } from '@zincring/platform';
 
-import { Err, hash32, Ok, sleep, ZincringError } from '@zincring/core';
+import { Err, Ok, sleep, ZincringError } from '@zincring/core';
 import { LRUCache } from 'lru-cache';
 
 import type { TurnId } from '../callers/requestFacts.js';
@@ -9,7 +9,7 @@
 import type { WatchedTable } from '../store/watchedTable.js';
 import type { KeptTurn } from './keptTurnRows.js';
 
-import { decodeTurn, encodeTurn, isChunkOf, TURN_PARTITIONS, TURN_TABLE } from './keptTurnRows.js';
+import { decodeTurn, encodeTurn, isChunkOf, TURN_TABLE, turnPartitions } from './keptTurnRows.js';
 
 /** A turn that is under way and will be kept. */
 export interface KeptTurnDraft {
@@ -144,7 +144,7 @@
   private async readRows(id: TurnId): Promise<Result<readonly PartitionedRow[], PlatformError>> {
     const page = await this.parts.table.read({
       from: id,
-      partition: partitionOf(id),
+      partition: turnPartitions.of(id),
       table: TURN_TABLE,
       to: `${id}\u007f`,
     });
@@ -177,7 +177,7 @@
   }
 
   private async store(turn: KeptTurn, signal: AbortSignal): Promise<boolean> {
-    const partition = partitionOf(turn.id);
+    const partition = turnPartitions.of(turn.id);
     const writes = encodeTurn(turn, this.parts.rowBytes).map(chunk => ({
       ...chunk,
       partition,
@@ -211,10 +211,6 @@
 
 const LINE_FEED = Buffer.from('\n');
 
-function partitionOf(id: TurnId): string {
-  return String(hash32(id) % TURN_PARTITIONS);
-}
-
 function isSameTurn(
   rows: readonly PartitionedRow[],
   writes: readonly { readonly key: string; readonly value: Buffer }[],
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -1,7 +1,7 @@
 import type { Result } from '@zincring/core';
 import type { RowAddress } from '@zincring/platform';
 
-import { Err, hash32, Ok, ZincringError } from '@zincring/core';
+import { Err, Ok, ZincringError } from '@zincring/core';
 
 import type { RunnableRequest } from '../upstreams/attemptLoop.js';
 import type { SweptTable } from '../store/rowSweeper.js';
@@ -9,6 +9,7 @@
 import type { BudgetDecision, ProgramBudgetParts } from './programBudget.js';
 
 import { readRow } from '../store/editRow.js';
+import { PartitionSet } from '../store/partitionSet.js';
 import { ProgramBudget } from './programBudget.js';
 
 /** Tokens held for one turn. */
@@ -23,13 +24,13 @@
 
 /** Table of the accounts. */
 export const BUDGET_TABLE = 'budgets';
-/** Partitions of the table: their transactions run one after another, and a program needs one or two a turn. */
-const PARTITIONS = 32;
+/** Partitions of the table: many, so that a program whose agents all write at once delays few others. */
+export const budgetPartitions = new PartitionSet(BUDGET_TABLE, 256);
 /** The accounts, for removal after their end. */
 export const sweptBudgets: SweptTable = {
   expiresAt: row => (JSON.parse(row.value.toString()) as BudgetAccount).expiresAt,
   keysOf: row => [row.key],
-  partitions: Array.from({ length: PARTITIONS }, (_unused, index) => String(index)),
+  partitions: budgetPartitions.names,
   table: BUDGET_TABLE,
 };
 /** How long accounts outlive their last turn at least, in milliseconds: programs that were stopped may return. */
@@ -168,5 +169,5 @@
 }
 
 function addressOf(program: string): RowAddress {
-  return { key: program, partition: String(hash32(program) % PARTITIONS), table: BUDGET_TABLE };
+  return { key: program, partition: budgetPartitions.of(program), table: BUDGET_TABLE };
 }
