perf(gateway): ask for the rate of a workspace and the tokens of a turn side by side

Ruled out: sending before the rate is known (the rate would be broken). Change: history, crash check and tokens are prepared while the rate is asked for, unless the workspace used more than its rate of late; the tokens of a turn that is then refused are free again.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -9,8 +9,8 @@
   GatewayService,
   GatewayWorkspace,
 } from '../configuration/gatewayConfiguration.js';
-import type { TurnBudgets } from '../programs/turnBudgets.js';
-import type { KeptTurns } from '../programs/keptTurns.js';
+import type { BudgetReservation, TurnBudgets } from '../programs/turnBudgets.js';
+import type { KeptTurnDraft, KeptTurns } from '../programs/keptTurns.js';
 import type { RotationWatch } from '../lifecycle/rotationWatch.js';
 import type { WorkspaceRates } from '../limits/workspaceRates.js';
 import type { AttemptParts, RunnableRequest, RunOutcome } from '../upstreams/attemptLoop.js';
@@ -57,6 +57,13 @@
   readonly maximumBodyBytes: number;
 }
 
+/** A request with its history and the tokens that it may hand over. */
+interface PreparedTurn {
+  readonly request: RunnableRequest;
+  readonly draft: KeptTurnDraft | undefined;
+  readonly reservation: BudgetReservation | undefined;
+}
+
 /** How long a request waits for a fresh look at the configuration, in milliseconds: a few answers of the store. */
 const REFRESH_WAIT_MILLISECONDS = 150;
 /** When a caller may come back to an instance without a current configuration, in seconds: other instances may have one. */
@@ -141,47 +148,63 @@
     watch: RequestWatch,
   ): Promise<RunOutcome> {
     const request = this.toRunnable(incoming, admission, body, watch);
-    const rate = await this.parts.rates.admit(
+    const admitting = this.parts.rates.admit(
       admission.workspace,
       watch.signal,
       async () => await this.parts.budgets.beginsProgram(request),
     );
+    // Both mostly wait for the store, but a workspace that uses more than its rate must not cost budget calls in vain.
+    const isSideBySide = !this.parts.rates.isScarce(admission.workspace);
+    const preparing = isSideBySide ? this.prepare(request, watch) : undefined;
+    const rate = await admitting;
     if (rate.err) {
+      void preparing?.then(giveUpTurn);
       return { error: rate.val, kind: 'failed' };
     }
-    const outcome = await this.serveTurn(request, sink, watch);
+    const prepared = await (preparing ?? this.prepare(request, watch));
+    const outcome = prepared.ok
+      ? await this.serveTurn(prepared.val, sink, watch)
+      : ({ error: prepared.val, kind: 'failed' } as const);
     if (hasNotRun(outcome)) {
       rate.val.giveBack();
     }
     return outcome;
   }
 
-  private async serveTurn(
+  private async prepare(
     request: RunnableRequest,
-    sink: AnswerSink,
     watch: RequestWatch,
-  ): Promise<RunOutcome> {
+  ): Promise<Result<PreparedTurn, ZincringError>> {
     const history = await this.parts.keptTurns.compose(request, watch.signal);
     if (history.err) {
-      return { error: history.val, kind: 'failed' };
+      return history;
     }
     const composed = { ...request, body: history.val.body };
     const suspect = this.parts.crashes.check(composed);
     if (suspect !== undefined) {
-      return { error: suspect, kind: 'failed' };
+      return Err(suspect);
     }
     const budget = await this.parts.budgets.reserve(request, watch.signal);
-    if (budget.err) {
-      return { error: budget.val, kind: 'failed' };
-    }
-    if (budget.val?.beginsProgram === true) {
+    return budget.map(reservation => ({
+      draft: history.val.turn,
+      request: composed,
+      reservation,
+    }));
+  }
+
+  private async serveTurn(
+    { draft, request, reservation }: PreparedTurn,
+    sink: AnswerSink,
+    watch: RequestWatch,
+  ): Promise<RunOutcome> {
+    if (reservation?.beginsProgram === true) {
       this.parts.rates.noteBeginning();
     }
-    const recorder = new TurnRecorder(budget.val, history.val.turn, watch.signal);
+    const recorder = new TurnRecorder(reservation, draft, watch.signal);
     this.parts.metrics.admissionSeconds.observe((this.timers.now() - watch.receivedAt) / 1_000);
     const loop = new AttemptLoop(
       this.parts,
-      composed,
+      request,
       sink,
       request.route.kind === 'streaming' ? recorder : undefined,
       watch,
@@ -309,6 +332,13 @@
   }
 }
 
+/** Frees the tokens of a turn that will not be sent. */
+function giveUpTurn(prepared: Result<PreparedTurn, ZincringError>): void {
+  if (prepared.ok) {
+    prepared.val.reservation?.settle(0);
+  }
+}
+
 function hasNotRun(outcome: RunOutcome): boolean {
   return outcome.kind === 'failed'
     ? outcome.error.ran === 'no'
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -118,6 +118,15 @@
     return isElsewhere && second !== undefined ? await this.takePlace(second, signal) : admission;
   }
 
+  /** Whether a workspace used more than its rate of late, as far as this instance knows. */
+  public isScarce(workspace: GatewayWorkspace | undefined): boolean {
+    return (
+      workspace !== undefined &&
+      workspace.ratePerSecond > 0 &&
+      this.lanesOf(workspace).some(bucket => this.drawsOf(bucket).credit.isScarce)
+    );
+  }
+
   /**
    * The buckets of a workspace that this instance draws on, its usual one first. A workspace with a
    * high rate has several, since one row takes no more than some hundred changes a second.
--- a/packages/gateway/tests/lifecycle/gateway.test.ts
+++ b/packages/gateway/tests/lifecycle/gateway.test.ts
@@ -5,6 +5,8 @@
 import { afterEach, describe, expect, it } from 'vitest';
 
 import type { AvailabilityZone, InstanceId } from '@zincring/core';
+import type { PartitionedTable } from '@zincring/platform';
+
 import type { GatewayRoute } from '../../src/configuration/gatewayConfiguration.js';
 import type { Behaviour } from '../support/fakeReplica.js';
 
@@ -54,6 +56,13 @@
   checkReadiness(): Promise<unknown>;
 }
 
+interface FleetOptions {
+  /** Rate of the workspace; none by default. */
+  readonly ratePerSecond?: number;
+  /** Looks at the calls to the store. */
+  readonly watch?: (table: PartitionedTable) => PartitionedTable;
+}
+
 interface SendOptions {
   readonly headers?: Readonly<Record<string, string>>;
   readonly method?: string;
@@ -82,6 +91,7 @@
 async function startFleet(
   route: GatewayRoute,
   behaviours: readonly (readonly Behaviour[])[],
+  { ratePerSecond = 0, watch = (table: PartitionedTable) => table }: FleetOptions = {},
 ): Promise<Fleet> {
   const store = new LiveTable();
   const replicas: FakeReplica[] = [];
@@ -101,7 +111,7 @@
     configurationAddress,
     sampleConfiguration(1, {
       routes: [route],
-      workspaces: [sampleWorkspace({ burst: 0, ratePerSecond: 0 })],
+      workspaces: [sampleWorkspace({ burst: ratePerSecond, ratePerSecond })],
     }),
   );
   const gateway = new Gateway(
@@ -123,7 +133,7 @@
       makeId: () => `id-${String(ids++)}`,
       random: () => 0,
       replicaSource: sampleReplicaSource,
-      table: store.client(),
+      table: watch(store.client()),
       timers: new SystemTimerService(),
       wire: plainWire,
     },
@@ -142,6 +152,22 @@
   };
 }
 
+/** Notes when each table was asked and when it answered. */
+function noteCalls(table: PartitionedTable, seen: string[]): PartitionedTable {
+  const note = async <Answer>(name: string, work: () => Promise<Answer>): Promise<Answer> => {
+    seen.push(`asked ${name}`);
+    const answer = await work();
+    seen.push(`answered ${name}`);
+    return answer;
+  };
+  return {
+    changes: async request => await table.changes(request),
+    read: async request => await note(request.table, async () => await table.read(request)),
+    transact: async transaction =>
+      await note(transaction.writes[0]?.table ?? '', async () => await table.transact(transaction)),
+  };
+}
+
 async function waitUntil(isTrue: () => boolean): Promise<void> {
   while (!isTrue()) {
     await new Promise(resolve => setTimeout(resolve, 2));
@@ -383,6 +409,19 @@
     expect((await fleet.send()).status).toBe(200);
   }, 20_000);
 
+  it('asks for the rate of the workspace and for the tokens of a turn at the same time', async () => {
+    const seen: string[] = [];
+    const fleet = await startFleet(streamRoute, [[streams([1], 'whole')]], {
+      ratePerSecond: 100,
+      watch: table => noteCalls(table, seen),
+    });
+    fleet.store.latency = 30;
+    const headers = { most: '50', program: 'program-1', 'token-budget': '1000' };
+    expect((await fleet.send({ body: 'input', headers })).status).toBe(200);
+    expect(seen.indexOf('asked budgets')).toBeGreaterThanOrEqual(0);
+    expect(seen.indexOf('asked budgets')).toBeLessThan(seen.indexOf('answered rates'));
+  });
+
   it('answers what is under way when it is asked to stop', async () => {
     const late: Behaviour = (socket, request) => {
       setTimeout(() => {
--- a/packages/gateway/tests/support/liveTable.ts
+++ b/packages/gateway/tests/support/liveTable.ts
@@ -25,6 +25,10 @@
     this.inner.faults.isRefusing = isRefusing;
   }
 
+  public set latency(milliseconds: number) {
+    this.inner.faults.latency = milliseconds;
+  }
+
   public client(): PartitionedTable {
     return this.inner.client();
   }
--- a/packages/gateway/tests/support/plainWire.ts
+++ b/packages/gateway/tests/support/plainWire.ts
@@ -22,9 +22,12 @@
     return sampleFacts({
       key: fields.get('key'),
       lastEventId: fields.get('last-event-id'),
+      maximumOutputTokens: numberOf(fields.get('most')),
       previousTurn: fields.get('previous-turn') as RequestFacts['previousTurn'],
+      programId: fields.get('program') as RequestFacts['programId'],
       remainingMilliseconds: Number(fields.get('remaining') ?? 3_000),
       requestId: fields.get('request-id') as RequestFacts['requestId'],
+      tokenBudget: numberOf(fields.get('token-budget')),
     });
   },
   toCallerHeaders: headers => without(headers, ['connection', 'transfer-encoding']),
@@ -42,6 +45,10 @@
   ],
 };
 
+function numberOf(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
+
 function toFields(headers: readonly string[]): ReadonlyMap<string, string> {
   const fields = new Map<string, string>();
   for (let index = 0; index + 1 < headers.length; index += 2) {
