feat(gateway): the line of a served request names its replica, its runs and its wait

Change: request-served has replica, runs and waited (milliseconds from the headers to the first attempt); the fleet of the gateway's tests moved into its own file.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -201,7 +201,8 @@
       this.parts.rates.noteBeginning();
     }
     const recorder = new TurnRecorder(reservation, draft, watch.signal);
-    this.parts.metrics.admissionSeconds.observe((this.timers.now() - watch.receivedAt) / 1_000);
+    watch.noteAdmitted(this.timers.now());
+    this.parts.metrics.admissionSeconds.observe(watch.waited / 1_000);
     const loop = new AttemptLoop(
       this.parts,
       request,
@@ -246,7 +247,12 @@
   ): void {
     switch (outcome.kind) {
       case 'served':
-        this.noteEnd(incoming, 'served', { status: outcome.status });
+        this.noteEnd(incoming, 'served', {
+          replica: outcome.replica,
+          runs: outcome.runs,
+          status: outcome.status,
+          waited: watch.waited,
+        });
         return;
       case 'interrupted':
         this.noteEnd(incoming, 'interrupted', {});
--- a/packages/gateway/src/callers/requestWatch.ts
+++ b/packages/gateway/src/callers/requestWatch.ts
@@ -27,6 +27,7 @@
   private readonly controller = new AbortController();
   private readonly limit: TimerSubscription;
   private hasLeft = false;
+  private waitedMilliseconds = 0;
 
   public constructor(timers: TimerService, request: WatchedRequest, route: GatewayRoute) {
     const wait = Math.min(
@@ -50,6 +51,16 @@
     return this.controller.signal;
   }
 
+  /** Time from the headers of the request to its first attempt, in whole milliseconds. */
+  public get waited(): number {
+    return this.waitedMilliseconds;
+  }
+
+  /** Takes in that nothing keeps the request from its first attempt. */
+  public noteAdmitted(now: number): void {
+    this.waitedMilliseconds = Math.round(now - this.receivedAt);
+  }
+
   public isAwaited(): boolean {
     return !this.hasLeft;
   }
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -1,4 +1,4 @@
-import type { Logger, TimerService, WorkspaceName } from '@zincring/core';
+import type { Logger, TimerService, UpstreamId, WorkspaceName } from '@zincring/core';
 
 import { ZincringError } from '@zincring/core';
 
@@ -44,7 +44,13 @@
   | { readonly kind: 'aborted'; readonly mayHaveRun: boolean }
   | { readonly kind: 'failed'; readonly error: ZincringError }
   | { readonly kind: 'interrupted' }
-  | { readonly kind: 'served'; readonly status: number };
+  | {
+      readonly kind: 'served';
+      readonly status: number;
+      readonly replica: UpstreamId;
+      /** Attempts that may have run, the last one included. */
+      readonly runs: number;
+    };
 
 /** What {@link AttemptLoop} works with. */
 export interface AttemptParts {
@@ -112,7 +118,7 @@
       const result = await this.attempt(entry);
       this.parts.metrics.attempts.inc({ end: result.kind, service: this.request.service.name });
       if (result.kind === 'served') {
-        return result;
+        return { ...result, replica: entry.id, runs: this.runs };
       }
       this.logEnd(entry, result);
       if (result.kind === 'lost' && !this.canRunAgain() && !this.isOver()) {
--- a/packages/gateway/tests/lifecycle/gateway.test.ts
+++ b/packages/gateway/tests/lifecycle/gateway.test.ts
@@ -1,23 +1,14 @@
-import type { IncomingHttpHeaders } from 'node:http';
+import { createLogger } from '@zincring/core';
+import { describe, expect, it } from 'vitest';
 
-import { silentLogger, SystemTimerService } from '@zincring/core';
-import { request as startRequest } from 'node:http';
-import { afterEach, describe, expect, it } from 'vitest';
-
-import type { AvailabilityZone, InstanceId } from '@zincring/core';
-import type { PartitionedTable } from '@zincring/platform';
-
-import type { GatewayRoute } from '../../src/configuration/gatewayConfiguration.js';
 import type { Behaviour } from '../support/fakeReplica.js';
 
-import { Gateway } from '../../src/lifecycle/gateway.js';
 import {
   answers,
   answersTwice,
   answersUnframed,
   babbles,
   confuses,
-  FakeReplica,
   misdirects,
   refuses,
   resets,
@@ -25,196 +16,17 @@
   streams,
   truncates,
 } from '../support/fakeReplica.js';
-import { LiveTable } from '../support/liveTable.js';
-import { plainWire } from '../support/plainWire.js';
-import {
-  configurationAddress,
-  plainService,
-  replicaTable,
-  sampleConfiguration,
-  sampleConfigurationSource,
-  sampleReplica,
-  sampleReplicaSource,
-  sampleRoute,
-  sampleWorkspace,
-} from '../support/samples.js';
-
-interface Reply {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: string;
-  /** Whether the answer ended as its framing says. */
-  readonly isWhole: boolean;
-}
-
-interface Fleet {
-  readonly gateway: Gateway;
-  readonly replicas: readonly FakeReplica[];
-  readonly store: LiveTable;
-  send(options?: SendOptions): Promise<Reply>;
-  /** Asks as the balancer does. */
-  checkReadiness(): Promise<unknown>;
-}
-
-interface FleetOptions {
-  /** Rate of the workspace; none by default. */
-  readonly ratePerSecond?: number;
-  /** Looks at the calls to the store. */
-  readonly watch?: (table: PartitionedTable) => PartitionedTable;
-}
-
-interface SendOptions {
-  readonly headers?: Readonly<Record<string, string>>;
-  readonly method?: string;
-  readonly body?: string;
-  readonly path?: string;
-  readonly leaveAfter?: number;
-}
-
-const unsafeRoute = sampleRoute({
-  kind: 'unsafe',
-  services: [{ service: plainService.name, weight: 1 }],
-});
-const safeRoute: GatewayRoute = { ...unsafeRoute, kind: 'safe' };
-const streamRoute: GatewayRoute = { ...unsafeRoute, kind: 'streaming' };
-const resumableRoute: GatewayRoute = { ...streamRoute, isResumable: true };
-
-let ids = 0;
-const cleanups: (() => Promise<void> | void)[] = [];
-
-afterEach(async () => {
-  for (const cleanup of cleanups.splice(0).reverse()) {
-    await cleanup();
-  }
-});
-
-async function startFleet(
-  route: GatewayRoute,
-  behaviours: readonly (readonly Behaviour[])[],
-  { ratePerSecond = 0, watch = (table: PartitionedTable) => table }: FleetOptions = {},
-): Promise<Fleet> {
-  const store = new LiveTable();
-  const replicas: FakeReplica[] = [];
-  for (const [index, behaviour] of behaviours.entries()) {
-    const replica = new FakeReplica(behaviour);
-    const port = await replica.start();
-    cleanups.push(() => {
-      replica.stop();
-    });
-    replicas.push(replica);
-    store.put(
-      { key: `r${String(index)}`, partition: '', table: replicaTable },
-      sampleReplica(`r${String(index)}`, { port, service: plainService.name }),
-    );
-  }
-  store.put(
-    configurationAddress,
-    sampleConfiguration(1, {
-      routes: [route],
-      workspaces: [sampleWorkspace({ burst: ratePerSecond, ratePerSecond })],
-    }),
-  );
-  const gateway = new Gateway(
-    {
-      availabilityZone: 'nelson' as AvailabilityZone,
-      callers: { host: '127.0.0.1', port: 0 },
-      drainMilliseconds: 2_000,
-      graceMilliseconds: 1_000,
-      instance: 'entry-1' as InstanceId,
-      metrics: { host: '127.0.0.1', port: 0 },
-      readiness: { host: '127.0.0.1', port: 0 },
-      revocationMilliseconds: 5_000,
-      rowBytes: 65_536,
-      staleConfigurationMilliseconds: 5_000,
-    },
-    {
-      configurationSource: sampleConfigurationSource,
-      logger: silentLogger,
-      makeId: () => `id-${String(ids++)}`,
-      random: () => 0,
-      replicaSource: sampleReplicaSource,
-      table: watch(store.client()),
-      timers: new SystemTimerService(),
-      wire: plainWire,
-    },
-  );
-  await gateway.start();
-  cleanups.push(async () => {
-    await gateway.stop();
-  });
-  await waitUntil(() => gateway.isReady);
-  return {
-    checkReadiness: async () => await send(gateway.ports.readiness, { method: 'GET' }),
-    gateway,
-    replicas,
-    send: async options => await send(gateway.ports.callers, options),
-    store,
-  };
-}
-
-/** Notes when each table was asked and when it answered. */
-function noteCalls(table: PartitionedTable, seen: string[]): PartitionedTable {
-  const note = async <Answer>(name: string, work: () => Promise<Answer>): Promise<Answer> => {
-    seen.push(`asked ${name}`);
-    const answer = await work();
-    seen.push(`answered ${name}`);
-    return answer;
-  };
-  return {
-    changes: async request => await table.changes(request),
-    read: async request => await note(request.table, async () => await table.read(request)),
-    transact: async transaction =>
-      await note(transaction.writes[0]?.table ?? '', async () => await table.transact(transaction)),
-  };
-}
-
-async function waitUntil(isTrue: () => boolean): Promise<void> {
-  while (!isTrue()) {
-    await new Promise(resolve => setTimeout(resolve, 2));
-  }
-}
 
-async function send(port: number, options: SendOptions = {}): Promise<Reply> {
-  const { body, headers, leaveAfter, method = 'POST', path = '/summaries/7?full=1' } = options;
-  return await new Promise((resolve, reject) => {
-    const outgoing = startRequest({
-      agent: false,
-      headers: {
-        host: 'agents.example',
-        key: 'key-of-clerks',
-        'request-id': 'request-1',
-        ...headers,
-      },
-      host: '127.0.0.1',
-      method,
-      path,
-      port,
-    });
-    outgoing.on('error', reject);
-    outgoing.on('response', response => {
-      const chunks: Buffer[] = [];
-      const finish = (): void => {
-        resolve({
-          body: Buffer.concat(chunks).toString(),
-          headers: response.headers,
-          isWhole: response.complete,
-          status: response.statusCode ?? 0,
-        });
-      };
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', () => undefined);
-      response.on('close', finish);
-    });
-    outgoing.end(body);
-    if (leaveAfter !== undefined) {
-      setTimeout(() => outgoing.destroy(new Error('left')), leaveAfter);
-    }
-  });
-}
-
-function runsOf({ replicas }: Fleet): number {
-  return replicas.reduce((sum, replica) => sum + replica.seen.length, 0);
-}
+import {
+  unsafeRoute,
+  safeRoute,
+  streamRoute,
+  resumableRoute,
+  startFleet,
+  noteCalls,
+  waitUntil,
+  runsOf,
+} from '../support/fleet.js';
 
 describe('an instance that serves directly', () => {
   it('forwards a request as it came, without the key, and its answer as it is', async () => {
@@ -409,6 +221,24 @@
     expect((await fleet.send()).status).toBe(200);
   }, 20_000);
 
+  it('tells where a request was served, after how many runs, and how long it waited before', async () => {
+    const lines: Readonly<Record<string, unknown>>[] = [];
+    const logger = createLogger(
+      'info',
+      {},
+      { write: line => lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>) },
+    );
+    const fleet = await startFleet(safeRoute, [[resets], [answers('done')]], { logger });
+    expect((await fleet.send()).status).toBe(200);
+    const line = lines.find(({ event }) => event === 'request-served');
+    expect(line).toMatchObject({
+      replica: 'r1',
+      request: 'request-1',
+      runs: 2,
+    });
+    expect(line?.['waited']).toBeLessThanOrEqual(Number(line?.['elapsed']));
+  });
+
   it('asks for the rate of the workspace and for the tokens of a turn at the same time', async () => {
     const seen: string[] = [];
     const fleet = await startFleet(streamRoute, [[streams([1], 'whole')]], {
