--- a/packages/gateway/src/limits/workspaceCredit.ts
+++ b/packages/gateway/src/limits/workspaceCredit.ts
@@ -35,9 +35,9 @@
 /** Part of the wished credit below which more is drawn ahead of demand. */
 const LOW_SHARE = 0.25;
 /** Most credit that a draw for rare requests brings for the calls that a program makes next. */
-const LARGEST_BESIDE = 6;
+const LARGEST_BESIDE = 3;
 /** Part of what bucket and credits may stand for together that such credit may be. */
-const BESIDE_SHARE = 0.15;
+const BESIDE_SHARE = 0.1;
 
 /** The credit that this instance holds of one workspace, and the demand that it sees. */
 export class WorkspaceCredit {
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -66,13 +66,11 @@
 /** Part of a used-up rate that goes to programs that begin then: some of it is owed to those under way. */
 const BEGINNING_SHARE = 0.85;
 /** Rate for which one bucket is enough, in requests a second: some dozen instances draw on it without hindering each other. */
-const LANE_RATE = 130;
+const LANE_RATE = 80;
 /** Buckets that one workspace has at most. */
 const LARGEST_LANES = 16;
 /** Tries of one draw while the store fails. */
 const MAXIMUM_FAILURES = 2;
-/** When a caller may come back while the store is away, in seconds: another instance may reach it. */
-const STORE_RETRY_SECONDS = 0.1;
 
 const unlimited: RateAdmission = { giveBack: () => undefined };
 
@@ -174,7 +172,7 @@
         return Err(
           new ZincringError('store-unavailable', {
             detail: 'the use of the workspace is not known',
-            retryAfterSeconds: STORE_RETRY_SECONDS,
+            retryAfterSeconds: this.parts.table.retryAfterSeconds,
           }),
         );
     }
--- a/packages/gateway/src/programs/keptTurns.ts
+++ b/packages/gateway/src/programs/keptTurns.ts
@@ -42,8 +42,6 @@
 const FAILURE_PAUSE = 30;
 /** Reads of one turn while the store fails. */
 const MAXIMUM_READS = 4;
-/** When a caller may come back while the store is away, in seconds: another instance may reach it. */
-const STORE_RETRY_SECONDS = 0.1;
 
 type Chain = readonly KeptTurn[];
 
@@ -106,7 +104,7 @@
         return ancestor;
       }
       if (ancestor.val === undefined) {
-        return Err(storeError('an earlier turn of the chain is missing'));
+        return Err(this.storeError('an earlier turn of the chain is missing'));
       }
       chain.push(ancestor.val);
     }
@@ -138,7 +136,7 @@
       failure = rows.val.message;
       await sleep(this.parts.timers, FAILURE_PAUSE, signal);
     }
-    return Err(storeError(failure));
+    return Err(this.storeError(failure));
   }
 
   private async readRows(id: TurnId): Promise<Result<readonly PartitionedRow[], PlatformError>> {
@@ -176,6 +174,11 @@
     };
   }
 
+  private storeError(detail: string): ZincringError {
+    const { retryAfterSeconds } = this.parts.table;
+    return new ZincringError('store-unavailable', { detail, retryAfterSeconds });
+  }
+
   private async store(turn: KeptTurn, signal: AbortSignal): Promise<boolean> {
     const partition = turnPartitions.of(turn.id);
     const writes = encodeTurn(turn, this.parts.rowBytes).map(chunk => ({
@@ -219,7 +222,3 @@
     writes.some(({ key, value }) => key === row.key && value.equals(row.value)),
   );
 }
-
-function storeError(detail: string): ZincringError {
-  return new ZincringError('store-unavailable', { detail, retryAfterSeconds: STORE_RETRY_SECONDS });
-}
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -35,8 +35,6 @@
 };
 /** How long accounts outlive their last turn at least, in milliseconds: programs that were stopped may return. */
 const MINIMUM_RETENTION_MILLISECONDS = 60_000;
-/** When a caller may come back while the store is away, in seconds: another instance may reach it. */
-const STORE_RETRY_SECONDS = 0.1;
 /** Parts in the prompt of a program's first turn: what many programs share, and its own input. */
 const PARTS_OF_FIRST_TURN = 2;
 /** Pause between looks for programs that have no turns here any more, in milliseconds. */
@@ -82,7 +80,7 @@
       signal,
     );
     this.logDecision(request, demand, decision);
-    const refusal = refusalOf(decision);
+    const refusal = refusalOf(decision, this.parts.table.retryAfterSeconds);
     if (refusal !== undefined) {
       return Err(refusal);
     }
@@ -149,7 +147,7 @@
   }
 }
 
-function refusalOf(decision: BudgetDecision): ZincringError | undefined {
+function refusalOf(decision: BudgetDecision, retryAfterSeconds: number): ZincringError | undefined {
   switch (decision) {
     case 'held':
     case 'held-ahead':
@@ -159,7 +157,7 @@
     case 'unknown':
       return new ZincringError('store-unavailable', {
         detail: 'the budget of the program is not known',
-        retryAfterSeconds: STORE_RETRY_SECONDS,
+        retryAfterSeconds,
       });
   }
 }
--- a/packages/gateway/src/store/watchedTable.ts
+++ b/packages/gateway/src/store/watchedTable.ts
@@ -23,6 +23,11 @@
 /** Time without an answer before the store may count as away, in milliseconds: many of its usual answers. */
 const SILENCE_UNTIL_AWAY = 250;
 
+/** When a caller may come back while this instance lacks the store, in seconds: another one may reach it. */
+const AWAY_RETRY_SECONDS = 0.1;
+/** When a caller may come back to a store that is slow or over its rate, in seconds: that is so at every instance. */
+const BUSY_RETRY_SECONDS = 0.4;
+
 /**
  * The store, with a look at whether it answers: work that needs it can then be refused at once
  * instead of waiting in vain.
@@ -56,6 +61,11 @@
     return this.timers.now() - this.answeredAt;
   }
 
+  /** When a caller may come back whose request failed for lack of an answer of the store, in seconds. */
+  public get retryAfterSeconds(): number {
+    return this.isAway ? AWAY_RETRY_SECONDS : BUSY_RETRY_SECONDS;
+  }
+
   public async read(request: RangeRequest): Promise<Result<RangePage, PlatformError>> {
     return await this.watch('read', request.table, this.inner.read(request));
   }
