--- a/packages/gateway/src/limits/rateRow.ts
+++ b/packages/gateway/src/limits/rateRow.ts
@@ -61,7 +61,7 @@
 /** Part of the burst that bucket and credits may hold beyond it: the operator's slack. */
 const SLACK_BURST_SHARE = 0.1;
 /** Part of the burst that stays in the bucket for requests that wait, wherever they arrive. */
-const RESERVED_BURST_SHARE = 0.8;
+const RESERVED_BURST_SHARE = 0.3;
 /** How long requests that waited for a grant count as outstanding, in milliseconds: its answer is used for half of that. */
 export const IMMEDIATE_MILLISECONDS = 1_000;
 /** Requests that bucket and credits may hold beyond that: below what the operator lets pass above the limit. */
