--- a/packages/gateway/src/callers/callerAnswer.ts
+++ b/packages/gateway/src/callers/callerAnswer.ts
@@ -2,6 +2,11 @@
 
 import type { AnswerSink } from './answerSink.js';
 
+import { withoutFields } from '../util/headerList.js';
+
+/** Written anew: the framing of the answer is this instance's own. */
+const LENGTH: ReadonlySet<string> = new Set(['content-length']);
+
 /**
  * The answer to a caller over Node's server.
  *
@@ -21,12 +26,12 @@
   public sendWhole(status: number, headers: readonly string[], body: Buffer): void {
     const hasBody = status !== 204 && status !== 304;
     const length = hasBody ? ['Content-Length', String(body.length)] : [];
-    this.writeHead(status, [...withoutLength(headers), ...length]);
+    this.writeHead(status, [...withoutFields(headers, LENGTH), ...length]);
     this.response.end(hasBody ? body : undefined);
   }
 
   public open(status: number, headers: readonly string[]): void {
-    this.writeHead(status, [...withoutLength(headers), 'Transfer-Encoding', 'chunked']);
+    this.writeHead(status, [...withoutFields(headers, LENGTH), 'Transfer-Encoding', 'chunked']);
   }
 
   public async write(bytes: Buffer): Promise<void> {
@@ -57,14 +62,3 @@
     this.response.writeHead(status, [...headers, ...connection]);
   }
 }
-
-function withoutLength(headers: readonly string[]): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    const name = headers[index] ?? '';
-    if (name.toLowerCase() !== 'content-length') {
-      kept.push(name, headers[index + 1] ?? '');
-    }
-  }
-  return kept;
-}
--- a/packages/gateway/src/callers/readRequestBody.ts
+++ b/packages/gateway/src/callers/readRequestBody.ts
@@ -1,7 +1,9 @@
 import type { Result } from '@zincring/core';
 import type { IncomingMessage } from 'node:http';
 
-import { Err, Ok, ZincringError } from '@zincring/core';
+import { Err, ZincringError } from '@zincring/core';
+
+import { readWithin } from '../util/readWithin.js';
 
 /**
  * Reads the body of a request to its end.
@@ -14,19 +16,9 @@
   request: IncomingMessage,
   maximumBytes: number,
 ): Promise<Result<Buffer, ZincringError> | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > maximumBytes) {
-        return Err(new ZincringError('body-too-large'));
-      }
-      chunks.push(chunk);
-    }
-  } catch {
-    // Node reports a caller that broke off in the middle of its body as an error of the stream.
-    return undefined;
+  const body = await readWithin(request, maximumBytes);
+  if (body.ok) {
+    return body;
   }
-  return request.complete ? Ok(Buffer.concat(chunks)) : undefined;
+  return body.val === 'too-large' ? Err(new ZincringError('body-too-large')) : undefined;
 }
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -290,18 +290,18 @@
   }
 
   private refuse(incoming: IncomingRequest, sink: AnswerSink, error: ZincringError): void {
+    const retryAfter = this.retryAfterSeconds(error);
     this.noteEnd(incoming, 'refused', {
       detail: error.detail,
       kind: error.kind,
       ran: error.ran,
-      retryAfter: this.retryAfterSeconds(error),
+      retryAfter,
       status: error.status,
     });
     if (sink.isStarted) {
       sink.cut();
       return;
     }
-    const retryAfter = this.retryAfterSeconds(error);
     const headers = this.parts.wire.ownHeaders(incoming.facts.requestId, retryAfter);
     sink.sendWhole(error.status, headers, Buffer.from(JSON.stringify(error.toReport())));
   }
--- a/packages/gateway/src/lifecycle/readinessServer.ts
+++ b/packages/gateway/src/lifecycle/readinessServer.ts
@@ -1,11 +1,6 @@
-import type { Server } from 'node:http';
-
-import { createServer } from 'node:http';
-
-import type { ListenAddress } from './gatewayOptions.js';
 import type { RotationWatch } from './rotationWatch.js';
 
-import { listenOn, portOf } from '../util/listen.js';
+import { HttpEndpoint } from '../util/httpEndpoint.js';
 
 /**
  * Tells the balancer whether callers should be sent here; the path does not matter.
@@ -13,32 +8,13 @@
  * @example
  * await new ReadinessServer(() => gateway.isReady, rotation).listen({ host: '10.1.0.11', port: 8369 });
  */
-export class ReadinessServer {
-  private readonly server: Server;
-
+export class ReadinessServer extends HttpEndpoint {
   public constructor(isReady: () => boolean, rotation: RotationWatch) {
-    this.server = createServer((request, response) => {
-      request.resume();
+    super(response => {
       const answer = isReady();
       rotation.noteCheck(answer);
       response.writeHead(answer ? 200 : 503, { 'Content-Length': 0 });
       response.end();
     });
   }
-
-  /** Listens; the port 0 takes any. */
-  public async listen(address: ListenAddress): Promise<void> {
-    await listenOn(this.server, address);
-  }
-
-  /** The port that the server listens on. */
-  public get port(): number {
-    return portOf(this.server);
-  }
-
-  /** Closes at once. */
-  public close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
-  }
 }
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -102,16 +102,16 @@
     if (workspace === undefined || workspace.ratePerSecond <= 0) {
       return Ok(unlimited);
     }
-    const lanes = this.lanesOf(workspace).map(bucket => this.drawsOf(bucket));
+    const lanes = this.lanesOf(workspace);
     this.programSize.noteRequest();
-    if (lanes.some(({ credit }) => credit.isScarce) && (await beginsProgram())) {
+    if (isAnyScarce(lanes) && (await beginsProgram())) {
       const beginning = await this.takePlace(this.beginningsOf(workspace), signal);
       if (beginning.err) {
         return beginning;
       }
     }
     const [first, second] = lanes;
-    const admission = await this.takePlace(first ?? this.drawsOf(workspace), signal);
+    const admission = await this.takePlace(first, signal);
     const isElsewhere = admission.err && admission.val.kind === 'rate-limited';
     return isElsewhere && second !== undefined ? await this.takePlace(second, signal) : admission;
   }
@@ -119,9 +119,7 @@
   /** Whether a workspace used more than its rate of late, as far as this instance knows. */
   public isScarce(workspace: GatewayWorkspace | undefined): boolean {
     return (
-      workspace !== undefined &&
-      workspace.ratePerSecond > 0 &&
-      this.lanesOf(workspace).some(bucket => this.drawsOf(bucket).credit.isScarce)
+      workspace !== undefined && workspace.ratePerSecond > 0 && isAnyScarce(this.lanesOf(workspace))
     );
   }
 
@@ -129,19 +127,21 @@
    * The buckets of a workspace that this instance draws on, its usual one first. A workspace with a
    * high rate has several, since one row takes no more than some hundred changes a second.
    */
-  private lanesOf(workspace: GatewayWorkspace): readonly Bucket[] {
+  private lanesOf(workspace: GatewayWorkspace): readonly [Draws, Draws?] {
     const { burst, name, ratePerSecond } = workspace;
     const count = Math.max(1, Math.min(LARGEST_LANES, Math.round(ratePerSecond / LANE_RATE)));
     if (count === 1) {
-      return [workspace];
+      return [this.drawsOf(workspace)];
     }
     const own = hash32(this.parts.instance) % count;
-    return [own, (own + 1) % count].map(lane => ({
-      burst: burst / count,
-      name: `${name}/${String(count)}.${String(lane)}`,
-      ratePerSecond: ratePerSecond / count,
-      slackShare: 1 / count,
-    }));
+    const drawsOfLane = (lane: number): Draws =>
+      this.drawsOf({
+        burst: burst / count,
+        name: `${name}/${String(count)}.${String(lane)}`,
+        ratePerSecond: ratePerSecond / count,
+        slackShare: 1 / count,
+      });
+    return [drawsOfLane(own), drawsOfLane((own + 1) % count)];
   }
 
   /** Takes in that a program has had its first turn here. */
@@ -361,6 +361,10 @@
   }
 }
 
+function isAnyScarce(lanes: readonly (Draws | undefined)[]): boolean {
+  return lanes.some(draws => draws?.credit.isScarce === true);
+}
+
 function admissionOf(credit: WorkspaceCredit): RateAdmission {
   return {
     giveBack: () => {
--- a/packages/gateway/src/upstreams/readWholeBody.ts
+++ b/packages/gateway/src/upstreams/readWholeBody.ts
@@ -1,5 +1,7 @@
 import type { ReplicaAnswer } from './replicaExchange.js';
 
+import { readWithin } from '../util/readWithin.js';
+
 /**
  * Reads the body of an answer to its end; `undefined` when it breaks off or is too large.
  *
@@ -10,20 +12,12 @@
   answer: ReplicaAnswer,
   maximumBytes: number,
 ): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > maximumBytes) {
-        answer.discard();
-        return undefined;
-      }
-      chunks.push(chunk);
-    }
-  } catch {
-    // An error of the body means that the connection was lost; the caller of this function logs it.
-    return undefined;
+  const body = await readWithin(answer.body, maximumBytes);
+  if (body.ok) {
+    return body.val;
+  }
+  if (body.val === 'too-large') {
+    answer.discard();
   }
-  return answer.body.complete ? Buffer.concat(chunks) : undefined;
+  return undefined;
 }
--- a/packages/gateway/src/upstreams/replicaAgent.ts
+++ b/packages/gateway/src/upstreams/replicaAgent.ts
@@ -23,11 +23,6 @@
     });
   }
 
-  /** Number of connections in use. */
-  public get busyConnections(): number {
-    return Object.values(this.sockets).reduce((sum, list) => sum + (list?.length ?? 0), 0);
-  }
-
   public override keepSocketAlive(socket: Socket): boolean {
     socket.on('data', destroyOnData);
     socket.resume();
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -67,17 +67,20 @@
     service: GatewayService,
     excluded: ReadonlySet<ReplicaRunId>,
   ): readonly PlacementCandidate[] {
-    const entries = this.directory.replicasOf(service.name).filter(entry => !entry.isDraining);
-    const avoided = entries.filter(entry => this.loads.isAvoided(entry)).length;
-    // When most replicas fail, the cause lies elsewhere, and the rest would be overrun.
-    const isAvoiding = avoided <= entries.length * MAXIMUM_AVOIDED_SHARE;
-    return entries
-      .filter(entry => !excluded.has(entry.runId))
+    const candidates = this.directory
+      .replicasOf(service.name)
+      .filter(entry => !entry.isDraining)
       .map(entry => ({
         entry,
         inFlight: this.loads.of(entry).inFlight,
-        isAvoided: isAvoiding && this.loads.isAvoided(entry),
+        isAvoided: this.loads.isAvoided(entry),
       }));
+    const avoided = candidates.filter(({ isAvoided }) => isAvoided).length;
+    // When most replicas fail, the cause lies elsewhere, and the rest would be overrun.
+    const isAvoiding = avoided <= candidates.length * MAXIMUM_AVOIDED_SHARE;
+    return candidates
+      .filter(({ entry }) => !excluded.has(entry.runId))
+      .map(candidate => ({ ...candidate, isAvoided: isAvoiding && candidate.isAvoided }));
   }
 }
 
--- a/packages/gateway/tests/support/plainWire.ts
+++ b/packages/gateway/tests/support/plainWire.ts
@@ -1,5 +1,6 @@
 import type { AnswerFacts, RequestFacts, RequestWire } from '../../src/callers/requestFacts.js';
 
+import { toFields, withoutFields } from '../../src/util/headerList.js';
 import { sampleFacts } from './samples.js';
 
 /** A wire of the tests' own: headers in lower case, values as they are. */
@@ -30,9 +31,12 @@
       tokenBudget: numberOf(fields.get('token-budget')),
     });
   },
-  toCallerHeaders: headers => without(headers, ['connection', 'transfer-encoding']),
+  toCallerHeaders: headers => withoutFields(headers, new Set(['connection', 'transfer-encoding'])),
   toReplicaHeaders: (headers, sending) => [
-    ...without(headers, ['connection', 'content-length', 'key', 'last-event-id', 'remaining']),
+    ...withoutFields(
+      headers,
+      new Set(['connection', 'content-length', 'key', 'last-event-id', 'remaining']),
+    ),
     'expected',
     sending.replicaId,
     'remaining',
@@ -48,18 +52,3 @@
 function numberOf(text: string | undefined): number | undefined {
   return text === undefined ? undefined : Number(text);
 }
-
-function toFields(headers: readonly string[]): ReadonlyMap<string, string> {
-  const fields = new Map<string, string>();
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    fields.set((headers[index] ?? '').toLowerCase(), headers[index + 1] ?? '');
-  }
-  return fields;
-}
-
-function without(headers: readonly string[], names: readonly string[]): string[] {
-  return headers.filter((_text, index) => {
-    const name = headers[index - (index % 2)] ?? '';
-    return !names.includes(name.toLowerCase());
-  });
-}
