--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -25,3 +25,4 @@
 export type { StandInHandler, StandInRequest } from './util/jsonServer.js';
 export { readJson, sendJson, serveStandIn } from './util/jsonServer.js';
 export { PortReservations } from './launch/portReservations.js';
+export { RandomSource } from './util/randomSource.js';
