feat(gateway): log the calls to the store by outcome and table

On call, a store that is over its rate looked the same as one that is away: the client turned both 429 and 503 into 'the platform refused the request', no line told how many calls were made, and lines on requests did not name their workspace.

- PlatformFailure has its own kind for a refusal by rate; like 'unavailable' it means not applied.
- Conflicts are an outcome of their own in zincring_store_calls_total.
- Lines on requests carry the workspace.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -344,6 +344,10 @@
       event: `request-${end}`,
       program: incoming.facts.programId,
       request: incoming.facts.requestId,
+      workspace:
+        incoming.facts.key === undefined
+          ? undefined
+          : configuration.current?.findWorkspace(incoming.facts.key)?.name,
     };
     if (end === 'served') {
       this.logger.info(entry, 'request served');
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -24,6 +24,7 @@
 } from '../observation/rateLimitedLogger.js';
 import { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import { MetricsServer } from '../observation/metricsServer.js';
+import { StoreCallReporter } from '../observation/storeCallReporter.js';
 import { CrashRecord, sweptCrashes } from '../upstreams/crashRecord.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaLoads } from '../upstreams/replicaLoads.js';
@@ -88,6 +89,7 @@
   private readonly metrics = new GatewayMetrics();
   private readonly metricsServer = new MetricsServer(this.metrics);
   private readonly logger: Logger;
+  private readonly storeCallReporter: StoreCallReporter;
   private readonly table: MonitoredTable;
   private readonly budgets: TurnBudgets;
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
@@ -101,14 +103,14 @@
     private readonly dependencies: GatewayDependencies,
   ) {
     const { timers } = dependencies;
-    const table = this.instrumentStore(dependencies.table, timers);
-    this.table = table;
     const logger = new RateLimitedLogger(
       dependencies.logger,
       timers,
       defaultRateLimitedLoggerOptions,
     );
     this.logger = logger;
+    this.storeCallReporter = new StoreCallReporter(timers, logger);
+    const table = (this.table = this.instrumentStore(dependencies.table, timers));
     this.times = deriveGatewayTimes(options);
     this.configuration = new ConfigurationFollower(
       table,
@@ -190,6 +192,7 @@
     this.replicas.start();
     this.crashes.start();
     this.rowSweeper.start();
+    this.storeCallReporter.start();
     this.connectionSweepTimer = this.dependencies.timers.every(
       CONNECTION_SWEEP_INTERVAL_MILLISECONDS,
       () => {
@@ -221,17 +224,19 @@
     this.replicas.stop();
     this.crashes.stop();
     this.rowSweeper.stop();
+    this.storeCallReporter.stop();
     this.readiness.close();
     this.metricsServer.close();
     this.logger.info({ event: 'stopped', underWay: this.server.requestsInFlight }, 'stopped');
   }
 
   private instrumentStore(table: PartitionedTable, timers: TimerService): MonitoredTable {
-    return new MonitoredTable(table, timers, (call, name, isAnswered, milliseconds) => {
-      const outcome = isAnswered ? 'answered' : 'failed';
-      this.metrics.storeCalls.inc({ call, outcome, table: name });
-      if (call !== 'changes') {
-        this.metrics.storeSeconds.observe({ call }, milliseconds / 1_000);
+    return new MonitoredTable(table, timers, call => {
+      const { kind, milliseconds, outcome, table: name } = call;
+      this.storeCallReporter.record(call);
+      this.metrics.storeCalls.inc({ call: kind, outcome, table: name });
+      if (kind !== 'changes') {
+        this.metrics.storeSeconds.observe({ call: kind }, milliseconds / 1_000);
       }
     });
   }
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -44,7 +44,7 @@
     registers: [this.registry],
   });
   public readonly storeCalls = new Counter({
-    help: 'Calls to the store by kind, table and outcome.',
+    help: 'Calls to the store by kind, table and outcome: answered, conflict, rate-limited or failed.',
     labelNames: ['call', 'table', 'outcome'] as const,
     name: 'zincring_store_calls_total',
     registers: [this.registry],
--- a/packages/gateway/src/store/monitoredTable.ts
+++ b/packages/gateway/src/store/monitoredTable.ts
@@ -10,13 +10,22 @@
   RangeRequest,
 } from '@zincring/platform';
 
+/** Kind of a store call. */
+export type StoreCallKind = 'changes' | 'read' | 'transact';
+
+/** Outcome of a store call: a conflict is an answer that changed nothing. */
+export type StoreCallOutcome = 'answered' | 'conflict' | 'failed' | 'rate-limited';
+
+/** A completed store call. */
+export interface StoreCall {
+  readonly kind: StoreCallKind;
+  readonly table: string;
+  readonly outcome: StoreCallOutcome;
+  readonly milliseconds: number;
+}
+
 /** Called with each completed store call, for the metrics. */
-export type StoreCallListener = (
-  call: 'changes' | 'read' | 'transact',
-  table: string,
-  isAnswered: boolean,
-  milliseconds: number,
-) => void;
+export type StoreCallListener = (call: StoreCall) => void;
 
 /** Consecutive failures after which the store may count as unavailable. */
 const FAILURES_UNTIL_UNAVAILABLE = 2;
@@ -82,14 +91,19 @@
   }
 
   private async observeCall<Answer>(
-    call: 'changes' | 'read' | 'transact',
+    kind: StoreCallKind,
     table: string,
     pendingAnswer: Promise<Result<Answer, PlatformError>>,
   ): Promise<Result<Answer, PlatformError>> {
     const startedAt = this.timers.now();
     const answer = await pendingAnswer;
     const now = this.timers.now();
-    this.onCall(call, table, answer.ok, now - startedAt);
+    this.onCall({
+      kind,
+      milliseconds: now - startedAt,
+      outcome: classifyAnswer(answer),
+      table,
+    });
     if (answer.ok) {
       this.consecutiveFailures = 0;
       this.lastAnswerAt = now;
@@ -99,3 +113,14 @@
     return answer;
   }
 }
+
+function classifyAnswer(answer: Result<unknown, PlatformError>): StoreCallOutcome {
+  if (answer.err) {
+    return answer.val.failure === 'rate-limited' ? 'rate-limited' : 'failed';
+  }
+  return isConflict(answer.val) ? 'conflict' : 'answered';
+}
+
+function isConflict(answer: unknown): boolean {
+  return (answer as Partial<PartitionedOutcome>).status === 'conflict';
+}
--- a/packages/platform/src/http/httpClient.ts
+++ b/packages/platform/src/http/httpClient.ts
@@ -54,9 +54,12 @@
   ): Promise<Result<HttpClientResponse, PlatformError>> {
     try {
       const response = await this.sendOnce(platformRequest);
-      if (response.status === STATUS_UNAVAILABLE || response.status === STATUS_TOO_MANY_REQUESTS) {
+      if (response.status === STATUS_UNAVAILABLE) {
         return Err(new PlatformError('unavailable', 'the platform refused the request'));
       }
+      if (response.status === STATUS_TOO_MANY_REQUESTS) {
+        return Err(new PlatformError('rate-limited', 'the platform is over its rate'));
+      }
       return Ok(response);
     } catch (failure) {
       // The idle connections may have been lost without notice, like the one that failed.
