--- a/packages/gateway/tests/support/memoryTable.ts
+++ b/packages/gateway/tests/support/memoryTable.ts
@@ -27,6 +27,8 @@
   feedsMissChanges: boolean;
   /** Delay before each call takes effect, in milliseconds. */
   latencyMilliseconds: number;
+  /** Transactions per second of all clients beyond which the store refuses further ones. */
+  transactionsPerSecond: number;
 }
 
 /** Timeout of a client for a call without an answer, in milliseconds. */
@@ -40,9 +42,13 @@
     isSilent: false,
     latencyMilliseconds: 5,
     losesAnswers: false,
+    transactionsPerSecond: Infinity,
   };
   /** Number of calls by all clients. */
   public calls = 0;
+  /** Number of transactions by all clients, refused ones included. */
+  public transactions = 0;
+  private readonly acceptedTransactionTimes: number[] = [];
   private readonly rows = new Map<string, PartitionedRow>();
   private history: RowChange[] = [];
   private version = 0;
@@ -137,6 +143,10 @@
     transaction: PartitionedTransaction,
     faults: StoreFaults,
   ): Promise<Result<PartitionedOutcome, PlatformError>> {
+    this.transactions++;
+    if (this.isOverRate(faults)) {
+      return Err(new PlatformError('rate-limited', 'over the rate of the store'));
+    }
     const failure = await this.startCall(faults, 'outcome-unknown');
     if (failure !== undefined) {
       return Err(failure);
@@ -161,6 +171,18 @@
     return Ok({ status: 'committed', storeTime, version: this.version });
   }
 
+  private isOverRate({ transactionsPerSecond }: StoreFaults): boolean {
+    const now = this.timers.now();
+    while ((this.acceptedTransactionTimes[0] ?? now) <= now - 1_000) {
+      this.acceptedTransactionTimes.shift();
+    }
+    if (this.acceptedTransactionTimes.length >= transactionsPerSecond) {
+      return true;
+    }
+    this.acceptedTransactionTimes.push(now);
+    return false;
+  }
+
   private async startCall(
     faults: StoreFaults,
     failure: 'outcome-unknown' | 'unavailable',
--- /dev/null
+++ b/packages/gateway/tests/support/programLoad.ts
@@ -0,0 +1,209 @@
+import type { InstanceId, ManualTimerService, ProgramId, WorkspaceName } from '@zincring/core';
+
+import { silentLogger, sleep } from '@zincring/core';
+
+import type { GatewayWorkspace } from '../../src/configuration/gatewayConfiguration.js';
+import type { PromptPart, PromptPartId } from '../../src/callers/requestFacts.js';
+import type { MemoryTable } from './memoryTable.js';
+
+import { WorkspaceRates } from '../../src/limits/workspaceRates.js';
+import { TurnBudgets } from '../../src/programs/turnBudgets.js';
+import { MonitoredTable } from '../../src/store/monitoredTable.js';
+import { makeRandom } from './makeRandom.js';
+import { sampleTurn, sampleWorkspace } from './samples.js';
+
+/** The parts of an instance that call the store before each turn. */
+interface LoadedInstance {
+  readonly rates: WorkspaceRates;
+  readonly budgets: TurnBudgets;
+}
+
+/** What the callers of one second got. */
+export interface LoadSecond {
+  requests: number;
+  refused: number;
+}
+
+/** Programs over many instances, and what their callers got. */
+export interface ProgramLoadOptions {
+  readonly instances: number;
+  readonly seconds: number;
+  /** Programs that begin per second, by second. */
+  readonly programsPerSecond: (second: number) => number;
+}
+
+/** Instances that the requests of one program reach. */
+const INSTANCES_PER_PROGRAM = 3;
+/** Share of a program's requests that arrives at its main instance. */
+const MAIN_INSTANCE_SHARE = 0.5;
+const TURN_MILLISECONDS = 250;
+const TOOL_MILLISECONDS = 60;
+/** Budget of a program in turns at their maximum, and the share of it that a turn generates. */
+const BUDGET_TURNS = 4;
+const GENERATED_SHARE = 0.4;
+const MAXIMUM_TOKENS = 575;
+/** Rates of the workspaces: a few large ones and many small ones. */
+const WORKSPACE_RATES = [200, 120, 60, ...Array.from({ length: 40 }, () => 16)];
+/** Decorrelates the random numbers of programs: consecutive seeds give similar ones. */
+const SEED_FACTOR = 2_654_435_761;
+
+const firstTurnParts: readonly PromptPart[] = [
+  { id: 'shared' as PromptPartId, tokens: 12_600 },
+  { id: 'own' as PromptPartId, tokens: 840 },
+];
+const laterTurnParts: readonly PromptPart[] = [
+  ...firstTurnParts,
+  { id: 'more' as PromptPartId, tokens: 200 },
+];
+
+/** Runs programs whose turns and tool calls spread over instances; returns what callers got in each second. */
+export async function runPrograms(
+  timers: ManualTimerService,
+  store: MemoryTable,
+  options: ProgramLoadOptions,
+): Promise<readonly LoadSecond[]> {
+  const instances = Array.from({ length: options.instances }, (_unused, index) =>
+    makeInstance(timers, store, index),
+  );
+  const workspaces = WORKSPACE_RATES.map((ratePerSecond, index) =>
+    sampleWorkspace({
+      burst: ratePerSecond,
+      name: `workspace-${String(index)}` as WorkspaceName,
+      ratePerSecond,
+    }),
+  );
+  const seconds = Array.from({ length: options.seconds + 1 }, () => ({ refused: 0, requests: 0 }));
+  const random = makeRandom(7);
+  let startedPrograms = 0;
+  for (let elapsed = 0; elapsed < options.seconds * 1_000; elapsed += 10) {
+    const perStep = options.programsPerSecond(Math.floor(elapsed / 1_000)) / 100;
+    for (let remaining = Math.floor(perStep + random()); remaining > 0; remaining--) {
+      const program = new LoadProgram(
+        timers,
+        pickWorkspace(workspaces, random()),
+        instances,
+        seconds,
+        ++startedPrograms,
+      );
+      void program.run();
+    }
+    await timers.advance(10);
+  }
+  return seconds.slice(0, options.seconds);
+}
+
+function makeInstance(
+  timers: ManualTimerService,
+  store: MemoryTable,
+  index: number,
+): LoadedInstance {
+  const dependencies = {
+    holder: `run-${String(index)}`,
+    instance: `entry-${String(index)}` as InstanceId,
+    logger: silentLogger,
+    random: makeRandom(index + 1),
+    table: new MonitoredTable(store.client(), timers),
+    timers,
+  };
+  return { budgets: new TurnBudgets(dependencies), rates: new WorkspaceRates(dependencies) };
+}
+
+/** Picks a workspace in proportion to its rate. */
+function pickWorkspace(workspaces: readonly GatewayWorkspace[], point: number): GatewayWorkspace {
+  const total = workspaces.reduce((sum, { ratePerSecond }) => sum + ratePerSecond, 0);
+  let cumulative = 0;
+  const picked = workspaces.find(({ ratePerSecond }) => {
+    cumulative += ratePerSecond;
+    return point * total < cumulative;
+  });
+  return picked ?? workspaces[0]!;
+}
+
+/** One program: turns, each followed by concurrent tool calls; it ends with the first refusal. */
+class LoadProgram {
+  private readonly random: () => number;
+  private readonly instances: readonly LoadedInstance[];
+  private readonly signal = new AbortController().signal;
+
+  public constructor(
+    private readonly timers: ManualTimerService,
+    private readonly workspace: GatewayWorkspace,
+    allInstances: readonly LoadedInstance[],
+    private readonly seconds: readonly LoadSecond[],
+    private readonly number: number,
+  ) {
+    this.random = makeRandom(Math.imul(number, SEED_FACTOR) >>> 1);
+    this.instances = Array.from(
+      { length: INSTANCES_PER_PROGRAM },
+      () => allInstances[Math.floor(this.random() * allInstances.length)]!,
+    );
+  }
+
+  public async run(): Promise<void> {
+    const turns = 3 + Math.floor(this.random() * 5);
+    for (let turn = 0; turn < turns; turn++) {
+      if (!(await this.runTurn(turn))) {
+        return;
+      }
+      const instance = this.pickInstance();
+      const tools = Math.floor(this.random() * 4);
+      const isServed = await Promise.all(
+        Array.from({ length: tools }, async () => await this.runTool(instance)),
+      );
+      if (isServed.includes(false)) {
+        return;
+      }
+      await sleep(this.timers, TOOL_MILLISECONDS);
+    }
+  }
+
+  private async runTurn(turn: number): Promise<boolean> {
+    const { budgets, rates } = this.pickInstance();
+    const request = sampleTurn(
+      `${String(this.number)}-${String(turn)}`,
+      {
+        maximumOutputTokens: MAXIMUM_TOKENS,
+        programId: `program-${String(this.number)}` as ProgramId,
+        promptParts: turn === 0 ? firstTurnParts : laterTurnParts,
+        tokenBudget: MAXIMUM_TOKENS * BUDGET_TURNS,
+      },
+      { workspace: this.workspace.name },
+    );
+    const [admission, reserved] = await Promise.all([
+      rates.admit(this.workspace, this.signal, async () => await budgets.startsProgram(request)),
+      budgets.reserve(request, this.signal),
+    ]);
+    const isServed = admission.ok && reserved.ok;
+    this.count(isServed);
+    if (isServed) {
+      await sleep(this.timers, TURN_MILLISECONDS);
+    }
+    if (reserved.ok) {
+      reserved.val?.settle(admission.ok ? MAXIMUM_TOKENS * GENERATED_SHARE : 0);
+    }
+    return isServed;
+  }
+
+  private async runTool({ rates }: LoadedInstance): Promise<boolean> {
+    const startsProgram = async (): Promise<boolean> => await Promise.resolve(false);
+    const admission = await rates.admit(this.workspace, this.signal, startsProgram);
+    this.count(admission.ok);
+    return admission.ok;
+  }
+
+  private count(isServed: boolean): void {
+    const second = this.seconds[Math.floor(this.timers.now() / 1_000)];
+    if (second !== undefined) {
+      second.requests++;
+      second.refused += isServed ? 0 : 1;
+    }
+  }
+
+  private pickInstance(): LoadedInstance {
+    const index =
+      this.random() < MAIN_INSTANCE_SHARE
+        ? 0
+        : 1 + Math.floor(this.random() * (INSTANCES_PER_PROGRAM - 1));
+    return this.instances[index]!;
+  }
+}
