fix(gateway): draw credit ahead for a workspace within its rate

Cause: a draw took a workspace for over its rate as soon as tokens and credit added up to less than the burst. Any use since the last refill does that, so at 6 of 10 requests a second most draws granted nothing ahead and the next request drew again.

Fix: credit ahead is withheld only while less is left than the reserve that it may not touch anyway.

--- a/packages/gateway/src/limits/workspaceBucket.ts
+++ b/packages/gateway/src/limits/workspaceBucket.ts
@@ -94,7 +94,8 @@
   const outstanding =
     refilledTokens + unreceivedCredit + request.unspent + sumOutstanding(otherEntries, storeTime);
   const isOverRate = outstanding < limit.burst;
-  const target = request.waiting + (isOverRate ? 0 : request.requestedAhead);
+  const isScarce = outstanding < WAITING_RESERVE_BURST_SHARE * limit.burst;
+  const target = request.waiting + (isScarce ? 0 : request.requestedAhead);
   const surplus = Math.max(0, request.unspent - target);
   const available = refilledTokens + unreceivedCredit + surplus;
   const retained = request.unspent - surplus;
--- a/packages/gateway/tests/limits/workspaceRates.test.ts
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -229,6 +229,12 @@
     20_000,
   );
 
+  it('draws credit ahead of demand for a workspace that stays within its rate', async () => {
+    const workspace = sampleWorkspace({ burst: 10, ratePerSecond: 10 });
+    const { admitted } = await sendRequests([makeInstance(1)], workspace, 6, 10);
+    expect(store.transactions / admitted.length).toBeLessThan(0.25);
+  });
+
   it('does not admit waiting requests on a grant whose answer arrives late', async () => {
     const workspace = sampleWorkspace({ burst: 1, ratePerSecond: 0.01 });
     store.faults.latencyMilliseconds = 50;
