--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
   platform: ['core'],
   coordination: ['core', 'platform'],
   scheduling: ['core'],
-  gateway: ['core', 'platform', 'scheduling'],
+  gateway: ['core', 'protocol', 'platform', 'scheduling'],
   instance: ['core', 'rules', 'protocol', 'platform', 'coordination', 'scheduling'],
   control: ['core', 'rules', 'protocol', 'platform', 'coordination'],
   'stand-ins': ['core', 'rules', 'platform', 'coordination', 'scheduling'],
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -5,6 +5,7 @@
 
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { ConfigurationSource } from '../configuration/configurationFollower.js';
+import type { GatewayPeer } from '../peers/gatewayPeer.js';
 import type { ReplicaEntry } from '../upstreams/replica.js';
 import type { ReplicaSource } from '../upstreams/replicaDirectory.js';
 import type { GatewayOptions, GatewayTimes } from './gatewayOptions.js';
@@ -14,10 +15,17 @@
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import { RowSweeper } from '../store/rowSweeper.js';
 import { MonitoredTable } from '../store/monitoredTable.js';
+import { DelegatedCreditSource } from '../limits/delegatedCreditSource.js';
+import { StoreCreditSource } from '../limits/storeCreditSource.js';
 import { WorkspaceRates } from '../limits/workspaceRates.js';
+import { sweptPeers } from '../peers/peerDirectory.js';
+import { PeerNetwork } from '../peers/peerNetwork.js';
 import { TurnStore } from '../programs/turnStore.js';
 import { sweptTurns } from '../programs/storedTurnRows.js';
-import { sweptBudgets, TurnBudgets } from '../programs/turnBudgets.js';
+import { DelegatedTokenAccounts } from '../programs/delegatedTokenAccounts.js';
+import { OwnedTokenAccounts } from '../programs/ownedTokenAccounts.js';
+import { StoreTokenAccounts, sweptBudgets } from '../programs/storeTokenAccounts.js';
+import { TurnBudgets } from '../programs/turnBudgets.js';
 import {
   defaultRateLimitedLoggerOptions,
   RateLimitedLogger,
@@ -51,6 +59,7 @@
 export interface GatewayPorts {
   readonly callers: number;
   readonly metrics: number;
+  readonly peers: number;
   readonly readiness: number;
 }
 
@@ -92,6 +101,9 @@
   private readonly storeCallReporter: StoreCallReporter;
   private readonly table: MonitoredTable;
   private readonly budgets: TurnBudgets;
+  private readonly credits: StoreCreditSource;
+  private readonly tokenAccounts: StoreTokenAccounts;
+  private readonly peers: PeerNetwork;
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
   private readonly holder: string;
   private readonly rowSweeper: RowSweeper;
@@ -131,17 +143,16 @@
     });
     this.crashes = new CrashRecord({ logger, makeId: dependencies.makeId, table, timers });
     this.holder = `${options.instance}/${dependencies.makeId()}`;
-    this.budgets = new TurnBudgets({
-      holder: this.holder,
-      logger,
-      random: dependencies.random,
-      table,
-      timers,
-    });
+    const ownership = { holder: this.holder, logger, random: dependencies.random, table, timers };
+    this.credits = new StoreCreditSource(ownership);
+    this.tokenAccounts = new StoreTokenAccounts(ownership);
+    this.peers = this.makePeers();
+    this.budgets = this.makeBudgets();
     this.rowSweeper = new RowSweeper({ logger, random: dependencies.random, table, timers }, [
       sweptTurns,
       sweptBudgets,
       sweptCrashes,
+      sweptPeers,
     ]);
     const load = new ReplicaLoads(timers, entry => this.getMaximumConnections(entry));
     this.pool = new ReplicaPool(this.replicas, load, options.availabilityZone, dependencies.random);
@@ -182,6 +193,7 @@
     return {
       callers: this.server.port,
       metrics: this.metricsServer.port,
+      peers: this.peers.port,
       readiness: this.readiness.port,
     };
   }
@@ -202,6 +214,7 @@
     await this.server.listen(this.options.callers);
     await this.readiness.listen(this.options.readiness);
     await this.metricsServer.listen(this.options.metrics);
+    await this.peers.start(this.options.peers);
     this.logger.info({ event: 'started', ...this.ports }, 'listening for callers');
   }
 
@@ -213,11 +226,13 @@
     this.isStopping = true;
     this.logger.info({ event: 'stopping', underWay: this.server.requestsInFlight }, 'stopping');
     this.server.announceClose();
+    void this.peers.leave();
+    this.tokenAccounts.stopReservingAhead();
     await sleep(this.dependencies.timers, this.times.acceptingMilliseconds);
     await this.server.close(this.times.stopMilliseconds - this.times.acceptingMilliseconds);
     this.connectionSweepTimer?.stop();
     await Promise.race([
-      this.budgets.releaseAll(),
+      this.tokenAccounts.releaseAll(),
       sleep(this.dependencies.timers, BUDGET_RELEASE_TIMEOUT_MILLISECONDS),
     ]);
     this.configuration.stop();
@@ -225,6 +240,7 @@
     this.crashes.stop();
     this.rowSweeper.stop();
     this.storeCallReporter.stop();
+    this.peers.close();
     this.readiness.close();
     this.metricsServer.close();
     this.logger.info({ event: 'stopped', underWay: this.server.requestsInFlight }, 'stopped');
@@ -241,9 +257,41 @@
     });
   }
 
+  private makePeers(): PeerNetwork {
+    const { credits, logger, table } = this;
+    const { random, timers } = this.dependencies;
+    const owned = new OwnedTokenAccounts(this.tokenAccounts, timers);
+    const self: GatewayPeer = {
+      acquireOwned: async bucket => await credits.acquireOwned(bucket),
+      reserveOwned: async demand => await owned.reserveOwned(demand),
+      settleOwned: async (reservation, deliveredTokens) =>
+        await owned.settleOwned(reservation, deliveredTokens),
+    };
+    return new PeerNetwork({
+      instance: this.options.instance,
+      logger,
+      random,
+      self,
+      table,
+      timers,
+    });
+  }
+
+  private makeBudgets(): TurnBudgets {
+    const { holder, logger, table } = this;
+    const { timers } = this.dependencies;
+    const accounts = new DelegatedTokenAccounts({
+      local: this.tokenAccounts,
+      logger,
+      owners: this.peers.owners,
+      timers,
+    });
+    return new TurnBudgets({ accounts, holder, logger, table, timers });
+  }
+
   private makePipeline(): RequestPipeline {
     const { budgets, logger, table } = this;
-    const { random, timers, headerCodec } = this.dependencies;
+    const { timers, headerCodec } = this.dependencies;
     return new RequestPipeline({
       budgets,
       configuration: this.configuration,
@@ -252,14 +300,14 @@
       logger,
       metrics: this.metrics,
       pool: this.pool,
-      rates: new WorkspaceRates({
-        holder: this.holder,
-        instance: this.options.instance,
-        logger,
-        random,
-        table,
-        timers,
-      }),
+      rates: new WorkspaceRates(
+        this.options.instance,
+        new DelegatedCreditSource({
+          local: this.credits,
+          owners: this.peers.owners,
+          timers,
+        }),
+      ),
       zoneOutageDetector: this.zoneOutageDetector,
       timers,
       headerCodec,
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -16,6 +16,8 @@
   readonly readiness: ListenAddress;
   /** Address for metrics. */
   readonly metrics: ListenAddress;
+  /** Address for the other instances. */
+  readonly peers: ListenAddress;
   /** Maximum time that a withdrawn key may still be accepted, in milliseconds; one of the operator's bounds. */
   readonly revocationMilliseconds: number;
   /** Maximum time that an outdated configuration may be in force during a failure of the store, in milliseconds; one of the operator's bounds. */
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -1,95 +1,35 @@
-import type { InstanceId, Logger, Result, TimerService } from '@zincring/core';
-import type { RowAddress } from '@zincring/platform';
+import type { InstanceId, Result, ZincringError } from '@zincring/core';
 
-import { Err, hash32, Ok, ZincringError } from '@zincring/core';
+import { hash32, Ok } from '@zincring/core';
 
 import type { GatewayWorkspace } from '../configuration/gatewayConfiguration.js';
-import type { MonitoredTable } from '../store/monitoredTable.js';
-import type { KnownRow } from '../store/editRow.js';
-import type { CreditOutcome } from './workspaceCredit.js';
-import type { CreditGrant, RateLimit, WorkspaceBucket } from './workspaceBucket.js';
+import type { CreditSource, NamedRateLimit, RateAdmission } from './creditSource.js';
 
-import { elapsedSince, readClocks } from '../configuration/contactAge.js';
-import { absentRow, editRow } from '../store/editRow.js';
-import { grantCredit, IMMEDIATE_GRANT_MILLISECONDS } from './workspaceBucket.js';
 import { ProgramSizeEstimator } from './programSizeEstimator.js';
-import { WorkspaceCredit } from './workspaceCredit.js';
 
-/** Admission of a request within the rate of its workspace. */
-export interface RateAdmission {
-  /** Refunds the credit of a request that did not run. */
-  refund(): void;
-}
-
-/** Dependencies of a {@link WorkspaceRates}. */
-export interface WorkspaceRatesDependencies {
-  readonly table: MonitoredTable;
-  readonly timers: TimerService;
-  readonly logger: Logger;
-  readonly instance: InstanceId;
-  /** Identifies this run of the instance: an earlier run may have spent its credit, which therefore lapses and is not reused. */
-  readonly holder: string;
-  readonly random: () => number;
-}
-
-/** Rate limit of one bucket and the key of its row. */
-interface NamedRateLimit extends RateLimit {
-  readonly name: string;
-}
-
-/** State of one bucket as this instance knows it. */
-interface BucketState {
-  readonly credit: WorkspaceCredit;
-  readonly address: RowAddress;
-  row: KnownRow;
-  /** Time at which the store last returned the row, on the monotonic clock, in milliseconds. */
-  rowReadAt: number;
-  /** Whether a draw is in progress; there is at most one. */
-  isDrawing: boolean;
-  /** Time from which credit may be drawn ahead of demand again, on the monotonic clock, in milliseconds. */
-  drawAheadAllowedAt: number;
-}
-
-/** Table that stores the buckets. */
-export const RATE_TABLE = 'rates';
-/** Maximum wait of a request for credit: several response times of a slow store. */
-const CREDIT_TIMEOUT_MILLISECONDS = 800;
-/** Maximum wait for an empty bucket to refill: a fraction of the time that callers allow for a response. */
-const MAXIMUM_REFILL_WAIT_MILLISECONDS = 600;
-/** Minimum delay before an empty bucket is tried again for waiting requests: more frequent draws of several instances conflict. */
-const MINIMUM_RETRY_DELAY_MILLISECONDS = 120;
-/** Bounds of the time for which requests are denied without another draw on an empty bucket. */
-const DENIAL_BOUNDS_MILLISECONDS = { maximum: 1_000, minimum: 250 };
-/** Minimum interval between draws ahead of demand: less than the demand that each draw covers. */
-const DRAW_AHEAD_INTERVAL_MILLISECONDS = 1_500;
-/** Age up to which a known row is written without reading it first: several instances change it each second. */
-const ROW_FRESHNESS_MILLISECONDS = 40;
 /** Share of the rate for which new programs are admitted while the workspace is over its rate; the rest is left to programs in progress. */
 const PROGRAM_START_SHARE = 0.85;
 /** Rate that one bucket can serve, in requests per second: some dozen instances can draw on it without conflicts. */
 const BUCKET_RATE_PER_SECOND = 80;
 /** Maximum number of buckets of one workspace. */
 const MAXIMUM_BUCKETS = 16;
-/** Number of store failures up to which one draw is retried. */
-const MAXIMUM_STORE_FAILURES = 2;
-
 const unlimitedAdmission: RateAdmission = { refund: () => undefined };
 
 /**
- * Admits requests within the rate and burst that a workspace has over all instances. The store
- * holds the token buckets of each workspace. Each instance draws credit from them ahead of demand,
- * which spares most requests a call to the store; unused credit is returned or lapses.
+ * Admits requests within the rate and burst that a workspace has over all instances, from the token
+ * buckets of the workspace.
  *
  * @example
  * const admission = await rates.admit(workspace, signal, startsProgram);
  */
 export class WorkspaceRates {
-  private readonly bucketStates = new Map<string, BucketState>();
   /** Covers all workspaces together, since an instance sees few programs of each. */
   private readonly programSizeEstimator = new ProgramSizeEstimator();
-  private storeClock: { readonly storeTime: number; readonly monotonicTime: number } | undefined;
 
-  public constructor(private readonly dependencies: WorkspaceRatesDependencies) {}
+  public constructor(
+    private readonly instance: InstanceId,
+    private readonly credits: CreditSource,
+  ) {}
 
   /**
    * Acquires credit for one request, or returns why there is none. While a workspace is over its
@@ -106,9 +46,9 @@
     }
     const buckets = this.findBuckets(workspace);
     this.programSizeEstimator.recordRequest();
-    if (isAnyOverRate(buckets) && (await startsProgram())) {
-      const startAdmission = await this.acquireCredit(
-        this.findProgramStartBucket(workspace),
+    if (this.isAnyOverRate(buckets) && (await startsProgram())) {
+      const startAdmission = await this.credits.acquire(
+        this.createProgramStartBucket(workspace),
         signal,
       );
       if (startAdmission.err) {
@@ -116,10 +56,10 @@
       }
     }
     const [primaryBucket, secondaryBucket] = buckets;
-    const admission = await this.acquireCredit(primaryBucket, signal);
+    const admission = await this.credits.acquire(primaryBucket, signal);
     const isRateLimited = admission.err && admission.val.kind === 'rate-limited';
     return isRateLimited && secondaryBucket !== undefined
-      ? await this.acquireCredit(secondaryBucket, signal)
+      ? await this.credits.acquire(secondaryBucket, signal)
       : admission;
   }
 
@@ -128,7 +68,7 @@
     return (
       workspace !== undefined &&
       workspace.ratePerSecond > 0 &&
-      isAnyOverRate(this.findBuckets(workspace))
+      this.isAnyOverRate(this.findBuckets(workspace))
     );
   }
 
@@ -136,24 +76,23 @@
    * Returns the buckets of a workspace that this instance draws on, the primary one first. A
    * workspace with a high rate has several, since one row takes only some hundred writes per second.
    */
-  private findBuckets(workspace: GatewayWorkspace): readonly [BucketState, BucketState?] {
+  private findBuckets(workspace: GatewayWorkspace): readonly [NamedRateLimit, NamedRateLimit?] {
     const { burst, name, ratePerSecond } = workspace;
     const bucketCount = Math.max(
       1,
       Math.min(MAXIMUM_BUCKETS, Math.round(ratePerSecond / BUCKET_RATE_PER_SECOND)),
     );
     if (bucketCount === 1) {
-      return [this.findOrAddBucketState(workspace)];
+      return [{ burst, name, ratePerSecond }];
     }
-    const primaryIndex = hash32(this.dependencies.instance) % bucketCount;
-    const findBucketState = (bucketIndex: number): BucketState =>
-      this.findOrAddBucketState({
-        burst: burst / bucketCount,
-        name: `${name}/${String(bucketCount)}.${String(bucketIndex)}`,
-        ratePerSecond: ratePerSecond / bucketCount,
-        slackShare: 1 / bucketCount,
-      });
-    return [findBucketState(primaryIndex), findBucketState((primaryIndex + 1) % bucketCount)];
+    const primaryIndex = hash32(this.instance) % bucketCount;
+    const createBucket = (bucketIndex: number): NamedRateLimit => ({
+      burst: burst / bucketCount,
+      name: `${name}/${String(bucketCount)}.${String(bucketIndex)}`,
+      ratePerSecond: ratePerSecond / bucketCount,
+      slackShare: 1 / bucketCount,
+    });
+    return [createBucket(primaryIndex), createBucket((primaryIndex + 1) % bucketCount)];
   }
 
   /** Records the first turn of a program at this instance. */
@@ -161,245 +100,21 @@
     this.programSizeEstimator.recordProgramStart();
   }
 
-  private async acquireCredit(
-    state: BucketState,
-    signal: AbortSignal,
-  ): Promise<Result<RateAdmission, ZincringError>> {
-    const { credit } = state;
-    credit.recordDemand();
-    if (credit.tryAcquire()) {
-      this.drawIfDue(state);
-      return Ok(createAdmission(credit));
-    }
-    if (credit.deniedUntil > this.dependencies.timers.now()) {
-      return Err(this.createRateLimitedError(credit));
-    }
-    const outcome = this.dependencies.table.isUnavailable
-      ? 'unknown'
-      : await this.waitForCredit(state, signal);
-    switch (outcome) {
-      case 'granted':
-        return Ok(createAdmission(credit));
-      case 'denied':
-        return Err(this.createRateLimitedError(credit));
-      case 'unknown':
-        return Err(
-          new ZincringError('store-unavailable', {
-            detail: 'the use of the workspace is not known',
-            retryAfterSeconds: this.dependencies.table.retryAfterSeconds,
-          }),
-        );
-    }
-  }
-
-  private findOrAddBucketState(limit: NamedRateLimit): BucketState {
-    const { name } = limit;
-    const existing = this.bucketStates.get(name);
-    if (existing !== undefined) {
-      existing.credit.limit = limit;
-      return existing;
-    }
-    const state: BucketState = {
-      address: { key: name, partition: `${RATE_TABLE}-${name}`, table: RATE_TABLE },
-      drawAheadAllowedAt: -Infinity,
-      credit: new WorkspaceCredit(this.dependencies.timers, limit),
-      isDrawing: false,
-      rowReadAt: -Infinity,
-      row: absentRow,
-    };
-    this.bucketStates.set(name, state);
-    return state;
-  }
-
-  private async waitForCredit(state: BucketState, signal: AbortSignal): Promise<CreditOutcome> {
-    const { credit } = state;
-    return await new Promise(resolve => {
-      const settle = (outcome: CreditOutcome): void => {
-        timeout.stop();
-        signal.removeEventListener('abort', stopOnTimeoutOrAbort);
-        resolve(outcome);
-      };
-      const removeWaiter = credit.addWaiter(settle);
-      const stopOnTimeoutOrAbort = (): void => {
-        removeWaiter();
-        settle(credit.isOverRate ? 'denied' : 'unknown');
-      };
-      const timeout = this.dependencies.timers.after(
-        CREDIT_TIMEOUT_MILLISECONDS,
-        stopOnTimeoutOrAbort,
-      );
-      signal.addEventListener('abort', stopOnTimeoutOrAbort, { once: true });
-      this.drawIfDue(state);
-    });
-  }
-
-  private drawIfDue(state: BucketState): void {
-    const { credit } = state;
-    const now = this.dependencies.timers.now();
-    const isDue = credit.waiting > 0 || (credit.needsCredit && state.drawAheadAllowedAt <= now);
-    if (isDue && credit.deniedUntil <= now) {
-      this.startDraw(state);
-    }
-  }
-
-  private startDraw(state: BucketState): void {
-    if (state.isDrawing) {
-      return;
-    }
-    state.isDrawing = true;
-    state.drawAheadAllowedAt = this.dependencies.timers.now() + DRAW_AHEAD_INTERVAL_MILLISECONDS;
-    void this.draw(state).finally(() => {
-      state.isDrawing = false;
-    });
-  }
-
-  private async draw(state: BucketState): Promise<void> {
-    const { credit } = state;
-    let sentAt = readClocks(this.dependencies.timers);
-    const { storeValidMilliseconds } = credit;
-    let unspentWhenSent = credit.unspent;
-    const edited = await editRow<CreditGrant>(
-      this.dependencies.table,
-      this.dependencies.timers,
-      state.address,
-      state.row,
-      (row, storeTime) => {
-        this.recordStoreTime(storeTime);
-        // If the edit is retried, the write that takes effect is the last one sent.
-        sentAt = readClocks(this.dependencies.timers);
-        unspentWhenSent = credit.unspent;
-        const grant = this.computeGrant(parseBucket(row.value), credit, storeValidMilliseconds);
-        if (!grant.isChanged) {
-          return { result: grant, kind: 'leave' };
-        }
-        const value = Buffer.from(JSON.stringify(grant.bucket));
-        return { result: grant, kind: 'write', value };
-      },
-      {
-        maximumFailures: MAXIMUM_STORE_FAILURES,
-        readsFirst: this.dependencies.timers.now() - state.rowReadAt > ROW_FRESHNESS_MILLISECONDS,
-        random: this.dependencies.random,
-        signal: new AbortController().signal,
-      },
-    );
-    if (edited.err) {
-      state.row = absentRow;
-      this.dependencies.logger.warn(
-        { event: 'credit-unknown', failure: edited.val.message, workspace: state.address.key },
-        'could not draw rate credit from the store',
-      );
-      credit.settleWaiters('unknown');
-      return;
-    }
-    state.row = edited.val.row;
-    state.rowReadAt = this.dependencies.timers.now();
-    this.recordStoreTime(edited.val.storeTime);
-    const spentSinceRequest = Math.max(0, unspentWhenSent - credit.unspent);
-    credit.recordRateUse(edited.val.result.isOverRate);
-    const { held, immediate, isChanged } = edited.val.result;
-    if (isChanged) {
-      credit.applyGrant(held, spentSinceRequest, { sentAt, storeValidMilliseconds });
-    }
-    const isInTime =
-      elapsedSince(this.dependencies.timers, sentAt) < IMMEDIATE_GRANT_MILLISECONDS / 2;
-    credit.serveWaiters(isInTime ? immediate : 0);
-    this.retryOrDenyWaiters(state);
-  }
-
-  private computeGrant(
-    bucket: WorkspaceBucket | undefined,
-    credit: WorkspaceCredit,
-    validMilliseconds: number,
-  ): CreditGrant {
-    return grantCredit(bucket, credit.limit, {
-      holder: this.dependencies.holder,
-      confirmedCredit: credit.confirmedCredit,
-      storeTime: this.estimateStoreTime(bucket?.updatedAt ?? 0),
-      unspent: credit.unspent,
-      validMilliseconds,
-      waiting: credit.waiting,
-      requestedAhead: credit.requestedAhead,
-    });
-  }
-
-  /** Schedules another draw for the waiters if the bucket refills in time, and denies them otherwise. */
-  private retryOrDenyWaiters(state: BucketState): void {
-    const { credit } = state;
-    if (credit.waiting === 0) {
-      return;
-    }
-    const { ratePerSecond } = credit.limit;
-    const refillMilliseconds = (1_000 * credit.waiting) / ratePerSecond;
-    const retryDelayMilliseconds = Math.max(MINIMUM_RETRY_DELAY_MILLISECONDS, refillMilliseconds);
-    if (
-      credit.longestWaitMilliseconds + retryDelayMilliseconds <=
-      MAXIMUM_REFILL_WAIT_MILLISECONDS
-    ) {
-      this.dependencies.timers.after(retryDelayMilliseconds, () => {
-        this.drawIfDue(state);
-      });
-      return;
-    }
-    const { maximum, minimum } = DENIAL_BOUNDS_MILLISECONDS;
-    const denialMilliseconds = Math.min(maximum, Math.max(minimum, refillMilliseconds));
-    credit.deniedUntil = this.dependencies.timers.now() + denialMilliseconds;
-    this.dependencies.logger.info(
-      {
-        denied: denialMilliseconds,
-        event: 'rate-exhausted',
-        unserved: credit.waiting,
-        workspace: state.address.key,
-      },
-      'workspace is over its rate; denying requests',
-    );
-    credit.settleWaiters('denied');
-  }
-
   /** Returns the bucket that limits program starts to as many programs as the rate can complete. */
-  private findProgramStartBucket({ burst, name, ratePerSecond }: GatewayWorkspace): BucketState {
+  private createProgramStartBucket({
+    burst,
+    name,
+    ratePerSecond,
+  }: GatewayWorkspace): NamedRateLimit {
     const { requestsPerProgram } = this.programSizeEstimator;
-    return this.findOrAddBucketState({
+    return {
       burst: Math.max(1, (burst * PROGRAM_START_SHARE) / requestsPerProgram),
       name: `${name}/programs`,
       ratePerSecond: (ratePerSecond * PROGRAM_START_SHARE) / requestsPerProgram,
-    });
-  }
-
-  private createRateLimitedError(credit: WorkspaceCredit): ZincringError {
-    const waitMilliseconds = Math.max(credit.deniedUntil - this.dependencies.timers.now(), 0);
-    const retryAfterSeconds =
-      Math.ceil(waitMilliseconds + 1_000 / credit.limit.ratePerSecond) / 1_000;
-    return new ZincringError('rate-limited', { retryAfterSeconds });
+    };
   }
 
-  /** Lower bound of the current time on the store's clock, in milliseconds. */
-  private estimateStoreTime(minimumStoreTime: number): number {
-    if (this.storeClock === undefined) {
-      return minimumStoreTime;
-    }
-    const elapsedMilliseconds = this.dependencies.timers.now() - this.storeClock.monotonicTime;
-    return Math.max(minimumStoreTime, this.storeClock.storeTime + elapsedMilliseconds);
+  private isAnyOverRate(buckets: readonly (NamedRateLimit | undefined)[]): boolean {
+    return buckets.some(bucket => bucket !== undefined && this.credits.isOverRate(bucket));
   }
-
-  private recordStoreTime(storeTime: number | undefined): void {
-    if (storeTime !== undefined) {
-      this.storeClock = { monotonicTime: this.dependencies.timers.now(), storeTime };
-    }
-  }
-}
-
-function isAnyOverRate(buckets: readonly (BucketState | undefined)[]): boolean {
-  return buckets.some(state => state?.credit.isOverRate === true);
-}
-
-function createAdmission(credit: WorkspaceCredit): RateAdmission {
-  return {
-    refund: () => {
-      credit.refund();
-    },
-  };
-}
-
-function parseBucket(value: Buffer | undefined): WorkspaceBucket | undefined {
-  return value === undefined ? undefined : (JSON.parse(value.toString()) as WorkspaceBucket);
 }
--- /dev/null
+++ b/packages/gateway/src/peers/ownerSelector.ts
@@ -0,0 +1,128 @@
+import type { InstanceId, Logger, TimerService } from '@zincring/core';
+
+import { hash32 } from '@zincring/core';
+import { LRUCache } from 'lru-cache';
+
+import type { OwnerFailure } from '../limits/ownedCredit.js';
+import type { GatewayPeer } from './gatewayPeer.js';
+
+/** Another instance that may own buckets. */
+export interface Owner {
+  readonly instance: InstanceId;
+  readonly peer: GatewayPeer;
+}
+
+/** The other instances that may own buckets. */
+export interface OwnerDirectory {
+  /** All other registered instances; a new array whenever they change. */
+  readonly owners: readonly Owner[];
+}
+
+/** Time for which an instance that failed is not chosen, in milliseconds; it doubles while it does not respond. */
+const INITIAL_AVOID_MILLISECONDS = 1_000;
+/** Maximum of this time, in milliseconds: instances that are gone for good leave the directory by themselves. */
+const MAXIMUM_AVOID_MILLISECONDS = 16_000;
+
+/** Maximum number of keys whose owner is remembered. */
+const MAXIMUM_REMEMBERED_KEYS = 5_000;
+
+interface Choice {
+  /** `undefined` if this instance owns the key. */
+  readonly owner: Owner | undefined;
+}
+
+interface AvoidedOwner {
+  readonly failures: number;
+  readonly until: number;
+}
+
+/**
+ * Chooses the instance that owns a key by rendezvous hashing: all instances choose the same one
+ * without a message, and when an instance leaves, only its keys move. Instances that do not respond
+ * are left out for a time; instances that disagree about this only cost calls to the store.
+ *
+ * @example
+ * const owner = selector.choose('clerks'); // undefined: this instance
+ */
+export class OwnerSelector {
+  private readonly avoided = new Map<InstanceId, AvoidedOwner>();
+  private readonly choices = new LRUCache<string, Choice>({ max: MAXIMUM_REMEMBERED_KEYS });
+  private chosenFrom: readonly Owner[] = [];
+  /** Time at which an avoided instance may be chosen again, on the monotonic clock, in milliseconds. */
+  private choicesExpireAt = Infinity;
+
+  public constructor(
+    private readonly self: InstanceId,
+    private readonly directory: OwnerDirectory,
+    private readonly timers: TimerService,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Returns the owner of a key; `undefined` if it is this instance. */
+  public choose(key: string): Owner | undefined {
+    const { owners } = this.directory;
+    if (this.chosenFrom !== owners || this.timers.now() >= this.choicesExpireAt) {
+      this.chosenFrom = owners;
+      this.clearChoices();
+    }
+    const known = this.choices.get(key);
+    if (known !== undefined) {
+      return known.owner;
+    }
+    const owner = this.computeOwner(key);
+    this.choices.set(key, { owner });
+    return owner;
+  }
+
+  /** Records that an instance could not be used, so that others own its keys for a time. */
+  public recordFailure({ instance }: Owner, reason: OwnerFailure): void {
+    const now = this.timers.now();
+    const previous = this.avoided.get(instance);
+    if (previous !== undefined && previous.until > now) {
+      return;
+    }
+    // An owner without the store is alive, and all owners are needed as soon as the store is back.
+    const failures = reason === 'unreachable' ? (previous?.failures ?? 0) + 1 : 1;
+    const avoidMilliseconds = Math.min(
+      MAXIMUM_AVOID_MILLISECONDS,
+      INITIAL_AVOID_MILLISECONDS * 2 ** (failures - 1),
+    );
+    this.avoided.set(instance, { failures, until: now + avoidMilliseconds });
+    this.clearChoices();
+    this.logger.info(
+      { avoidMilliseconds, event: 'owner-avoided', failures, owner: instance, reason },
+      'an instance that owns keys cannot be used; others own them for a time',
+    );
+  }
+
+  /** Records that an instance responded. */
+  public recordSuccess({ instance }: Owner): void {
+    this.avoided.delete(instance);
+  }
+
+  private clearChoices(): void {
+    const now = this.timers.now();
+    const ends = [...this.avoided.values()].map(({ until }) => until).filter(end => end > now);
+    this.choices.clear();
+    this.choicesExpireAt = Math.min(Infinity, ...ends);
+  }
+
+  private computeOwner(key: string): Owner | undefined {
+    const now = this.timers.now();
+    let best: Owner | undefined;
+    let bestWeight = computeWeight(key, this.self);
+    for (const owner of this.chosenFrom) {
+      const weight = computeWeight(key, owner.instance);
+      const isAvoided = (this.avoided.get(owner.instance)?.until ?? -Infinity) > now;
+      if (weight > bestWeight && !isAvoided) {
+        best = owner;
+        bestWeight = weight;
+      }
+    }
+    return best;
+  }
+}
+
+function computeWeight(key: string, instance: InstanceId): number {
+  return hash32(`${key}/${instance}`);
+}
--- a/packages/gateway/src/programs/budgetRow.ts
+++ b/packages/gateway/src/programs/budgetRow.ts
@@ -23,6 +23,13 @@
   readonly budget: number;
 }
 
+/**
+ * When a holder reserves tokens in advance: only while the budget is ample, since other holders
+ * reserve as well; always for the next turn, since it alone serves the program; or never, since it
+ * is about to stop.
+ */
+export type AdvancePolicy = 'if-ample' | 'never' | 'next-turn';
+
 /** Request of a holder for tokens, with what it knows that the account does not contain yet. */
 export interface BudgetRequest {
   readonly holder: string;
@@ -34,6 +41,7 @@
   readonly waitingDemands: readonly BudgetDemand[];
   /** Expected demand of further turns. */
   readonly expectedDemand: BudgetDemand;
+  readonly advancePolicy: AdvancePolicy;
   readonly expiresAt: number;
 }
 
@@ -81,10 +89,11 @@
     return true;
   });
   const remainingTokens = expectedDemand.budget - committed;
-  const allowsAdvance = remainingTokens >= MINIMUM_TURNS_FOR_ADVANCE * expectedDemand.maximumTokens;
-  const advanceTokens = allowsAdvance
-    ? Math.max(expectedDemand.maximumTokens, Math.floor(remainingTokens * ADVANCE_SHARE))
-    : 0;
+  const advanceTokens = computeAdvanceTokens(
+    remainingTokens,
+    expectedDemand.maximumTokens,
+    request.advancePolicy,
+  );
   const reservation = { tokens: tokens + advanceTokens, write };
   return {
     account: {
@@ -101,6 +110,20 @@
   };
 }
 
+function computeAdvanceTokens(
+  remainingTokens: number,
+  maximumTokens: number,
+  policy: AdvancePolicy,
+): number {
+  if (policy === 'never') {
+    return 0;
+  }
+  if (remainingTokens >= MINIMUM_TURNS_FOR_ADVANCE * maximumTokens) {
+    return Math.max(maximumTokens, Math.floor(remainingTokens * ADVANCE_SHARE));
+  }
+  return policy === 'next-turn' && remainingTokens >= maximumTokens ? maximumTokens : 0;
+}
+
 /**
  * Removes the reservation of a holder and adds the tokens of its ended turns to the account.
  *
--- a/packages/gateway/src/programs/programBudget.ts
+++ b/packages/gateway/src/programs/programBudget.ts
@@ -1,9 +1,11 @@
 import type { Logger, TimerService } from '@zincring/core';
 import type { RowAddress } from '@zincring/platform';
 
+import { sleep } from '@zincring/core';
+
 import type { EditedRow, KnownRow, RowEdit } from '../store/editRow.js';
 import type { MonitoredTable } from '../store/monitoredTable.js';
-import type { BudgetAccount, BudgetDemand, BudgetGrant } from './budgetRow.js';
+import type { AdvancePolicy, BudgetAccount, BudgetDemand, BudgetGrant } from './budgetRow.js';
 
 import { absentRow, editRow, readRow } from '../store/editRow.js';
 import { emptyAccount, grantTokens, releaseTokens } from './budgetRow.js';
@@ -30,6 +32,8 @@
 
 /** Further facts about a turn that requests tokens. */
 export interface TurnFacts {
+  /** When tokens are reserved in advance. */
+  readonly advancePolicy: AdvancePolicy;
   /** Earliest time at which the account may be removed, on the wall clock, in milliseconds. */
   readonly expiresAt: number;
   /** Whether the program has had earlier turns, as far as the prompt shows. */
@@ -52,6 +56,8 @@
 const RELEASE_AFTER_IDLE_MILLISECONDS = 2_000;
 /** Time without a turn after which the object of a program may be discarded, in milliseconds. */
 const DISCARD_AFTER_IDLE_MILLISECONDS = 20_000;
+/** Interval at which a release checks whether the write in progress has ended, in milliseconds. */
+const WRITE_CHECK_MILLISECONDS = 10;
 /** Pause before a failed write is retried, in milliseconds; no turn waits for the retry. */
 const RETRY_MILLISECONDS = 300;
 
@@ -86,6 +92,8 @@
   private isBudgetLow = false;
   private lastDemand: BudgetDemand = { budget: 0, maximumTokens: 0 };
   private lastExpiresAt = 0;
+  private advancePolicy: AdvancePolicy = 'if-ample';
+  private isStopping = false;
   private lastUsedAt: number;
 
   public constructor(
@@ -113,10 +121,11 @@
   /** Reserves the maximum number of tokens that a turn may generate. */
   public async reserve(
     demand: BudgetDemand,
-    { expiresAt, hasEarlierTurns }: TurnFacts,
+    { advancePolicy, expiresAt, hasEarlierTurns }: TurnFacts,
     signal: AbortSignal,
   ): Promise<BudgetDecision> {
     this.lastDemand = demand;
+    this.advancePolicy = advancePolicy;
     this.lastExpiresAt = expiresAt;
     this.lastUsedAt = this.dependencies.timers.now();
     if (this.advanceTokens >= demand.maximumTokens) {
@@ -150,17 +159,32 @@
     this.advanceTokens += maximumTokens - deliveredTokens;
     this.usedAdvanceTokens -= maximumTokens - deliveredTokens;
     this.lastUsedAt = this.dependencies.timers.now();
-    if (this.isBudgetLow || this.advanceTokens < maximumTokens) {
+    const mustRefill = this.advancePolicy === 'if-ample' && this.advanceTokens < maximumTokens;
+    if (this.isBudgetLow || mustRefill) {
+      this.startWriting();
+    }
+  }
+
+  /** Reserves no more tokens in advance and releases those that no turn uses. */
+  public stopReservingAhead(): void {
+    this.isStopping = true;
+    if (this.advanceTokens > 0) {
       this.startWriting();
     }
   }
 
-  /** Releases the reservation immediately, even if the program has turns in flight. */
+  /** Releases what no turn in flight uses; such turns run at other instances and may still deliver tokens. */
   public async releaseNow(): Promise<void> {
-    if (!this.isReleased && !this.mayKeepUnused && !this.isWriting) {
-      this.isWriting = true;
-      await this.release();
+    while (this.isWriting) {
+      await sleep(this.dependencies.timers, WRITE_CHECK_MILLISECONDS);
+    }
+    if (this.isReleased) {
+      return;
     }
+    this.isWriting = true;
+    this.isStopping = true;
+    await (this.turnsInFlight > 0 ? this.requestTokens([], this.row, false) : this.release());
+    this.isWriting = false;
   }
 
   /** Releases the reservation if the program has had no turn here for {@link RELEASE_AFTER_IDLE_MILLISECONDS}. */
@@ -272,6 +296,7 @@
       expiresAt: this.lastExpiresAt,
       holder: this.dependencies.holder,
       inFlightTokens: this.inFlightTokens,
+      advancePolicy: this.isStopping ? 'never' : this.advancePolicy,
       expectedDemand: this.lastDemand,
       waitingDemands: requestingTurns,
       write: writeNumber,
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -1,16 +1,13 @@
-import type { Result } from '@zincring/core';
-import type { RowAddress } from '@zincring/platform';
+import type { Logger, Result, TimerService } from '@zincring/core';
 
 import { Err, Ok, ZincringError } from '@zincring/core';
 
 import type { RunnableRequest } from '../upstreams/attemptLoop.js';
-import type { SweptTable } from '../store/rowSweeper.js';
-import type { BudgetAccount, BudgetDemand } from './budgetRow.js';
-import type { BudgetDecision, ProgramBudgetDependencies } from './programBudget.js';
+import type { MonitoredTable } from '../store/monitoredTable.js';
+import type { TokenAccounts, TokenDecision, TurnDemand } from './tokenAccounts.js';
 
 import { readRow } from '../store/editRow.js';
-import { PartitionSet } from '../store/partitionSet.js';
-import { ProgramBudget } from './programBudget.js';
+import { makeBudgetAddress } from './storeTokenAccounts.js';
 
 /** Tokens reserved for one turn. */
 export interface BudgetReservation {
@@ -22,23 +19,20 @@
   readonly startsProgram: boolean;
 }
 
-/** Table of the token accounts. */
-export const BUDGET_TABLE = 'budgets';
-/** Partitions of the table: many, so that a program with many concurrent writes delays few other programs. */
-export const budgetPartitions = new PartitionSet(BUDGET_TABLE, 256);
-/** Description of the accounts for the removal of expired rows. */
-export const sweptBudgets: SweptTable = {
-  expiresAt: row => (JSON.parse(row.value.toString()) as BudgetAccount).expiresAt,
-  keysOf: row => [row.key],
-  partitions: budgetPartitions.names,
-  table: BUDGET_TABLE,
-};
+/** Dependencies of a {@link TurnBudgets}. */
+export interface TurnBudgetsDependencies {
+  readonly accounts: TokenAccounts;
+  readonly table: MonitoredTable;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  /** Identifies this run of the instance. */
+  readonly holder: string;
+}
+
 /** Minimum retention of an account after its last turn, in milliseconds: a stopped program may continue. */
 const MINIMUM_RETENTION_MILLISECONDS = 60_000;
 /** Parts in the prompt of a program's first turn: a prefix shared by many programs, and the program's own input. */
 const PROMPT_PARTS_OF_FIRST_TURN = 2;
-/** Interval at which reservations of idle programs are released, in milliseconds. */
-const SWEEP_INTERVAL_MILLISECONDS = 1_000;
 
 /**
  * Enforces the token budgets of programs across all instances. Before a turn is sent, the maximum
@@ -50,105 +44,82 @@
  * reservation.val?.settle(253);
  */
 export class TurnBudgets {
-  private readonly programs = new Map<string, ProgramBudget>();
-  private createdBudgets = 0;
+  private createdReservations = 0;
 
-  public constructor(private readonly dependencies: ProgramBudgetDependencies) {
-    dependencies.timers.every(SWEEP_INTERVAL_MILLISECONDS, () => {
-      this.sweep();
-    });
-  }
+  public constructor(private readonly dependencies: TurnBudgetsDependencies) {}
 
   /** Reserves the maximum number of tokens of a turn; nothing is reserved for requests without a budget. */
   public async reserve(
     request: RunnableRequest,
     signal: AbortSignal,
   ): Promise<Result<BudgetReservation | undefined, ZincringError>> {
-    const { facts, route, service } = request;
-    const budget = facts.tokenBudget;
-    if (route.kind !== 'streaming' || budget === undefined || facts.programId === undefined) {
+    const demand = this.toDemand(request);
+    if (demand === undefined) {
       return Ok(undefined);
     }
-    const program = this.findOrAddProgram(makeProgramKey(request));
-    const demand: BudgetDemand = { budget, maximumTokens: facts.maximumOutputTokens ?? budget };
-    const retentionMilliseconds = Math.max(
-      MINIMUM_RETENTION_MILLISECONDS,
-      2 * route.retentionMilliseconds,
-    );
-    const decision = await program.reserve(
-      demand,
-      {
-        expiresAt: this.dependencies.timers.wallClock() + retentionMilliseconds,
-        hasEarlierTurns: facts.promptParts.length > PROMPT_PARTS_OF_FIRST_TURN,
-      },
-      signal,
-    );
+    const decision = await this.dependencies.accounts.reserve(demand, signal);
     this.logDecision(request, demand, decision);
-    const refusal = createRefusal(decision, this.dependencies.table.retryAfterSeconds);
-    if (refusal !== undefined) {
-      return Err(refusal);
+    switch (decision.kind) {
+      case 'held':
+        return Ok({
+          settle: decision.settle,
+          startsProgram: decision.startsProgram,
+          tokensPerEvent: request.service.engine?.tokensPerEvent ?? 1,
+        });
+      case 'spent':
+        return Err(new ZincringError('budget-exhausted'));
+      case 'unknown':
+        return Err(
+          new ZincringError('store-unavailable', {
+            detail: 'the budget of the program is not known',
+            retryAfterSeconds: this.dependencies.table.retryAfterSeconds,
+          }),
+        );
     }
-    return Ok({
-      startsProgram: program.hasOnlyFirstTurn,
-      settle: deliveredTokens => {
-        program.settle(demand.maximumTokens, deliveredTokens);
-      },
-      tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
-    });
   }
 
   /** Whether a request is the first turn of its program at any instance. */
   public async startsProgram(request: RunnableRequest): Promise<boolean> {
     const { facts, route } = request;
-    if (route.kind !== 'streaming' || facts.programId === undefined) {
-      return false;
-    }
-    const programKey = makeProgramKey(request);
-    if (this.programs.has(programKey)) {
+    if (route.kind !== 'streaming' || facts.programId === undefined || hasEarlierTurns(request)) {
       return false;
     }
-    const read = await readRow(this.dependencies.table, makeAddress(programKey));
+    const read = await readRow(this.dependencies.table, makeBudgetAddress(makeProgramKey(request)));
     return read.ok && read.val.row.version === 0;
   }
 
-  /** Releases all reservations before a planned shutdown. */
-  public async releaseAll(): Promise<void> {
-    await Promise.all([...this.programs.values()].map(program => program.releaseNow()));
-  }
-
-  private findOrAddProgram(programKey: string): ProgramBudget {
-    const known = this.programs.get(programKey);
-    if (known !== undefined) {
-      return known;
-    }
-    const holder = `${this.dependencies.holder}.${String(this.createdBudgets++)}`;
-    const program = new ProgramBudget(makeAddress(programKey), { ...this.dependencies, holder });
-    this.programs.set(programKey, program);
-    return program;
-  }
-
-  private sweep(): void {
-    for (const [programKey, program] of this.programs) {
-      if (program.isDiscardable) {
-        this.programs.delete(programKey);
-      } else {
-        program.releaseIfIdle();
-      }
+  private toDemand(request: RunnableRequest): TurnDemand | undefined {
+    const { facts, route } = request;
+    const budget = facts.tokenBudget;
+    if (route.kind !== 'streaming' || budget === undefined || facts.programId === undefined) {
+      return undefined;
     }
+    const retentionMilliseconds = Math.max(
+      MINIMUM_RETENTION_MILLISECONDS,
+      2 * route.retentionMilliseconds,
+    );
+    return {
+      budget,
+      expiresAt: this.dependencies.timers.wallClock() + retentionMilliseconds,
+      hasEarlierTurns: hasEarlierTurns(request),
+      maximumTokens: facts.maximumOutputTokens ?? budget,
+      program: makeProgramKey(request),
+      reservation: `${this.dependencies.holder}.${String(this.createdReservations++)}`,
+    };
   }
 
   private logDecision(
-    request: RunnableRequest,
-    { budget, maximumTokens }: BudgetDemand,
-    decision: BudgetDecision,
+    { facts }: RunnableRequest,
+    { budget, maximumTokens }: TurnDemand,
+    { kind }: TokenDecision,
   ): void {
     const fields = {
       budget,
-      event: `budget-${decision}`,
+      event: `budget-${kind}`,
       most: maximumTokens,
-      request: request.facts.requestId,
+      request: facts.requestId,
     };
-    if (decision === 'held' || decision === 'held-ahead') {
+    if (kind === 'held') {
       this.dependencies.logger.debug(fields, 'reserved the tokens of a turn');
       return;
     }
@@ -156,28 +127,10 @@
   }
 }
 
-function createRefusal(
-  decision: BudgetDecision,
-  retryAfterSeconds: number,
-): ZincringError | undefined {
-  switch (decision) {
-    case 'held':
-    case 'held-ahead':
-      return undefined;
-    case 'spent':
-      return new ZincringError('budget-exhausted');
-    case 'unknown':
-      return new ZincringError('store-unavailable', {
-        detail: 'the budget of the program is not known',
-        retryAfterSeconds,
-      });
-  }
+function hasEarlierTurns({ facts }: RunnableRequest): boolean {
+  return facts.promptParts.length > PROMPT_PARTS_OF_FIRST_TURN;
 }
 
 function makeProgramKey({ facts, workspace }: RunnableRequest): string {
   return `${workspace ?? ''}/${facts.programId ?? ''}`;
 }
-
-function makeAddress(programKey: string): RowAddress {
-  return { key: programKey, partition: budgetPartitions.of(programKey), table: BUDGET_TABLE };
-}
--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -23,6 +23,8 @@
 /** Options of a {@link TableFollower}. */
 export interface TableFollowerOptions {
   readonly table: string;
+  /** Partition that holds the rows; that of the platform's own rows by default. */
+  readonly partition?: string;
   /** Maximum time for which the store holds a request for changes open, in milliseconds. */
   readonly waitMilliseconds: number;
   /** Pause after a successful request, in milliseconds: limits the requests that a busy table causes. */
@@ -159,7 +161,7 @@
     return await this.table.read({
       from,
       limit: ROWS_PER_PAGE,
-      partition: '',
+      partition: this.options.partition ?? '',
       table: this.options.table,
     });
   }
--- a/packages/gateway/tests/limits/workspaceRates.test.ts
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -5,6 +5,7 @@
 
 import type { GatewayWorkspace } from '../../src/configuration/gatewayConfiguration.js';
 
+import { StoreCreditSource } from '../../src/limits/storeCreditSource.js';
 import { WorkspaceRates } from '../../src/limits/workspaceRates.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { makeRandom } from '../support/makeRandom.js';
@@ -59,14 +60,14 @@
   let createdInstances = 0;
 
   function makeInstance(number: number, seed = 0): WorkspaceRates {
-    return new WorkspaceRates({
+    const credits = new StoreCreditSource({
       holder: `run-${String(createdInstances++)}`,
-      instance: `entry-${String(number)}` as InstanceId,
       logger: silentLogger,
       random: makeRandom(number + seed),
       table: new MonitoredTable(store.client(), timers),
       timers,
     });
+    return new WorkspaceRates(`entry-${String(number)}` as InstanceId, credits);
   }
 
   /** Sends requests to random instances; returns the admission times and the number of refused requests. */
--- /dev/null
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -0,0 +1,142 @@
+import type { AddressInfo, Server, Socket } from 'node:net';
+
+import { silentLogger, SystemTimerService } from '@zincring/core';
+import { createServer } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import type { GatewayPeer } from '../../src/peers/gatewayPeer.js';
+
+import { PeerClients } from '../../src/peers/peerClients.js';
+import { PeerServer } from '../../src/peers/peerServer.js';
+import { makeOwner } from '../support/fakePeer.js';
+
+const bucket = { burst: 20, name: 'clerks', ratePerSecond: 10, slackShare: 0.5 };
+const demand = {
+  budget: 1_725,
+  expiresAt: 1_796_356_821_000,
+  hasEarlierTurns: true,
+  maximumTokens: 575,
+  program: 'clerks/program-1',
+  reservation: 'run-1.7',
+};
+
+describe('calls between instances', () => {
+  const cleanups: (() => void)[] = [];
+
+  afterEach(() => {
+    cleanups.splice(0).forEach(cleanup => {
+      cleanup();
+    });
+  });
+
+  async function startServer(overrides: Partial<GatewayPeer>): Promise<PeerServer> {
+    const server = new PeerServer(makeOwner('self', overrides).peer, silentLogger);
+    await server.listen({ host: '127.0.0.1', port: 0 });
+    cleanups.push(() => {
+      server.close();
+    });
+    return server;
+  }
+
+  function connect(port: number): GatewayPeer {
+    const clients = new PeerClients(new SystemTimerService(), silentLogger);
+    cleanups.push(() => {
+      clients.close();
+    });
+    return clients.at(`127.0.0.1:${String(port)}`);
+  }
+
+  /** Starts a server that is no instance; returns its port. */
+  async function startStranger(handle: (socket: Socket) => void): Promise<number> {
+    const sockets: Socket[] = [];
+    const server: Server = createServer(socket => {
+      sockets.push(socket);
+      socket.on('error', () => undefined);
+      handle(socket);
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    cleanups.push(() => {
+      server.close();
+      sockets.forEach(socket => socket.destroy());
+    });
+    return (server.address() as AddressInfo).port;
+  }
+
+  it.each([
+    { isOverRate: false, kind: 'granted' },
+    { isOverRate: true, kind: 'pending' },
+    { isOverRate: true, kind: 'denied', retryAfterMilliseconds: 250 },
+    { kind: 'without-store' },
+  ] as const)('carries a request for credit and the reply $kind', async reply => {
+    const received: unknown[] = [];
+    const server = await startServer({
+      acquireOwned: async request => {
+        received.push(request);
+        return await Promise.resolve(reply);
+      },
+    });
+    expect(await connect(server.port).acquireOwned(bucket)).toEqual(reply);
+    expect(received).toEqual([bucket]);
+  });
+
+  it.each([
+    { kind: 'held', startsProgram: true },
+    { kind: 'pending' },
+    { kind: 'spent' },
+    { kind: 'without-store' },
+  ] as const)('carries a reservation and the reply $kind', async reply => {
+    const received: unknown[] = [];
+    const server = await startServer({
+      reserveOwned: async request => {
+        received.push(request);
+        return await Promise.resolve(reply);
+      },
+    });
+    expect(await connect(server.port).reserveOwned(demand)).toEqual(reply);
+    expect(received).toEqual([demand]);
+  });
+
+  it('carries a settlement', async () => {
+    const received: unknown[] = [];
+    const server = await startServer({
+      settleOwned: async (...settlement) => {
+        received.push(settlement);
+        return await Promise.resolve(true);
+      },
+    });
+    expect(await connect(server.port).settleOwned('run-1.7', 253)).toBe(true);
+    expect(received).toEqual([['run-1.7', 253]]);
+  });
+
+  it.each<[string, (socket: Socket) => void]>([
+    ['stays silent', () => undefined],
+    ['closes', socket => socket.end()],
+    ['resets', socket => socket.resetAndDestroy()],
+    ['speaks something else', socket => socket.write('HTTP/1.1 400 Bad Request\r\n\r\n')],
+  ])('reports a peer that %s as unreachable', async (_name, handle) => {
+    const peer = connect(await startStranger(handle));
+    expect(await peer.acquireOwned(bucket)).toEqual({ kind: 'unreachable' });
+    expect(await peer.reserveOwned(demand)).toEqual({ kind: 'unreachable' });
+    expect(await peer.settleOwned('run-1.7', 1)).toBe(false);
+  });
+
+  it('reaches an instance again that was started anew at its address', async () => {
+    const granted: Partial<GatewayPeer> = {
+      acquireOwned: async () => await Promise.resolve({ isOverRate: false, kind: 'granted' }),
+    };
+    const first = await startServer(granted);
+    const { port } = first;
+    const peer = connect(port);
+    expect(await peer.acquireOwned(bucket)).toMatchObject({ kind: 'granted' });
+    first.close();
+    expect(await peer.acquireOwned(bucket)).toEqual({ kind: 'unreachable' });
+    const second = new PeerServer(makeOwner('self', granted).peer, silentLogger);
+    await second.listen({ host: '127.0.0.1', port });
+    cleanups.push(() => {
+      second.close();
+    });
+    expect(await peer.acquireOwned(bucket)).toMatchObject({ kind: 'granted' });
+  });
+});
--- a/packages/gateway/tests/programs/turnBudgets.test.ts
+++ b/packages/gateway/tests/programs/turnBudgets.test.ts
@@ -3,8 +3,10 @@
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
+import type { TokenAccounts } from '../../src/programs/tokenAccounts.js';
 import type { BudgetReservation } from '../../src/programs/turnBudgets.js';
 
+import { StoreTokenAccounts } from '../../src/programs/storeTokenAccounts.js';
 import { TurnBudgets } from '../../src/programs/turnBudgets.js';
 import { makeRandom } from '../support/makeRandom.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
@@ -28,13 +30,18 @@
   });
 
   function makeInstance(seed = 1): TurnBudgets {
-    return new TurnBudgets({
+    const dependencies = {
       holder: `entry-${String(seed)}`,
       logger: silentLogger,
       random: makeRandom(seed),
       table: new MonitoredTable(store.client(), timers),
       timers,
-    });
+    };
+    const kept = new StoreTokenAccounts(dependencies);
+    const accounts: TokenAccounts = {
+      reserve: async (demand, abort) => await kept.reserve(demand, 'if-ample', abort),
+    };
+    return new TurnBudgets({ ...dependencies, accounts });
   }
 
   async function finish<Value>(work: Promise<Value>, limitMilliseconds = 5_000): Promise<Value> {
--- a/packages/gateway/tests/store/partitionSet.test.ts
+++ b/packages/gateway/tests/store/partitionSet.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { turnPartitions } from '../../src/programs/storedTurnRows.js';
-import { budgetPartitions } from '../../src/programs/turnBudgets.js';
+import { budgetPartitions } from '../../src/programs/storeTokenAccounts.js';
 import { PartitionSet } from '../../src/store/partitionSet.js';
 
 describe(PartitionSet, () => {
--- a/packages/gateway/tests/store/rowSweeper.test.ts
+++ b/packages/gateway/tests/store/rowSweeper.test.ts
@@ -4,7 +4,7 @@
 import type { TurnId } from '../../src/callers/requestFacts.js';
 
 import { encodeTurn, sweptTurns, TURN_TABLE } from '../../src/programs/storedTurnRows.js';
-import { sweptBudgets } from '../../src/programs/turnBudgets.js';
+import { sweptBudgets } from '../../src/programs/storeTokenAccounts.js';
 import { RowSweeper } from '../../src/store/rowSweeper.js';
 import { finishWithin } from '../support/finishWithin.js';
 import { MemoryTable } from '../support/memoryTable.js';
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -124,6 +124,7 @@
       graceMilliseconds: 1_000,
       instance: 'entry-1' as InstanceId,
       metrics: { host: '127.0.0.1', port: 0 },
+      peers: { host: '127.0.0.1', port: 0 },
       readiness: { host: '127.0.0.1', port: 0 },
       revocationMilliseconds: 5_000,
       rowBytes: 65_536,
--- a/packages/gateway/tests/support/programLoad.ts
+++ b/packages/gateway/tests/support/programLoad.ts
@@ -4,9 +4,16 @@
 
 import type { GatewayWorkspace } from '../../src/configuration/gatewayConfiguration.js';
 import type { PromptPart, PromptPartId } from '../../src/callers/requestFacts.js';
+import type { GatewayPeer } from '../../src/peers/gatewayPeer.js';
 import type { MemoryTable } from './memoryTable.js';
 
+import { DelegatedCreditSource } from '../../src/limits/delegatedCreditSource.js';
+import { StoreCreditSource } from '../../src/limits/storeCreditSource.js';
 import { WorkspaceRates } from '../../src/limits/workspaceRates.js';
+import { OwnerSelector } from '../../src/peers/ownerSelector.js';
+import { DelegatedTokenAccounts } from '../../src/programs/delegatedTokenAccounts.js';
+import { OwnedTokenAccounts } from '../../src/programs/ownedTokenAccounts.js';
+import { StoreTokenAccounts } from '../../src/programs/storeTokenAccounts.js';
 import { TurnBudgets } from '../../src/programs/turnBudgets.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { makeRandom } from './makeRandom.js';
@@ -36,6 +43,8 @@
 const INSTANCES_PER_PROGRAM = 3;
 /** Share of a program's requests that arrives at its main instance. */
 const MAIN_INSTANCE_SHARE = 0.5;
+/** Round trip between two instances, in milliseconds. */
+const PEER_MILLISECONDS = 3;
 const TURN_MILLISECONDS = 250;
 const TOOL_MILLISECONDS = 60;
 /** Budget of a program in turns at their maximum, and the share of it that a turn generates. */
@@ -62,9 +71,7 @@
   store: MemoryTable,
   options: ProgramLoadOptions,
 ): Promise<readonly LoadSecond[]> {
-  const instances = Array.from({ length: options.instances }, (_unused, index) =>
-    makeInstance(timers, store, index),
-  );
+  const instances = makeInstances(timers, store, options.instances);
   const workspaces = WORKSPACE_RATES.map((ratePerSecond, index) =>
     sampleWorkspace({
       burst: ratePerSecond,
@@ -92,20 +99,48 @@
   return seconds.slice(0, options.seconds);
 }
 
-function makeInstance(
+/** Makes instances that reach each other within {@link PEER_MILLISECONDS}. */
+function makeInstances(
   timers: ManualTimerService,
   store: MemoryTable,
-  index: number,
-): LoadedInstance {
-  const dependencies = {
-    holder: `run-${String(index)}`,
-    instance: `entry-${String(index)}` as InstanceId,
-    logger: silentLogger,
-    random: makeRandom(index + 1),
-    table: new MonitoredTable(store.client(), timers),
-    timers,
-  };
-  return { budgets: new TurnBudgets(dependencies), rates: new WorkspaceRates(dependencies) };
+  count: number,
+): readonly LoadedInstance[] {
+  const parts = Array.from({ length: count }, (_unused, index) => {
+    const dependencies = {
+      holder: `run-${String(index)}`,
+      logger: silentLogger,
+      random: makeRandom(index + 1),
+      table: new MonitoredTable(store.client(), timers),
+      timers,
+    };
+    const instance = `entry-${String(index)}` as InstanceId;
+    const credits = new StoreCreditSource(dependencies);
+    const accounts = new StoreTokenAccounts(dependencies);
+    const owned = new OwnedTokenAccounts(accounts, timers);
+    const peer: GatewayPeer = {
+      acquireOwned: async bucket => {
+        await sleep(timers, PEER_MILLISECONDS);
+        return await credits.acquireOwned(bucket);
+      },
+      reserveOwned: async demand => {
+        await sleep(timers, PEER_MILLISECONDS);
+        return await owned.reserveOwned(demand);
+      },
+      settleOwned: async (reservation, deliveredTokens) => {
+        await sleep(timers, PEER_MILLISECONDS);
+        return await owned.settleOwned(reservation, deliveredTokens);
+      },
+    };
+    return { accounts, credits, dependencies, owner: { instance, peer } };
+  });
+  return parts.map(({ accounts: local, credits, dependencies, owner: self }) => {
+    const owners = parts.map(({ owner }) => owner).filter(owner => owner !== self);
+    const selector = new OwnerSelector(self.instance, { owners }, timers, silentLogger);
+    const delegated = new DelegatedCreditSource({ local: credits, owners: selector, timers });
+    const accounts = new DelegatedTokenAccounts({ ...dependencies, local, owners: selector });
+    const budgets = new TurnBudgets({ ...dependencies, accounts });
+    return { budgets, rates: new WorkspaceRates(self.instance, delegated) };
+  });
 }
 
 /** Picks a workspace in proportion to its rate. */
