fix(gateway): recover within seconds from a store that was over its rate

What callers of an instance would see: after a phase in which the store answered it 429 only, further seconds of refusals until it sent all its calls again; a store can turn single instances away that way.

Cause: the share of calls that are sent rose by a third in each interval, and an instance that sends few calls has long intervals. Fix: it rises faster with each interval in a row without a refusal and stays while a few calls are refused. An owner that is lost or regained is logged once, not each second.

--- a/packages/gateway/src/peers/ownerSelector.ts
+++ b/packages/gateway/src/peers/ownerSelector.ts
@@ -89,15 +89,22 @@
     );
     this.avoided.set(instance, { failures, until: now + avoidMilliseconds });
     this.clearChoices();
-    this.logger.info(
-      { avoidMilliseconds, event: 'owner-avoided', failures, owner: instance, reason },
-      'an instance that owns keys cannot be used; others own them for a time',
-    );
+    if (previous === undefined) {
+      this.logger.info(
+        { event: 'owner-lost', owner: instance, reason },
+        'an instance that owns keys cannot be used; others own them for a time',
+      );
+    }
   }
 
   /** Records that an instance responded. */
   public recordSuccess({ instance }: Owner): void {
-    this.avoided.delete(instance);
+    if (this.avoided.delete(instance)) {
+      this.logger.info(
+        { event: 'owner-regained', owner: instance },
+        'an instance that owns keys can be used again',
+      );
+    }
   }
 
   private clearChoices(): void {
--- a/packages/gateway/src/store/callThrottle.ts
+++ b/packages/gateway/src/store/callThrottle.ts
@@ -4,10 +4,13 @@
 const ADJUSTMENT_INTERVAL_MILLISECONDS = 250;
 /** Share of refused calls above which fewer calls are sent. */
 const TOLERATED_REFUSED_SHARE = 0.2;
-/** Factors by which the share of sent calls falls and rises in one interval. */
-const SHARE_FACTORS = { decrease: 0.6, increase: 1.3 };
+/**
+ * Factors by which the share of sent calls changes in one interval: `decrease` after refusals,
+ * `increase` after each interval in a row without any.
+ */
+const SHARE_FACTORS = { decrease: 0.5, increase: [1.15, 1.3, 1.6, 2] };
 /** Minimum share of calls that are sent, so that a store that refused all of them is still asked. */
-const MINIMUM_SENT_SHARE = 0.05;
+const MINIMUM_SENT_SHARE = 0.1;
 
 /**
  * Holds back a share of the calls while the store refuses them by its rate. Calls that the store
@@ -21,6 +24,8 @@
   private sentShare = 1;
   private acceptedCalls = 0;
   private refusedCalls = 0;
+  /** Intervals in a row without a refused call. */
+  private soundIntervals = 0;
   private adjustedAt: number;
 
   public constructor(private readonly timers: TimerService) {
@@ -48,10 +53,18 @@
 
   private adjustShare(): void {
     const refusedShare = this.refusedCalls / (this.refusedCalls + this.acceptedCalls);
-    const factor =
-      refusedShare > TOLERATED_REFUSED_SHARE ? SHARE_FACTORS.decrease : SHARE_FACTORS.increase;
+    this.soundIntervals = refusedShare === 0 ? this.soundIntervals + 1 : 0;
+    const factor = this.chooseFactor(refusedShare);
     this.sentShare = Math.min(1, Math.max(MINIMUM_SENT_SHARE, this.sentShare * factor));
     this.acceptedCalls = 0;
     this.refusedCalls = 0;
   }
+
+  private chooseFactor(refusedShare: number): number {
+    const { decrease, increase } = SHARE_FACTORS;
+    if (refusedShare > TOLERATED_REFUSED_SHARE) {
+      return decrease;
+    }
+    return increase[Math.min(this.soundIntervals, increase.length) - 1] ?? 1;
+  }
 }
