--- a/packages/gateway/tests/limits/delegatedCreditSource.test.ts
+++ b/packages/gateway/tests/limits/delegatedCreditSource.test.ts
@@ -16,22 +16,12 @@
 import { finishWithin } from '../support/finishWithin.js';
 import { makeRandom } from '../support/makeRandom.js';
 import { MemoryTable } from '../support/memoryTable.js';
+import {
+  computeMaximumRequestsPerWindow,
+  countRequestsInBusiestWindow,
+} from '../support/rateWindow.js';
 
 const INSTANCES = 12;
-const WINDOW_SECONDS = 5;
-const OVERAGE_SHARE = 0.1;
-const SLACK_REQUESTS = 20;
-
-function computeMaximumRequestsPerWindow({ burst, ratePerSecond }: NamedRateLimit): number {
-  return (ratePerSecond * WINDOW_SECONDS + burst) * (1 + OVERAGE_SHARE) + SLACK_REQUESTS;
-}
-
-function countRequestsInBusiestWindow(times: readonly number[]): number {
-  return Math.max(
-    0,
-    ...times.map(end => times.filter(time => time <= end && time > end - 5_000).length),
-  );
-}
 
 describe(DelegatedCreditSource, () => {
   let timers: ManualTimerService;
--- a/packages/gateway/tests/limits/workspaceRates.test.ts
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -10,11 +10,12 @@
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { makeRandom } from '../support/makeRandom.js';
 import { MemoryTable } from '../support/memoryTable.js';
+import {
+  computeMaximumRequestsPerWindow,
+  countRequestsInBusiestWindow,
+} from '../support/rateWindow.js';
 import { sampleWorkspace } from '../support/samples.js';
 
-const WINDOW_SECONDS = 5;
-const OVERAGE_SHARE = 0.1;
-const SLACK_REQUESTS = 20;
 const CALLS_PER_PROGRAM = 12;
 const OVERLOAD_SECONDS = 15;
 /** Several seeds, since the number of completed programs varies by a fifth between seeds. */
@@ -30,18 +31,6 @@
 /** Decorrelates the random numbers of programs: consecutive seeds give similar ones. */
 const SEED_FACTOR = 2_654_435_761;
 
-/** Maximum number of requests that the operator tolerates in one window. */
-function computeMaximumRequestsPerWindow({ burst, ratePerSecond }: GatewayWorkspace): number {
-  return (ratePerSecond * WINDOW_SECONDS + burst) * (1 + OVERAGE_SHARE) + SLACK_REQUESTS;
-}
-
-function countRequestsInBusiestWindow(times: readonly number[]): number {
-  return Math.max(
-    0,
-    ...times.map(end => times.filter(time => time <= end && time > end - 5_000).length),
-  );
-}
-
 /** Argument of `admit` for requests of programs that have already started. */
 const doesNotStartProgram = async (): Promise<boolean> => await Promise.resolve(false);
 /** Argument of `admit` for the first request of a program. */
