fix(gateway): ask a store that is over its rate at most twice for one request

Fix: a refusal by the rate is retried once. An owner without credit is asked again at once if it kept the call waiting, so that the next draw of a slow store counts the request. A stopping program budget no longer marks a write that its release has started as ended.

--- a/packages/gateway/src/limits/delegatedCreditSource.ts
+++ b/packages/gateway/src/limits/delegatedCreditSource.ts
@@ -24,8 +24,11 @@
 
 /** Number of owners that are asked before this instance draws credit itself. */
 const MAXIMUM_OWNERS = 2;
-/** Pause before an owner without credit is asked again, in milliseconds: its bucket refills meanwhile. */
-const RETRY_PAUSE_MILLISECONDS = 60;
+/**
+ * Bounds of the pause before an owner without credit is asked again, in milliseconds. An owner that
+ * kept the call waiting is asked again at once, so that the next draw counts the request.
+ */
+const RETRY_PAUSES = { maximumMilliseconds: 60, minimumMilliseconds: 5 };
 /** Maximum wait for credit, in milliseconds: a fraction of the time that callers allow for a response. */
 const MAXIMUM_WAIT_MILLISECONDS = 600;
 /** Time for which a workspace counts as over its rate after its owner said so, in milliseconds: about the run time of a program. */
@@ -89,6 +92,7 @@
       if (remote.deniedUntil > timers.now()) {
         return Err(this.createRateLimitedError(remote, bucket));
       }
+      const askedAt = timers.now();
       const reply = await owner.peer.acquireOwned(bucket);
       if (reply.kind === 'unreachable' || reply.kind === 'without-store') {
         owners.recordFailure(owner, reply.kind);
@@ -100,7 +104,13 @@
         return Ok(grantedAdmission);
       }
       if (reply.kind === 'pending') {
-        await sleep(timers, RETRY_PAUSE_MILLISECONDS, signal);
+        const { maximumMilliseconds, minimumMilliseconds } = RETRY_PAUSES;
+        const elapsedMilliseconds = timers.now() - askedAt;
+        const pauseMilliseconds = Math.max(
+          minimumMilliseconds,
+          maximumMilliseconds - elapsedMilliseconds,
+        );
+        await sleep(timers, pauseMilliseconds, signal);
       }
     }
     if (remote.overRateUntil > timers.now()) {
--- a/packages/gateway/src/programs/programBudget.ts
+++ b/packages/gateway/src/programs/programBudget.ts
@@ -185,7 +185,11 @@
     }
     this.isWriting = true;
     this.isStopping = true;
-    await (this.turnsInFlight > 0 ? this.requestTokens([], this.row, false) : this.release());
+    if (this.turnsInFlight === 0) {
+      await this.release();
+      return;
+    }
+    await this.requestTokens([], this.row, false);
     this.isWriting = false;
   }
 
--- a/packages/gateway/src/store/callThrottle.ts
+++ b/packages/gateway/src/store/callThrottle.ts
@@ -3,12 +3,12 @@
 /** Interval at which the share of calls that are sent is adjusted, in milliseconds. */
 const ADJUSTMENT_INTERVAL_MILLISECONDS = 250;
 /** Share of refused calls above which fewer calls are sent. */
-const TOLERATED_REFUSED_SHARE = 0.2;
+const TOLERATED_REFUSED_SHARE = 0.1;
 /**
  * Factors by which the share of sent calls changes in one interval: `decrease` after refusals,
  * `increase` after each interval in a row without any.
  */
-const SHARE_FACTORS = { decrease: 0.5, increase: [1.15, 1.3, 1.6, 2] };
+const SHARE_FACTORS = { decrease: 0.5, increase: [1.05, 1.2, 1.6, 2] };
 /** Minimum share of calls that are sent, so that a store that refused all of them is still asked. */
 const MINIMUM_SENT_SHARE = 0.1;
 
--- a/packages/gateway/src/store/editRow.ts
+++ b/packages/gateway/src/store/editRow.ts
@@ -48,6 +48,8 @@
 const MAXIMUM_BACKOFF_MILLISECONDS = 400;
 /** Maximum pause after the first conflict: the time of one transaction. It doubles with each further conflict. */
 const CONFLICT_BACKOFF_MILLISECONDS = 6;
+/** Number of refusals by the rate of the store up to which an edit is retried: more of them would keep it overloaded. */
+const MAXIMUM_RATE_REFUSALS = 1;
 /** Conflicts after which the pause no longer grows. */
 const MAXIMUM_CONFLICT_DOUBLINGS = 4;
 
@@ -81,7 +83,7 @@
         ({ row, storeTime } = read.val);
         isConfirmed = true;
         needsRead = false;
-      } else if (++failures > options.maximumFailures || options.signal.aborted) {
+      } else if (isFinalFailure(read.val, ++failures, options)) {
         return read;
       } else {
         await sleep(timers, computeFailureBackoffMilliseconds(failures, options), options.signal);
@@ -103,8 +105,7 @@
       return Ok({ result: rowEdit.result, isConfirmed: true, row: writtenRow, storeTime });
     }
     if (outcome.err) {
-      failures++;
-      if (failures > options.maximumFailures || options.signal.aborted) {
+      if (isFinalFailure(outcome.val, ++failures, options)) {
         return Err(outcome.val);
       }
       await sleep(timers, computeFailureBackoffMilliseconds(failures, options), options.signal);
@@ -138,6 +139,16 @@
   }));
 }
 
+function isFinalFailure(
+  { failure }: PlatformError,
+  failures: number,
+  { maximumFailures, signal }: EditOptions,
+): boolean {
+  const retriedFailures =
+    failure === 'rate-limited' ? Math.min(MAXIMUM_RATE_REFUSALS, maximumFailures) : maximumFailures;
+  return failures > retriedFailures || signal.aborted;
+}
+
 function computeFailureBackoffMilliseconds(failures: number, { random }: EditOptions): number {
   return computeBackoffMilliseconds(failures, {
     initialMilliseconds: INITIAL_BACKOFF_MILLISECONDS,
--- a/packages/gateway/tests/limits/delegatedCreditSource.test.ts
+++ b/packages/gateway/tests/limits/delegatedCreditSource.test.ts
@@ -170,6 +170,17 @@
     },
   );
 
+  it('serves a workspace at its rate while the store is slow', async () => {
+    startInstances();
+    store.faults.latencyMilliseconds = 120;
+    const bucket = { burst: 20, name: 'clerks', ratePerSecond: 20 };
+    const { admitted } = await sendRequests(bucket, 30, 12);
+    expect(admitted.length).toBeGreaterThan(20 * 12 * 0.8);
+    expect(countRequestsInBusiestWindow(admitted)).toBeLessThanOrEqual(
+      computeMaximumRequestsPerWindow(bucket),
+    );
+  });
+
   it('denies further requests without asking the owner until credit may be left', async () => {
     let asked = 0;
     const reply: OwnedCreditReply = {
