--- a/packages/gateway/tests/programs/delegatedTokenAccounts.test.ts
+++ b/packages/gateway/tests/programs/delegatedTokenAccounts.test.ts
@@ -21,6 +21,7 @@
 const BUDGET = 2_300;
 const MAXIMUM_TOKENS = 575;
 const TURN_TOKENS = 230;
+const TIGHT_BUDGET = 3 * MAXIMUM_TOKENS;
 /** Budget of a usual program, and its turns. */
 const AMPLE_BUDGET = 4_600;
 const AMPLE_TURNS = 8;
@@ -163,6 +164,25 @@
     expect(decisions.map(({ kind }) => kind)).toEqual(['held', 'held', 'held', 'held']);
   });
 
+  it('holds nothing back in a budget of three turns after all instances lost power', async () => {
+    startInstances();
+    const first = await finishWithin(timers, reserve(0, 'p', 0, TIGHT_BUDGET), 2_000);
+    expect(first.kind).toBe('held');
+    if (first.kind === 'held') {
+      first.settle(TURN_TOKENS);
+    }
+    await timers.advance(100);
+    for (let index = 0; index < INSTANCES; index++) {
+      startInstance(index, 50);
+    }
+    const kinds: string[] = [];
+    for (let turn = 1; turn < 4; turn++) {
+      const decision = await finishWithin(timers, reserve(turn, 'p', turn, TIGHT_BUDGET), 2_000);
+      kinds.push(decision.kind);
+    }
+    expect(kinds).toEqual(['held', 'held', 'spent']);
+  });
+
   it('releases what turns do not use when the owner stops, and counts turns that still run elsewhere', async () => {
     startInstances();
     const running = await finishWithin(timers, reserve(0, 'p', 0), 2_000);
