--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -123,27 +123,14 @@
     );
     this.logger = logger;
     this.storeCallReporter = new StoreCallReporter(timers, logger);
-    const table = (this.table = this.instrumentStore(dependencies.table, timers));
+    this.table = this.instrumentStore(dependencies.table, timers);
+    const { table } = this;
     this.times = deriveGatewayTimes(options);
-    this.configuration = new ConfigurationFollower(
-      table,
-      dependencies.configurationSource,
-      timers,
-      logger,
-      {
-        freshMilliseconds: this.times.freshMilliseconds,
-        usableMilliseconds: options.staleConfigurationMilliseconds,
-        waitMilliseconds: this.times.configurationPollTimeoutMilliseconds,
-      },
-    );
-    this.replicas = new ReplicaDirectory(table, dependencies.replicaSource, timers, logger, {
-      minimumOutageMilliseconds: MINIMUM_OUTAGE_MILLISECONDS,
-      pauseMilliseconds: this.times.replicaPollIntervalMilliseconds,
-      registrationGraceMilliseconds: REPLICA_REREGISTRATION_MILLISECONDS,
-      waitMilliseconds: REPLICA_POLL_TIMEOUT_MILLISECONDS,
-    });
-    this.crashes = new CrashRecord({ logger, makeId: dependencies.makeId, table, timers });
-    this.holder = `${options.instance}/${dependencies.makeId()}`;
+    this.configuration = this.makeConfiguration();
+    this.replicas = this.makeReplicas();
+    const { makeId } = dependencies;
+    this.crashes = new CrashRecord({ logger, makeId, table: table.essential, timers });
+    this.holder = `${options.instance}/${makeId()}`;
     const ownership = { holder: this.holder, logger, random: dependencies.random, table, timers };
     this.credits = new StoreCreditSource(ownership);
     this.tokenAccounts = new StoreTokenAccounts(ownership);
@@ -259,6 +246,32 @@
     return new MonitoredTable(table, timers, onCall, this.dependencies.random);
   }
 
+  private makeConfiguration(): ConfigurationFollower {
+    const { configurationSource, timers } = this.dependencies;
+    const { configurationPollTimeoutMilliseconds, freshMilliseconds } = this.times;
+    return new ConfigurationFollower(
+      this.table.essential,
+      configurationSource,
+      timers,
+      this.logger,
+      {
+        freshMilliseconds,
+        usableMilliseconds: this.options.staleConfigurationMilliseconds,
+        waitMilliseconds: configurationPollTimeoutMilliseconds,
+      },
+    );
+  }
+
+  private makeReplicas(): ReplicaDirectory {
+    const { replicaSource, timers } = this.dependencies;
+    return new ReplicaDirectory(this.table.essential, replicaSource, timers, this.logger, {
+      minimumOutageMilliseconds: MINIMUM_OUTAGE_MILLISECONDS,
+      pauseMilliseconds: this.times.replicaPollIntervalMilliseconds,
+      registrationGraceMilliseconds: REPLICA_REREGISTRATION_MILLISECONDS,
+      waitMilliseconds: REPLICA_POLL_TIMEOUT_MILLISECONDS,
+    });
+  }
+
   private makePeers(): PeerNetwork {
     const { credits, logger, table } = this;
     const { random, timers } = this.dependencies;
@@ -274,7 +287,7 @@
       logger,
       random,
       self,
-      table,
+      table: table.essential,
       timers,
     });
   }
--- a/packages/gateway/src/programs/turnStore.ts
+++ b/packages/gateway/src/programs/turnStore.ts
@@ -192,14 +192,11 @@
       table: TURN_TABLE,
     }));
     for (let attempts = 1; !signal.aborted; attempts++) {
-      const outcome = await this.dependencies.table.transact(
-        {
-          checks: [{ key: turn.id, partition, table: TURN_TABLE, version: 0 }],
-          removals: [],
-          writes,
-        },
-        'essential',
-      );
+      const outcome = await this.dependencies.table.essential.transact({
+        checks: [{ key: turn.id, partition, table: TURN_TABLE, version: 0 }],
+        removals: [],
+        writes,
+      });
       if (
         outcome.ok &&
         (outcome.val.status === 'committed' || isAlreadyStored(outcome.val.rows, writes))
--- a/packages/gateway/src/store/monitoredTable.ts
+++ b/packages/gateway/src/store/monitoredTable.ts
@@ -31,12 +31,6 @@
 /** Called with each completed store call, for the metrics. */
 export type StoreCallListener = (call: StoreCall) => void;
 
-/**
- * Whether a call may be held back while the store is over its rate; not one that completes work that
- * was already done.
- */
-export type StoreCallPriority = 'essential' | 'usual';
-
 /** Consecutive failures after which the store may count as unavailable. */
 const FAILURES_UNTIL_UNAVAILABLE = 2;
 /** Time without an answer after which the store may count as unavailable: much longer than its usual response time. */
@@ -58,7 +52,16 @@
 export class MonitoredTable implements PartitionedTable {
   private consecutiveFailures = 0;
   private lastAnswerAt: number;
-  private readonly throttles: Readonly<Record<StoreCallKind, CallThrottle>>;
+  private readonly throttles: Readonly<Record<'read' | 'transact', CallThrottle>>;
+  /**
+   * The same store for calls that are never held back: those that complete work that was already
+   * done, and those on which the instance as a whole depends.
+   */
+  public readonly essential: PartitionedTable = {
+    changes: async request => await this.changes(request),
+    read: async request => await this.sendRead(request),
+    transact: async transaction => await this.sendTransaction(transaction),
+  };
 
   public constructor(
     private readonly inner: PartitionedTable,
@@ -67,11 +70,7 @@
     private readonly random: () => number = Math.random,
   ) {
     this.lastAnswerAt = timers.now();
-    this.throttles = {
-      changes: new CallThrottle(timers),
-      read: new CallThrottle(timers),
-      transact: new CallThrottle(timers),
-    };
+    this.throttles = { read: new CallThrottle(timers), transact: new CallThrottle(timers) };
   }
 
   /** Whether recent calls failed and the store has not answered for some time. */
@@ -96,7 +95,7 @@
     if (!this.throttles.read.allowsCall(this.random())) {
       return Err(createHeldBackError());
     }
-    return await this.observeCall('read', request.table, this.inner.read(request));
+    return await this.sendRead(request);
   }
 
   public async changes(request: ChangesRequest): Promise<Result<ChangesResponse, PlatformError>> {
@@ -105,11 +104,20 @@
 
   public async transact(
     transaction: PartitionedTransaction,
-    priority: StoreCallPriority = 'usual',
   ): Promise<Result<PartitionedOutcome, PlatformError>> {
-    if (!this.throttles.transact.allowsCall(this.random()) && priority === 'usual') {
+    if (!this.throttles.transact.allowsCall(this.random())) {
       return Err(createHeldBackError());
     }
+    return await this.sendTransaction(transaction);
+  }
+
+  private async sendRead(request: RangeRequest): Promise<Result<RangePage, PlatformError>> {
+    return await this.observeCall('read', request.table, this.inner.read(request));
+  }
+
+  private async sendTransaction(
+    transaction: PartitionedTransaction,
+  ): Promise<Result<PartitionedOutcome, PlatformError>> {
     const table = transaction.writes[0]?.table ?? transaction.removals[0]?.table ?? '';
     return await this.observeCall('transact', table, this.inner.transact(transaction));
   }
@@ -128,7 +136,9 @@
       outcome: classifyAnswer(answer),
       table,
     });
-    this.throttles[kind].recordOutcome(answer.err && answer.val.failure === 'rate-limited');
+    if (kind !== 'changes') {
+      this.throttles[kind].recordOutcome(answer.err && answer.val.failure === 'rate-limited');
+    }
     if (answer.ok) {
       this.consecutiveFailures = 0;
       this.lastAnswerAt = now;
--- a/packages/gateway/tests/store/monitoredTable.test.ts
+++ b/packages/gateway/tests/store/monitoredTable.test.ts
@@ -1,3 +1,5 @@
+import type { PartitionedTable } from '@zincring/platform';
+
 import { ManualTimerService } from '@zincring/core';
 import { describe, expect, it } from 'vitest';
 
@@ -21,6 +23,29 @@
     expect(table.retryAfterSeconds).toBeLessThanOrEqual(0.1);
   });
 
+  it('holds back usual calls while the store refuses them by its rate, but no essential ones', async () => {
+    const timers = new ManualTimerService();
+    const store = new MemoryTable(timers);
+    store.faults.transactionsPerSecond = 0;
+    const table = new MonitoredTable(store.client(), timers, undefined, () => 0.5);
+    const transaction = {
+      checks: [],
+      removals: [],
+      writes: [{ key: 'k', partition: 'p', table: 't', value: Buffer.from('v') }],
+    };
+    const offer = async (offered: PartitionedTable): Promise<number> => {
+      const sentBefore = store.transactions;
+      for (let call = 0; call < 20; call++) {
+        expect((await offered.transact(transaction)).err).toBe(true);
+        await timers.advance(100);
+      }
+      return store.transactions - sentBefore;
+    };
+    expect(await offer(table)).toBeLessThan(15);
+    expect(await offer(table)).toBe(0);
+    expect(await offer(table.essential)).toBe(20);
+  });
+
   it('returns a longer retry delay while the store answers some calls and refuses others', async () => {
     const timers = new ManualTimerService();
     const store = new MemoryTable(timers);
