--- a/packages/gateway/src/peers/peerClients.ts
+++ b/packages/gateway/src/peers/peerClients.ts
@@ -14,7 +14,13 @@
 const CALL_TIMEOUT_MILLISECONDS = 150;
 const callOptions = { timeoutMs: CALL_TIMEOUT_MILLISECONDS };
 
-/** Clients of the other instances. */
+/**
+ * Clients of the other instances. A call that fails or is not answered in time is a reply of kind
+ * `unreachable`, or `false` for a settlement.
+ *
+ * @example
+ * const reply = await clients.at('10.1.0.11:7780').acquireOwned(bucket);
+ */
 export class PeerClients {
   private readonly clients: RpcClients<typeof GatewayPeerService>;
 
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -64,7 +64,7 @@
  * says where an instance listens, not that it is alive: whoever calls it must expect no response.
  *
  * @example
- * await directory.start('10.1.0.11:7780');
+ * directory.start('10.1.0.11:7780');
  * directory.owners.length; // 86 of 87 instances
  */
 export class PeerDirectory implements OwnerDirectory {
--- a/packages/gateway/src/programs/storeTokenAccounts.ts
+++ b/packages/gateway/src/programs/storeTokenAccounts.ts
@@ -66,7 +66,7 @@
     }
   }
 
-  /** Releases all reservations before a planned shutdown. */
+  /** Releases all reservations before a planned shutdown, but for turns that still run at other instances. */
   public async releaseAll(): Promise<void> {
     await Promise.all([...this.programs.values()].map(program => program.releaseNow()));
   }
