--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,7 +8,6 @@
 export { Err, Ok } from './result/result.js';
 export type { Result } from './result/result.js';
 export type { SessionCheckOptions } from './http2/sessionManager.js';
-export { RpcClients } from './http2/rpcClients.js';
 export { SessionManager } from './http2/sessionManager.js';
 export type { TimerService, TimerSubscription } from './time/timerService.js';
 export { sleep } from './time/timerService.js';
