feat(gateway): log the framing of a replica's body and failures of its connection

Lines of served requests did not say how the replica ended its body, so the hypotheses of docs/incidents/unframed-streams.md could not be told apart. request-served now has framing, events and connectionFailure. No decision changes.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -258,6 +258,7 @@
     switch (outcome.kind) {
       case 'served':
         this.recordEnd(incoming, 'served', {
+          ...outcome.body,
           replica: outcome.replica,
           runs: outcome.runs,
           status: outcome.status,
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -8,7 +8,7 @@
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { CrashRecord } from './crashRecord.js';
 import type { ReplicaEntry, ReplicaRunId } from './replica.js';
-import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
+import type { BodyFraming, ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
 import type { ReplicaPool } from './replicaPool.js';
 
 import { readResponseBody } from './readResponseBody.js';
@@ -50,8 +50,18 @@
       readonly replica: UpstreamId;
       /** Number of attempts that may have run, including the last one. */
       readonly runs: number;
+      readonly body: ForwardedBody;
     };
 
+/** How the body of a response was forwarded. */
+export interface ForwardedBody {
+  readonly framing: BodyFraming;
+  /** Number of events of a stream over all attempts; 0 for other responses. */
+  readonly events: number;
+  /** Failure of the connection to the replica while the body was read. */
+  readonly connectionFailure: string | undefined;
+}
+
 /** Dependencies of an {@link AttemptLoop}. */
 export interface AttemptLoopDependencies {
   readonly timers: TimerService;
@@ -72,7 +82,7 @@
 type AttemptResult =
   | { readonly kind: 'lost'; readonly reason: string }
   | { readonly kind: 'not-run'; readonly reason: string }
-  | { readonly kind: 'served'; readonly status: number };
+  | { readonly kind: 'served'; readonly status: number; readonly body: ForwardedBody };
 
 /**
  * Sends a request to replicas until one responds. A request that may have run is sent again only
@@ -261,7 +271,7 @@
     }
     const headers = this.dependencies.headerCodec.toCallerHeaders(response.headers);
     this.sink.send(response.status, headers, body);
-    return { kind: 'served', status: response.status };
+    return this.describeServed(response);
   }
 
   private async relayResponse(response: ReplicaResponse): Promise<AttemptResult> {
@@ -293,7 +303,16 @@
       );
     }
     this.sink.end();
-    return { kind: 'served', status: response.status };
+    return this.describeServed(response);
+  }
+
+  private describeServed(response: ReplicaResponse): AttemptResult {
+    const { connectionFailure, framing, status } = response;
+    return {
+      body: { connectionFailure: connectionFailure(), events: this.forwardedEvents, framing },
+      kind: 'served',
+      status,
+    };
   }
 
   private logUnservedAttempt(
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -26,11 +26,17 @@
   | { readonly kind: 'lost'; readonly reason: string }
   | { readonly kind: 'not-sent'; readonly reason: string };
 
+/** How the end of a body is determined: by its chunks, its announced length or the end of its connection. */
+export type BodyFraming = 'chunked' | 'connection' | 'length';
+
 /** Response of a replica whose head has been received and whose body has yet to be read. */
 export interface ReplicaResponse {
   readonly status: number;
   readonly headers: readonly string[];
   readonly body: IncomingMessage;
+  readonly framing: BodyFraming;
+  /** Failure of the connection since the head was received; `undefined` if there was none. */
+  readonly connectionFailure: () => string | undefined;
   /** Closes the connection, even if the response is complete. */
   readonly discard: () => void;
 }
@@ -107,15 +113,28 @@
 }
 
 function buildResponse(outgoing: ClientRequest, incoming: IncomingMessage): ReplicaResponse {
+  let connectionFailure: string | undefined;
+  outgoing.on('error', failure => {
+    connectionFailure = failure.message;
+  });
   // A later failure of the request is detected by its incomplete body.
   incoming.on('error', () => undefined);
   return {
     body: incoming,
+    connectionFailure: () => connectionFailure,
     discard: () => {
       outgoing.destroy();
       incoming.destroy();
     },
+    framing: findFraming(incoming),
     headers: incoming.rawHeaders,
     status: incoming.statusCode ?? 0,
   };
 }
+
+function findFraming({ headers }: IncomingMessage): BodyFraming {
+  if (headers['transfer-encoding'] !== undefined) {
+    return 'chunked';
+  }
+  return headers['content-length'] === undefined ? 'connection' : 'length';
+}
