test(gateway): reproduce broken streams that look complete

A replica on a plain socket sends a response without a length or chunks and resets the connection, ends inside an event, or ends without an event.

--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -88,6 +88,14 @@
   return { length, request: { body: text.slice(end + 4, length), headers, method, path } };
 }
 
+/** Handles the first request by the first behaviour, also if another replica receives the second one. */
+export function inOrder(...behaviours: readonly Behaviour[]): Behaviour {
+  let received = 0;
+  return (socket, request) => {
+    behaviours[Math.min(received++, behaviours.length - 1)]?.(socket, request);
+  };
+}
+
 function formatHead(
   request: ReceivedRequest,
   status: string,
@@ -163,6 +171,37 @@
 /** Never responds. */
 export const neverResponds: Behaviour = () => undefined;
 
+/** How a fake replica ends the connection of a response without framing. */
+export type ConnectionEnd = 'close' | 'half-event' | 'reset';
+
+/** Pause before a connection is reset, in milliseconds, so that the bytes written before it are received. */
+const RESET_PAUSE_MILLISECONDS = 5;
+
+/** Sends a response without a length or chunks and then ends its connection. */
+export function respondsUnframed(body: string, end: ConnectionEnd): Behaviour {
+  return (socket, request) => {
+    socket.write(formatHead(request, '200 OK', ['Content-Type: text/event-stream']) + body);
+    switch (end) {
+      case 'close':
+        socket.end();
+        return;
+      case 'half-event':
+        socket.end('id: 99\ndata: ha');
+        return;
+      case 'reset':
+        setTimeout(() => socket.resetAndDestroy(), RESET_PAUSE_MILLISECONDS);
+        return;
+      default:
+        end satisfies never;
+    }
+  };
+}
+
+/** Streams events without a length or chunks and then ends the connection. */
+export function streamsUnframed(ids: readonly number[], end: ConnectionEnd): Behaviour {
+  return respondsUnframed(ids.map(formatEvent).join(''), end);
+}
+
 /**
  * Sends the events of a stream and then ends it: completely, by a closed connection with or without
  * an incomplete event, or not at all.
@@ -179,7 +218,7 @@
       ]),
     );
     for (const id of ids) {
-      socket.write(formatChunk(`id: ${String(id)}\ndata: piece ${String(id)}\n\n`));
+      socket.write(formatChunk(formatEvent(id)));
     }
     switch (end) {
       case 'whole':
@@ -200,6 +239,10 @@
   };
 }
 
+function formatEvent(id: number): string {
+  return `id: ${String(id)}\ndata: piece ${String(id)}\n\n`;
+}
+
 function formatChunk(text: string): string {
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
--- /dev/null
+++ b/packages/gateway/tests/upstreams/unframedResponses.test.ts
@@ -0,0 +1,82 @@
+import { describe, expect, it } from 'vitest';
+
+import type { ConnectionEnd } from '../support/fakeReplica.js';
+
+import {
+  inOrder,
+  respondsUnframed,
+  streamsEvents,
+  streamsUnframed,
+} from '../support/fakeReplica.js';
+import {
+  countRuns,
+  resumableRoute,
+  safeRoute,
+  startGateway,
+  streamRoute,
+  unsafeRoute,
+} from '../support/gatewayFixture.js';
+
+const brokenStreams: readonly (readonly [string, readonly number[], ConnectionEnd])[] = [
+  ['is reset before its first event', [], 'reset'],
+  ['is reset between two events', [1, 2], 'reset'],
+  ['ends inside its first event', [], 'half-event'],
+  ['ends inside a later event', [1, 2], 'half-event'],
+  ['ends without any event', [], 'close'],
+];
+
+describe('responses without a length or chunks', () => {
+  it('forwards a stream that ends with its connection', async () => {
+    const fixture = await startGateway(streamRoute, [[streamsUnframed([1, 2, 3], 'close')]]);
+    const response = await fixture.send({ body: 'input' });
+    expect(response.body.match(/id: \d+/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
+    expect(response.isComplete).toBe(true);
+  });
+
+  it.each(brokenStreams)(
+    'never presents a broken stream as complete when it %s',
+    async (_name, ids, end) => {
+      const fixture = await startGateway(streamRoute, [[streamsUnframed(ids, end)]]);
+      const response = await fixture.send({ body: 'input' });
+      expect(response.status === 200 && response.isComplete).toBe(false);
+      expect(countRuns(fixture)).toBe(1);
+    },
+  );
+
+  it.each(brokenStreams)(
+    'resumes a broken stream at another replica when it %s',
+    async (_name, ids, end) => {
+      const behaviour = inOrder(streamsUnframed(ids, end), streamsEvents([3, 4], 'whole'));
+      const fixture = await startGateway(resumableRoute, [[behaviour], [behaviour]]);
+      const response = await fixture.send({ body: 'input' });
+      expect(response.body.match(/id: \d+/g)).toEqual(
+        [...ids, 3, 4].map(id => `id: ${String(id)}`),
+      );
+      expect(response.isComplete).toBe(true);
+    },
+  );
+
+  it('never stores a turn whose stream was reset', async () => {
+    const route = { ...streamRoute, storesTurns: true };
+    const fixture = await startGateway(route, [[streamsUnframed([1, 2], 'reset')]]);
+    await fixture.send({ body: 'input', headers: { 'request-id': 'turn-a' } });
+    const next = await fixture.send({ body: 'more', headers: { 'previous-turn': 'turn-a' } });
+    expect(next.status).toBe(404);
+  });
+
+  it('never returns the part of a response that arrived before a reset', async () => {
+    const fixture = await startGateway(unsafeRoute, [[respondsUnframed('half', 'reset')]]);
+    expect((await fixture.send()).status).toBe(502);
+    expect(countRuns(fixture)).toBe(1);
+  });
+
+  it('runs a safe request again when its response is reset', async () => {
+    const behaviour = inOrder(
+      respondsUnframed('half', 'reset'),
+      respondsUnframed('all of it', 'close'),
+    );
+    const fixture = await startGateway(safeRoute, [[behaviour], [behaviour]]);
+    expect(await fixture.send({ method: 'GET' })).toMatchObject({ body: 'all of it', status: 200 });
+    expect(countRuns(fixture)).toBe(2);
+  });
+});
