fix(core): fail a response whose connection fails after its head

What callers saw: a response without a length or chunks whose connection was reset reached them as complete, with status 200, and a stored turn kept only a part of its output.

Cause: Node.js reports the failure of a connection on the request alone and finishes a body that ends with its connection as if it were whole (`complete` is true). Nobody listened on the request after the head; a comment relied on the incomplete body.

Why this works: the failure destroys the body, so whoever reads it fails as for any other broken body. The same cause in the instance's client of upstreams is fixed by the same function. The client of the platform's store fails already, since it listens until the body has been read; httpClient.test.ts guards that. `attempt-lost` now says how a body was framed and why it broke off.

--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -58,8 +58,6 @@
   readonly framing: BodyFraming;
   /** Number of events of a stream over all attempts; 0 for other responses. */
   readonly events: number;
-  /** Failure of the connection to the replica while the body was read. */
-  readonly connectionFailure: string | undefined;
 }
 
 /** Dependencies of an {@link AttemptLoop}. */
@@ -258,7 +256,7 @@
     }
     const body = await readResponseBody(response, MAXIMUM_BUFFERED_RESPONSE_BYTES);
     if (body === undefined) {
-      return { kind: 'lost', reason: 'the answer broke off' };
+      return { kind: 'lost', reason: describeBreak('the answer broke off', response) };
     }
     if (response.status >= 500 && (this.canRunAgain() || this.sink.isStarted)) {
       return { kind: 'lost', reason: `the replica failed with ${String(response.status)}` };
@@ -291,7 +289,8 @@
       signal: this.control.signal,
     });
     if (end === 'broken') {
-      return { kind: 'lost', reason: `broke off after ${String(this.forwardedEvents)} events` };
+      const reason = `broke off after ${String(this.forwardedEvents)} events`;
+      return { kind: 'lost', reason: describeBreak(reason, response) };
     }
     if (!((await this.observer?.beforeEnd()) ?? true)) {
       return { kind: 'lost', reason: 'the turn could not be kept' };
@@ -306,13 +305,8 @@
     return this.describeServed(response);
   }
 
-  private describeServed(response: ReplicaResponse): AttemptResult {
-    const { connectionFailure, framing, status } = response;
-    return {
-      body: { connectionFailure: connectionFailure(), events: this.forwardedEvents, framing },
-      kind: 'served',
-      status,
-    };
+  private describeServed({ framing, status }: ReplicaResponse): AttemptResult {
+    return { body: { events: this.forwardedEvents, framing }, kind: 'served', status };
   }
 
   private logUnservedAttempt(
@@ -334,6 +328,11 @@
   }
 }
 
+function describeBreak(reason: string, { connectionFailure, framing }: ReplicaResponse): string {
+  const failure = connectionFailure() ?? 'its connection was closed';
+  return `${reason} (framing ${framing}): ${failure}`;
+}
+
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -1,6 +1,7 @@
 import type { TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
+import { failWithConnection } from '@zincring/core';
 import { request as startRequest } from 'node:http';
 
 import type { ReplicaEntry } from './replica.js';
@@ -114,11 +115,10 @@
 
 function buildResponse(outgoing: ClientRequest, incoming: IncomingMessage): ReplicaResponse {
   let connectionFailure: string | undefined;
-  outgoing.on('error', failure => {
+  failWithConnection(outgoing, incoming);
+  incoming.on('error', failure => {
     connectionFailure = failure.message;
   });
-  // A later failure of the request is detected by its incomplete body.
-  incoming.on('error', () => undefined);
   return {
     body: incoming,
     connectionFailure: () => connectionFailure,
--- a/packages/instance/src/upstreams/upstreamRequest.ts
+++ b/packages/instance/src/upstreams/upstreamRequest.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 
+import { failWithConnection } from '@zincring/core';
 import { Agent, request } from 'node:http';
 
 /** Pool of connections to upstreams, which are kept open between requests. */
@@ -16,7 +17,10 @@
   readonly signal: AbortSignal;
 }
 
-/** Sends a request and waits for the head of the response; rejects if there is none. */
+/**
+ * Sends a request and waits for the head of the response; rejects if there is none. Reading the body
+ * fails if the connection fails.
+ */
 export async function sendRequest(options: UpstreamRequest): Promise<IncomingMessage> {
   const [host, port] = options.address.split(':');
   return await new Promise((resolve, reject) => {
@@ -30,7 +34,10 @@
       signal: options.signal,
     });
     outgoing.on('error', reject);
-    outgoing.on('response', resolve);
+    outgoing.on('response', incoming => {
+      failWithConnection(outgoing, incoming);
+      resolve(incoming);
+    });
     outgoing.end(options.body);
   });
 }
--- /dev/null
+++ b/packages/instance/tests/upstreams/upstreamRequest.test.ts
@@ -0,0 +1,66 @@
+import type { AddressInfo, Socket } from 'node:net';
+
+import { createServer } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { readLines, readText, sendRequest } from '../../src/upstreams/upstreamRequest.js';
+
+const cleanups: (() => void)[] = [];
+
+afterEach(() => {
+  cleanups.splice(0).forEach(cleanup => {
+    cleanup();
+  });
+});
+
+/** Starts an upstream that sends the head of an unframed response and then calls the function. */
+async function startUpstream(respond: (socket: Socket) => void): Promise<string> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\n');
+      respond(socket);
+    });
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  cleanups.push(() => server.close());
+  return `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+}
+
+function resetsAfter(body: string): (socket: Socket) => void {
+  return socket => {
+    socket.write(body);
+    setTimeout(() => socket.resetAndDestroy(), 5);
+  };
+}
+
+async function readAll(address: string, read: typeof readLines | typeof readText): Promise<string> {
+  const response = await sendRequest({
+    address,
+    body: '',
+    headers: {},
+    method: 'POST',
+    path: '/',
+    signal: AbortSignal.timeout(5_000),
+  });
+  if (read === readText) {
+    return await readText(response);
+  }
+  const lines: string[] = [];
+  for await (const line of readLines(response)) {
+    lines.push(line);
+  }
+  return lines.join('|');
+}
+
+describe(sendRequest, () => {
+  it.each([
+    ['lines', readLines],
+    ['text', readText],
+  ])('never presents %s without a length as complete after a reset', async (_name, read) => {
+    const address = await startUpstream(resetsAfter('one\ntwo\n'));
+    await expect(readAll(address, read)).rejects.toThrow('ECONNRESET');
+  });
+});
