fix(instance): leave out a line of an engine that was broken off

Cause: a last line without its line feed was handed over like a complete one. Cut inside a text it failed as malformed JSON instead of as a lost stream; the engine's lines all end in a line feed.

Evidence: the case `one\ntw` of upstreamRequest.test.ts failed before.

--- a/packages/instance/src/upstreams/upstreamRequest.ts
+++ b/packages/instance/src/upstreams/upstreamRequest.ts
@@ -45,7 +45,7 @@
 /** Maximum length of a line, or of a response read as text, in characters. */
 const MAXIMUM_LINE_CHARACTERS = 1_048_576;
 
-/** Reads a response line by line. */
+/** Reads a response line by line. A last line without a line feed was broken off and is left out. */
 export async function* readLines(response: IncomingMessage): AsyncGenerator<string> {
   let remainder = '';
   response.setEncoding('utf8');
@@ -57,9 +57,6 @@
     }
     yield* lines;
   }
-  if (remainder !== '') {
-    yield remainder;
-  }
 }
 
 /** Reads a complete response as text; rejects if it exceeds the maximum length of a line. */
--- a/packages/instance/tests/upstreams/upstreamRequest.test.ts
+++ b/packages/instance/tests/upstreams/upstreamRequest.test.ts
@@ -63,4 +63,16 @@
     const address = await startUpstream(resetsAfter('one\ntwo\n'));
     await expect(readAll(address, read)).rejects.toThrow('ECONNRESET');
   });
+
+  it.each([
+    ['one\ntwo\n', 'one|two'],
+    ['one\ntw', 'one'],
+    ['', ''],
+  ])(
+    'reads the complete lines of a response that ends with its connection: %j',
+    async (body, lines) => {
+      const address = await startUpstream(socket => socket.end(body));
+      expect(await readAll(address, readLines)).toBe(lines);
+    },
+  );
 });
