fix(gateway): never mark the end of a body that its replica did not mark

Cause: a response without a length or chunks that ends with its connection does not show whether it is whole. The gateway took the close for the end of the body and framed the copy itself, with a terminating chunk or a length, so the copy claimed more than the original. An empty stream counted as complete too.

Why this works: such a response is forwarded as it came, without length and chunks, and ends with the connection; a stream known to be broken resets it. A stream whose head announced chunks is ended only by a replica that marked its end. A stream that ends with its connection before any event is broken off, and is resumed or answered with 502.

--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
-import type { ResponseSink } from './responseSink.js';
+import type { BodyFraming, ResponseSink } from './responseSink.js';
 
 import { withoutHeaders } from '../util/headerList.js';
 
@@ -14,6 +14,8 @@
  * new CallerResponse(response, () => isStopping).send(200, headers, body);
  */
 export class CallerResponse implements ResponseSink {
+  private writtenFraming: BodyFraming | undefined;
+
   public constructor(
     private readonly response: ServerResponse,
     private readonly shouldCloseConnection: () => boolean,
@@ -23,19 +25,30 @@
     return this.response.headersSent;
   }
 
-  public send(status: number, headers: readonly string[], body: Buffer): void {
+  public get framing(): BodyFraming | undefined {
+    return this.writtenFraming;
+  }
+
+  public send(
+    status: number,
+    headers: readonly string[],
+    body: Buffer,
+    framing: BodyFraming = 'length',
+  ): void {
     const hasBody = status !== 204 && status !== 304;
-    const length = hasBody ? ['Content-Length', String(body.length)] : [];
-    this.writeHead(status, [...withoutHeaders(headers, FRAMING_HEADERS), ...length]);
+    const announcesLength = hasBody && framing !== 'connection';
+    this.writeHead(
+      status,
+      headers,
+      announcesLength ? ['Content-Length', String(body.length)] : [],
+      hasBody ? framing : 'length',
+    );
     this.response.end(hasBody ? body : undefined);
   }
 
-  public startStream(status: number, headers: readonly string[]): void {
-    this.writeHead(status, [
-      ...withoutHeaders(headers, FRAMING_HEADERS),
-      'Transfer-Encoding',
-      'chunked',
-    ]);
+  public startStream(status: number, headers: readonly string[], framing: BodyFraming): void {
+    const isChunked = framing !== 'connection';
+    this.writeHead(status, headers, isChunked ? ['Transfer-Encoding', 'chunked'] : [], framing);
   }
 
   public async write(bytes: Buffer): Promise<void> {
@@ -58,11 +71,26 @@
   }
 
   public abort(): void {
+    if (this.framing === 'connection') {
+      // An orderly close would mark the end of the body.
+      this.response.socket?.resetAndDestroy();
+    }
     this.response.destroy();
   }
 
-  private writeHead(status: number, headers: string[]): void {
-    const connection = this.shouldCloseConnection() ? ['Connection', 'close'] : [];
-    this.response.writeHead(status, [...headers, ...connection]);
+  private writeHead(
+    status: number,
+    headers: readonly string[],
+    framingHeaders: readonly string[],
+    framing: BodyFraming,
+  ): void {
+    this.writtenFraming = framing;
+    const endsWithConnection = framing === 'connection';
+    this.response.useChunkedEncodingByDefault = !endsWithConnection;
+    this.response.writeHead(status, [
+      ...withoutHeaders(headers, FRAMING_HEADERS),
+      ...framingHeaders,
+      ...(endsWithConnection || this.shouldCloseConnection() ? ['Connection', 'close'] : []),
+    ]);
   }
 }
--- a/packages/gateway/src/callers/responseSink.ts
+++ b/packages/gateway/src/callers/responseSink.ts
@@ -1,16 +1,24 @@
+/**
+ * How the end of a body is marked: by its chunks, by its announced length, or by the end of its
+ * connection, which does not prove that the body is complete.
+ */
+export type BodyFraming = 'chunked' | 'connection' | 'length';
+
 /** Destination of the response to one request. Header lists are flat: name, value, name, value. */
 export interface ResponseSink {
   /** Whether the head of the response has been written. */
   readonly isStarted: boolean;
-  /** Sends a complete response. */
-  send(status: number, headers: readonly string[], body: Buffer): void;
-  /** Starts a response whose body follows in chunks. */
-  startStream(status: number, headers: readonly string[]): void;
+  /** Framing of the response; `undefined` until its head has been written. */
+  readonly framing: BodyFraming | undefined;
+  /** Sends a response. Its length is announced unless the framing is `connection`. */
+  send(status: number, headers: readonly string[], body: Buffer, framing?: BodyFraming): void;
+  /** Starts a response whose body follows, in chunks unless the framing is `connection`. */
+  startStream(status: number, headers: readonly string[], framing: BodyFraming): void;
   /** Writes a chunk of the body and waits while the caller is slow to read. */
   write(bytes: Buffer): Promise<void>;
   /** Ends a complete body. */
   end(): void;
-  /** Closes the connection, which the caller recognizes as an incomplete response. */
+  /** Closes or resets the connection, which the caller recognizes as an incomplete response. */
   abort(): void;
 }
 
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -2,13 +2,13 @@
 
 import { ZincringError } from '@zincring/core';
 
-import type { ResponseSink, StreamObserver } from '../callers/responseSink.js';
+import type { BodyFraming, ResponseSink, StreamObserver } from '../callers/responseSink.js';
 import type { RequestFacts, HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { CrashRecord } from './crashRecord.js';
 import type { ReplicaEntry, ReplicaRunId } from './replica.js';
-import type { BodyFraming, ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
+import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
 import type { ReplicaPool } from './replicaPool.js';
 
 import { readResponseBody } from './readResponseBody.js';
@@ -268,19 +268,14 @@
       return { kind: 'lost', reason: 'the caller left or the time ran out' };
     }
     const headers = this.dependencies.headerCodec.toCallerHeaders(response.headers);
-    this.sink.send(response.status, headers, body);
+    this.sink.send(response.status, headers, body, response.framing);
     return this.describeServed(response);
   }
 
   private async relayResponse(response: ReplicaResponse): Promise<AttemptResult> {
     const end = await relayStream(response, {
       onEvent: async event => {
-        if (!this.sink.isStarted) {
-          this.sink.startStream(
-            response.status,
-            this.dependencies.headerCodec.toCallerHeaders(response.headers),
-          );
-        }
+        this.startStream(response);
         this.lastEventId = event.id ?? this.lastEventId;
         this.forwardedEvents++;
         this.observer?.onEvent(event.data);
@@ -292,19 +287,28 @@
       const reason = `broke off after ${String(this.forwardedEvents)} events`;
       return { kind: 'lost', reason: describeBreak(reason, response) };
     }
+    if (end === 'unproven' && this.sink.framing !== 'connection') {
+      return {
+        kind: 'lost',
+        reason: 'the end of the connection does not prove that of the stream',
+      };
+    }
     if (!((await this.observer?.beforeEnd()) ?? true)) {
       return { kind: 'lost', reason: 'the turn could not be kept' };
     }
-    if (!this.sink.isStarted) {
-      this.sink.startStream(
-        response.status,
-        this.dependencies.headerCodec.toCallerHeaders(response.headers),
-      );
-    }
+    this.startStream(response);
     this.sink.end();
     return this.describeServed(response);
   }
 
+  /** Writes the head of the first replica's response; the streams of further ones continue it. */
+  private startStream({ framing, headers, status }: ReplicaResponse): void {
+    if (!this.sink.isStarted) {
+      const callerHeaders = this.dependencies.headerCodec.toCallerHeaders(headers);
+      this.sink.startStream(status, callerHeaders, framing);
+    }
+  }
+
   private describeServed({ framing, status }: ReplicaResponse): AttemptResult {
     return { body: { events: this.forwardedEvents, framing }, kind: 'served', status };
   }
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -4,6 +4,7 @@
 import { failWithConnection } from '@zincring/core';
 import { request as startRequest } from 'node:http';
 
+import type { BodyFraming } from '../callers/responseSink.js';
 import type { ReplicaEntry } from './replica.js';
 import type { ReplicaAgent } from './replicaAgent.js';
 
@@ -27,9 +28,6 @@
   | { readonly kind: 'lost'; readonly reason: string }
   | { readonly kind: 'not-sent'; readonly reason: string };
 
-/** How the end of a body is determined: by its chunks, its announced length or the end of its connection. */
-export type BodyFraming = 'chunked' | 'connection' | 'length';
-
 /** Response of a replica whose head has been received and whose body has yet to be read. */
 export interface ReplicaResponse {
   readonly status: number;
@@ -126,13 +124,16 @@
       outgoing.destroy();
       incoming.destroy();
     },
-    framing: findFraming(incoming),
+    framing: findFraming(outgoing.method, incoming),
     headers: incoming.rawHeaders,
     status: incoming.statusCode ?? 0,
   };
 }
 
-function findFraming({ headers }: IncomingMessage): BodyFraming {
+function findFraming(method: string, { headers, statusCode }: IncomingMessage): BodyFraming {
+  if (method === 'HEAD' || statusCode === 204 || statusCode === 304) {
+    return 'length';
+  }
   if (headers['transfer-encoding'] !== undefined) {
     return 'chunked';
   }
--- a/packages/gateway/src/upstreams/streamRelay.ts
+++ b/packages/gateway/src/upstreams/streamRelay.ts
@@ -10,8 +10,14 @@
 }
 
 /**
- * Forwards the events of a stream as they arrive, each only when it is complete. A stream is
- * complete if its body ended according to its HTTP framing and its last event is complete.
+ * How a stream ended: `complete` if its framing proves it, `unproven` if its connection was closed
+ * between two events, `broken` otherwise.
+ */
+export type StreamEnd = 'broken' | 'complete' | 'unproven';
+
+/**
+ * Forwards the events of a stream as they arrive, each only when it is complete. A stream that
+ * ends inside an event, or with its connection before any event, is broken.
  *
  * @example
  * const end = await relayStream(response, { onEvent: forward, signal });
@@ -19,11 +25,13 @@
 export async function relayStream(
   response: ReplicaResponse,
   options: StreamRelayOptions,
-): Promise<'broken' | 'complete'> {
+): Promise<StreamEnd> {
   const eventSplitter = new EventSplitter();
+  let hasEvents = false;
   try {
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       for (const event of eventSplitter.push(chunk)) {
+        hasEvents = true;
         await options.onEvent(event);
       }
       if (options.signal.aborted) {
@@ -35,5 +43,11 @@
     // An error while reading the body means that the connection was lost; the caller of this function logs it.
     return 'broken';
   }
-  return response.body.complete && eventSplitter.pendingBytes === 0 ? 'complete' : 'broken';
+  if (!response.body.complete || eventSplitter.pendingBytes > 0) {
+    return 'broken';
+  }
+  if (response.framing !== 'connection') {
+    return 'complete';
+  }
+  return hasEvents ? 'unproven' : 'broken';
 }
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -31,8 +31,10 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: string;
-  /** Whether the body was received to its end, by its framing. */
+  /** Whether the body was received to its end, by its framing, and its connection was not reset. */
   readonly isComplete: boolean;
+  /** Whether the head announces a length or chunks, so that the end of the body is marked. */
+  readonly isFramed: boolean;
 }
 
 /** A running gateway with its replicas and store. */
@@ -206,12 +208,18 @@
     });
     outgoing.on('error', reject);
     outgoing.on('response', response => {
+      outgoing.off('error', reject);
       const chunks: Buffer[] = [];
+      let wasReset = false;
+      outgoing.on('error', () => {
+        wasReset = true;
+      });
       const finish = (): void => {
         resolve({
           body: Buffer.concat(chunks).toString(),
           headers: response.headers,
-          isComplete: response.complete,
+          isComplete: response.complete && !wasReset,
+          isFramed: 'content-length' in response.headers || 'transfer-encoding' in response.headers,
           status: response.statusCode ?? 0,
         });
       };
--- a/packages/gateway/tests/upstreams/unframedResponses.test.ts
+++ b/packages/gateway/tests/upstreams/unframedResponses.test.ts
@@ -26,11 +26,39 @@
 ];
 
 describe('responses without a length or chunks', () => {
-  it('forwards a stream that ends with its connection', async () => {
-    const fixture = await startGateway(streamRoute, [[streamsUnframed([1, 2, 3], 'close')]]);
+  it.each([
+    ['stream', streamRoute, streamsUnframed([1, 2, 3], 'close'), /piece 3\n\n$/],
+    ['body', unsafeRoute, respondsUnframed('all of it', 'close'), /^all of it$/],
+  ])(
+    'never marks the end of a %s whose replica did not mark it',
+    async (_name, route, behaviour, body) => {
+      const fixture = await startGateway(route, [[behaviour]]);
+      const response = await fixture.send({ body: 'input' });
+      expect(response).toMatchObject({ isComplete: true, isFramed: false, status: 200 });
+      expect(response.headers.connection).toBe('close');
+      expect(response.body).toMatch(body);
+    },
+  );
+
+  it.each([
+    [
+      'the first one marks its end',
+      streamsEvents([1, 2], 'break'),
+      streamsUnframed([3], 'close'),
+      false,
+    ],
+    [
+      'only the second one marks its end',
+      streamsUnframed([1, 2], 'reset'),
+      streamsEvents([3], 'whole'),
+      true,
+    ],
+  ])('joins the streams of two replicas when %s', async (_name, first, second, isComplete) => {
+    const behaviour = inOrder(first, second);
+    const fixture = await startGateway(resumableRoute, [[behaviour], [behaviour]]);
     const response = await fixture.send({ body: 'input' });
     expect(response.body.match(/id: \d+/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
-    expect(response.isComplete).toBe(true);
+    expect(response).toMatchObject({ isComplete, isFramed: !isComplete, status: 200 });
   });
 
   it.each(brokenStreams)(
