fix(instance): never mark the end of a body that its upstream did not mark

The response of a plain service without a length or chunks reached callers of service routes in chunks with a terminating one, also if the upstream had closed the connection early.

Why this works: as in the gateway, such a response ends with the caller's connection and is reset when it is known to be broken. The head is now written with the first byte, so a further attempt can replace the head of one that failed before its first byte; writing it twice would have thrown.

Evidence: forwardedResponse.test.ts; on the code before, the head was always followed by chunks. Calls inside programs still count the close of such a response as its end: their frames have a digest of what was delivered, and an engine's stream ends with a line of its own.

--- a/packages/instance/src/callers/serviceRoutes.ts
+++ b/packages/instance/src/callers/serviceRoutes.ts
@@ -8,10 +8,10 @@
 
 import type { UpstreamDispatcher, UpstreamWork } from '../upstreams/upstreamMessages.js';
 
+import { ForwardedResponse } from './forwardedResponse.js';
 import { isSafeMethod } from '../util/isSafeMethod.js';
 import { refuseMethod } from './refuseMethod.js';
 import { untilAborted } from './untilAborted.js';
-import { writeWithBackpressure } from './writeWithBackpressure.js';
 
 /** Service and method of a request whose body has not been read yet. */
 export interface ServiceRouteTarget {
@@ -99,20 +99,21 @@
       timeoutMilliseconds,
       workspace: request.workspace,
     };
+    const forwarded = new ForwardedResponse(response, this.options.readerTimeoutMilliseconds);
     await this.forward(
       work,
       AbortSignal.any([request.keyWithdrawn, callerDisconnected.signal]),
-      response,
+      forwarded,
     );
     if (request.keyWithdrawn.aborted && !response.writableEnded) {
-      abortResponse(response, new ZincringError('key-withdrawn-while-running'));
+      forwarded.abort(new ZincringError('key-withdrawn-while-running'));
     }
   }
 
   private async forward(
     work: UpstreamWork,
     stopForwarding: AbortSignal,
-    response: ServerResponse,
+    response: ForwardedResponse,
   ): Promise<void> {
     for await (const frame of untilAborted(
       this.options.dispatcher.dispatch(work),
@@ -120,30 +121,18 @@
     )) {
       switch (frame.kind) {
         case 'head':
-          response.writeHead(frame.status, { 'content-type': frame.contentType });
+          response.setHead(frame);
           break;
         case 'data':
-          await writeWithBackpressure(response, frame.data, this.options.readerTimeoutMilliseconds);
+          await response.write(frame.data);
           break;
         case 'done':
           response.end();
           return;
         case 'failed':
-          abortResponse(response, frame.error);
+          response.abort(frame.error);
           return;
       }
     }
   }
 }
-
-/**
- * Throws the error, or closes the connection if the head of the response has been sent, so that the
- * caller recognizes the response as incomplete.
- */
-function abortResponse(response: ServerResponse, error: ZincringError): void {
-  if (response.headersSent) {
-    response.destroy();
-    return;
-  }
-  throw error;
-}
--- a/packages/instance/src/upstreams/plainServiceClient.ts
+++ b/packages/instance/src/upstreams/plainServiceClient.ts
@@ -1,7 +1,7 @@
 import type { Replica } from './replicaTable.js';
 import type { PlainPayload, UpstreamFrame, UpstreamWork } from './upstreamMessages.js';
 
-import { sendRequest } from './upstreamRequest.js';
+import { endsWithConnection, sendRequest } from './upstreamRequest.js';
 
 const noUsage = { cachedTokens: 0, outputTokens: 0, promptTokens: 0 };
 
@@ -23,7 +23,12 @@
     signal: work.signal,
   });
   const contentType = response.headers['content-type'] ?? 'application/octet-stream';
-  yield { contentType, kind: 'head', status: response.statusCode ?? 0 };
+  yield {
+    contentType,
+    endsWithConnection: endsWithConnection(response),
+    kind: 'head',
+    status: response.statusCode ?? 0,
+  };
   for await (const chunk of response as AsyncIterable<Buffer>) {
     yield { data: chunk, kind: 'data' };
   }
--- a/packages/instance/src/upstreams/upstreamMessages.ts
+++ b/packages/instance/src/upstreams/upstreamMessages.ts
@@ -54,7 +54,13 @@
   | { readonly kind: 'data'; readonly data: Uint8Array }
   | { readonly kind: 'done'; readonly usage: CallUsage }
   | { readonly kind: 'failed'; readonly error: ZincringError }
-  | { readonly kind: 'head'; readonly status: number; readonly contentType: string };
+  | {
+      readonly kind: 'head';
+      readonly status: number;
+      readonly contentType: string;
+      /** Whether the response has neither a length nor chunks, so that nothing shows that it is whole. */
+      readonly endsWithConnection: boolean;
+    };
 
 /** Sends work to upstreams: queues it, chooses the replica and retries. */
 export interface UpstreamDispatcher {
--- a/packages/instance/tests/callers/callerServer.test.ts
+++ b/packages/instance/tests/callers/callerServer.test.ts
@@ -74,7 +74,7 @@
       dispatcher: {
         async *dispatch(work) {
           dispatchedWork.push(work);
-          yield { contentType: 'text/plain', kind: 'head', status: 200 };
+          yield { contentType: 'text/plain', endsWithConnection: false, kind: 'head', status: 200 };
           yield { data: Buffer.from('done'), kind: 'data' };
           yield await Promise.resolve({
             kind: 'done',
--- /dev/null
+++ b/packages/instance/tests/callers/forwardedResponse.test.ts
@@ -0,0 +1,90 @@
+import type { AddressInfo } from 'node:net';
+
+import { ZincringError } from '@zincring/core';
+import { createServer } from 'node:http';
+import { connect } from 'node:net';
+import { describe, expect, it } from 'vitest';
+
+import { ForwardedResponse } from '../../src/callers/forwardedResponse.js';
+
+interface Received {
+  readonly text: string;
+  readonly wasReset: boolean;
+}
+
+/** Lets a server forward a response and returns what its caller receives. */
+async function receive(forward: (response: ForwardedResponse) => Promise<void>): Promise<Received> {
+  const server = createServer((_request, response) => {
+    void forward(new ForwardedResponse(response, 1_000));
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return await new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let wasReset = false;
+    const socket = connect(port, '127.0.0.1', () => {
+      socket.write('GET / HTTP/1.1\r\nHost: x\r\n\r\n');
+    });
+    socket.on('data', chunk => {
+      chunks.push(chunk);
+      if (chunk.toString().endsWith('0\r\n\r\n')) {
+        socket.end();
+      }
+    });
+    socket.on('error', () => {
+      wasReset = true;
+    });
+    socket.on('close', () => {
+      server.close();
+      resolve({ text: Buffer.concat(chunks).toString(), wasReset });
+    });
+  });
+}
+
+function makeHead(endsWithConnection: boolean): Parameters<ForwardedResponse['setHead']>[0] {
+  return { contentType: 'text/plain', endsWithConnection, kind: 'head', status: 200 };
+}
+
+describe(ForwardedResponse, () => {
+  it.each([
+    ['marks', false],
+    ['does not mark', true],
+  ])('%s the end of a body as its upstream did', async (_name, endsWithConnection) => {
+    const { text, wasReset } = await receive(async response => {
+      response.setHead(makeHead(endsWithConnection));
+      await response.write(Buffer.from('whole'));
+      response.end();
+    });
+    expect(text).toContain('whole');
+    expect(wasReset).toBe(false);
+    expect(/transfer-encoding: chunked/i.test(text)).toBe(!endsWithConnection);
+    expect(/connection: close/i.test(text)).toBe(endsWithConnection);
+  });
+
+  it.each([
+    ['closes', false],
+    ['resets', true],
+  ])('%s the connection of a broken body', async (_name, endsWithConnection) => {
+    const { text, wasReset } = await receive(async response => {
+      response.setHead(makeHead(endsWithConnection));
+      await response.write(Buffer.from('half'));
+      await new Promise(resolve => setTimeout(resolve, 20));
+      response.abort(new ZincringError('upstream-failed'));
+    });
+    expect(text).toContain('half');
+    expect(text.endsWith('0\r\n\r\n')).toBe(false);
+    expect(wasReset).toBe(endsWithConnection);
+  });
+
+  it('replaces the head of an attempt that failed before its first byte', async () => {
+    const { text } = await receive(async response => {
+      response.setHead(makeHead(true));
+      response.setHead(makeHead(false));
+      await response.write(Buffer.from('whole'));
+      response.end();
+    });
+    expect(text).toMatch(/transfer-encoding: chunked/i);
+  });
+});
