feat(gateway): log the software version of replicas and the streams that callers take up

Lines did not show at which version a stream began, nor that a request takes one up, so the hypotheses of docs/incidents/streams-across-versions.md could not be told apart. request-served and the lines of attempts have softwareVersion, lines of requests have resumes. No decision changes.

--- a/packages/gateway/src/callers/requestFacts.ts
+++ b/packages/gateway/src/callers/requestFacts.ts
@@ -36,6 +36,8 @@
   readonly promptParts: readonly PromptPart[];
   /** Id of the event after which an interrupted stream resumes. */
   readonly lastEventId: string | undefined;
+  /** Request whose response contained the first event of the stream to be resumed. */
+  readonly resumedRequest: RequestId | undefined;
   /** Stored turn that this request continues. */
   readonly previousTurn: TurnId | undefined;
   /** Key of the object that the request is about, by which sticky routes choose a replica. */
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -261,6 +261,7 @@
           ...outcome.body,
           replica: outcome.replica,
           runs: outcome.runs,
+          softwareVersion: outcome.softwareVersion,
           status: outcome.status,
           waited: lifetime.admissionMilliseconds,
         });
@@ -345,6 +346,7 @@
       event: `request-${end}`,
       program: incoming.facts.programId,
       request: incoming.facts.requestId,
+      resumes: incoming.facts.resumedRequest,
       workspace:
         incoming.facts.key === undefined
           ? undefined
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -24,6 +24,6 @@
 export type { GatewayDependencies, GatewayPorts } from './lifecycle/gateway.js';
 export { Gateway } from './lifecycle/gateway.js';
 export type { GatewayOptions, ListenAddress } from './lifecycle/gatewayOptions.js';
-export type { ReplicaEntry, ReplicaRunId } from './upstreams/replica.js';
+export type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './upstreams/replica.js';
 export type { ReplicaSource } from './upstreams/replicaDirectory.js';
 export { toHeaderMap, withoutHeaders } from './util/headerList.js';
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -7,7 +7,7 @@
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { CrashRecord } from './crashRecord.js';
-import type { ReplicaEntry, ReplicaRunId } from './replica.js';
+import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
 import type { ReplicaPool } from './replicaPool.js';
 
@@ -48,6 +48,7 @@
       readonly kind: 'served';
       readonly status: number;
       readonly replica: UpstreamId;
+      readonly softwareVersion: SoftwareVersion;
       /** Number of attempts that may have run, including the last one. */
       readonly runs: number;
       readonly body: ForwardedBody;
@@ -129,7 +130,12 @@
         service: this.request.service.name,
       });
       if (result.kind === 'served') {
-        return { ...result, replica: entry.id, runs: this.possibleRuns };
+        return {
+          ...result,
+          replica: entry.id,
+          runs: this.possibleRuns,
+          softwareVersion: entry.softwareVersion,
+        };
       }
       this.logUnservedAttempt(entry, result);
       if (result.kind === 'lost' && !this.canRunAgain() && !this.isCancelled()) {
@@ -326,6 +332,7 @@
         replica: entry.id,
         request: this.request.facts.requestId,
         runs: this.possibleRuns,
+        softwareVersion: entry.softwareVersion,
       },
       'an attempt did not serve the request',
     );
--- a/packages/gateway/src/upstreams/replica.ts
+++ b/packages/gateway/src/upstreams/replica.ts
@@ -3,11 +3,15 @@
 /** Identifies one run of a replica: its id and the time of its start. */
 export type ReplicaRunId = Brand<string, 'ReplicaRunId'>;
 
+/** Version of the software that a replica runs; versions have no order. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
+
 /** Registration of a replica. */
 export interface ReplicaEntry {
   readonly id: UpstreamId;
   readonly runId: ReplicaRunId;
   readonly service: ServiceName;
+  readonly softwareVersion: SoftwareVersion;
   readonly host: string;
   readonly port: number;
   readonly availabilityZone: AvailabilityZone;
--- a/packages/gateway/tests/support/plainHeaderCodec.ts
+++ b/packages/gateway/tests/support/plainHeaderCodec.ts
@@ -27,6 +27,7 @@
       previousTurn: headerMap.get('previous-turn') as RequestFacts['previousTurn'],
       programId: headerMap.get('program') as RequestFacts['programId'],
       remainingMilliseconds: Number(headerMap.get('remaining') ?? 3_000),
+      resumedRequest: headerMap.get('resumes') as RequestFacts['resumedRequest'],
       requestId: headerMap.get('request-id') as RequestFacts['requestId'],
       tokenBudget: parseNumber(headerMap.get('token-budget')),
     });
--- a/packages/gateway/tests/support/samples.ts
+++ b/packages/gateway/tests/support/samples.ts
@@ -18,7 +18,7 @@
   GatewayWorkspace,
   RouteName,
 } from '../../src/configuration/gatewayConfiguration.js';
-import type { ReplicaEntry, ReplicaRunId } from '../../src/upstreams/replica.js';
+import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from '../../src/upstreams/replica.js';
 import type { ReplicaSource } from '../../src/upstreams/replicaDirectory.js';
 import type { RunnableRequest } from '../../src/upstreams/attemptLoop.js';
 
@@ -118,6 +118,7 @@
     runId: `${id}@1` as ReplicaRunId,
     service: engineService.name,
     slots: 12,
+    softwareVersion: 'v1' as SoftwareVersion,
     ...overrides,
   };
 }
@@ -135,6 +136,7 @@
     promptTokens: undefined,
     remainingMilliseconds: 3_000,
     requestId: 'request-1' as RequestId,
+    resumedRequest: undefined,
     sessionId: undefined,
     tokenBudget: undefined,
     ...overrides,
