test(gateway): reproduce streams that go on at another software version

Replicas of two versions break their streams off; further attempts and a second instance that is asked to go on choose any of them.

--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -8,6 +8,7 @@
 import type { PartitionedTable } from '@zincring/platform';
 
 import type { GatewayRoute } from '../../src/configuration/gatewayConfiguration.js';
+import type { ReplicaEntry, SoftwareVersion } from '../../src/upstreams/replica.js';
 import type { Behaviour } from './fakeReplica.js';
 
 import { Gateway } from '../../src/lifecycle/gateway.js';
@@ -42,6 +43,10 @@
   readonly gateway: Gateway;
   readonly replicas: readonly FakeReplica[];
   readonly store: RealTimeTable;
+  /** Registers a replica as draining. */
+  drainReplica(index: number): void;
+  /** Starts a further instance with the same store and replicas. */
+  startInstance(): Promise<GatewayFixture>;
   /** Sends a request as a caller. */
   send(options?: RequestOptions): Promise<ReceivedResponse>;
   /** Sends a readiness check as the load balancer. */
@@ -52,6 +57,8 @@
   readonly logger?: Logger;
   /** Rate of the workspace, in requests per second; no limit by default. */
   readonly ratePerSecond?: number;
+  /** Software versions of the replicas; `v1` by default. */
+  readonly softwareVersions?: readonly string[];
   /** Wraps the gateway's client of the store, for instance to record its calls. */
   readonly wrapTable?: (table: PartitionedTable) => PartitionedTable;
 }
@@ -94,11 +101,13 @@
   {
     logger = silentLogger,
     ratePerSecond = 0,
+    softwareVersions = [],
     wrapTable = (table: PartitionedTable) => table,
   }: GatewayFixtureOptions = {},
 ): Promise<GatewayFixture> {
   const store = new RealTimeTable();
   const replicas: FakeReplica[] = [];
+  const registrations: ReplicaEntry[] = [];
   for (const [index, behaviour] of behaviours.entries()) {
     const replica = new FakeReplica(behaviour);
     const port = await replica.start();
@@ -106,10 +115,13 @@
       replica.stop();
     });
     replicas.push(replica);
-    store.put(
-      { key: `r${String(index)}`, partition: '', table: replicaTable },
-      sampleReplica(`r${String(index)}`, { port, service: plainService.name }),
-    );
+    const registration = sampleReplica(`r${String(index)}`, {
+      port,
+      service: plainService.name,
+      softwareVersion: (softwareVersions[index] ?? 'v1') as SoftwareVersion,
+    });
+    registrations.push(registration);
+    registerReplica(store, registration);
   }
   store.put(
     configurationAddress,
@@ -118,13 +130,31 @@
       workspaces: [sampleWorkspace({ burst: ratePerSecond, ratePerSecond })],
     }),
   );
+  return await startInstance({ logger, registrations, replicas, store, wrapTable });
+}
+
+/** What the instances of a fixture share. */
+interface SharedParts {
+  readonly logger: Logger;
+  readonly registrations: readonly ReplicaEntry[];
+  readonly replicas: readonly FakeReplica[];
+  readonly store: RealTimeTable;
+  readonly wrapTable: (table: PartitionedTable) => PartitionedTable;
+}
+
+function registerReplica(store: RealTimeTable, registration: ReplicaEntry): void {
+  store.put({ key: registration.id, partition: '', table: replicaTable }, registration);
+}
+
+async function startInstance(parts: SharedParts): Promise<GatewayFixture> {
+  const { logger, registrations, replicas, store, wrapTable } = parts;
   const gateway = new Gateway(
     {
       availabilityZone: 'nelson' as AvailabilityZone,
       callers: { host: '127.0.0.1', port: 0 },
       drainMilliseconds: 2_000,
       graceMilliseconds: 1_000,
-      instance: 'entry-1' as InstanceId,
+      instance: `entry-${String(nextId++)}` as InstanceId,
       metrics: { host: '127.0.0.1', port: 0 },
       peers: { host: '127.0.0.1', port: 0 },
       readiness: { host: '127.0.0.1', port: 0 },
@@ -150,9 +180,16 @@
   await waitUntil(() => gateway.isReady);
   return {
     checkReadiness: async () => await send(gateway.ports.readiness, { method: 'GET' }),
+    drainReplica: index => {
+      const registration = registrations[index];
+      if (registration !== undefined) {
+        registerReplica(store, { ...registration, isDraining: true });
+      }
+    },
     gateway,
     replicas,
     send: async options => await send(gateway.ports.callers, options),
+    startInstance: async () => await startInstance(parts),
     store,
   };
 }
--- /dev/null
+++ b/packages/gateway/tests/upstreams/resumedStreams.test.ts
@@ -0,0 +1,108 @@
+import { describe, expect, it } from 'vitest';
+
+import type { Behaviour } from '../support/fakeReplica.js';
+import type { GatewayFixture, ReceivedResponse } from '../support/gatewayFixture.js';
+
+import { streamsEvents } from '../support/fakeReplica.js';
+import { resumableRoute, startGateway } from '../support/gatewayFixture.js';
+
+const breaksFirstRun: Behaviour = (socket, request) => {
+  const isResumed = request.headers.has('last-event-id');
+  const respond = isResumed ? streamsEvents([3], 'whole') : streamsEvents([1, 2], 'break');
+  respond(socket, request);
+};
+
+/** Returns the versions whose replicas ran a request, in the order in which they received it. */
+function listVersions(
+  { replicas }: GatewayFixture,
+  softwareVersions: readonly string[],
+  ids: readonly string[],
+): readonly string[] {
+  return ids.flatMap(id =>
+    replicas.flatMap((replica, index) =>
+      replica.receivedRequests
+        .filter(({ headers }) => headers.get('request-id') === id)
+        .map(() => softwareVersions[index] ?? ''),
+    ),
+  );
+}
+
+async function beginStream(fixture: GatewayFixture, id: string): Promise<ReceivedResponse> {
+  return await fixture.send({ body: 'input', headers: { 'request-id': id } });
+}
+
+async function takeUp(
+  fixture: GatewayFixture,
+  id: string,
+  resumes: string | undefined,
+): Promise<ReceivedResponse> {
+  const headers = {
+    'last-event-id': '2',
+    'request-id': id,
+    ...(resumes === undefined ? {} : { resumes }),
+  };
+  return await fixture.send({ body: 'input', headers });
+}
+
+/** Makes the first replica leave, and waits until the instance sends new streams to others. */
+async function drainFirstReplica(fixture: GatewayFixture): Promise<void> {
+  fixture.drainReplica(0);
+  const [first] = fixture.replicas;
+  for (let probe = 0; ; probe++) {
+    const before = first!.receivedRequests.length;
+    await beginStream(fixture, `probe-${String(probe)}`);
+    if (first!.receivedRequests.length === before) {
+      return;
+    }
+  }
+}
+
+describe('streams while replicas of several software versions serve', () => {
+  const softwareVersions = ['v1', 'v2', 'v1', 'v2'];
+  const singleAttemptRoute = { ...resumableRoute, maximumAttempts: 1 };
+  const makeBehaviours = (count: number): Behaviour[][] =>
+    Array.from({ length: count }, () => [breaksFirstRun]);
+
+  it('never go on at another version within one response', async () => {
+    const fixture = await startGateway(resumableRoute, makeBehaviours(4), { softwareVersions });
+    const response = await beginStream(fixture, 'stream');
+    expect(response).toMatchObject({ isComplete: true, status: 200 });
+    expect(listVersions(fixture, softwareVersions, ['stream'])).toEqual(['v1', 'v1']);
+  });
+
+  it('never go on at another version when callers take them up at another instance', async () => {
+    const fixture = await startGateway(singleAttemptRoute, makeBehaviours(4), { softwareVersions });
+    const other = await fixture.startInstance();
+    expect((await beginStream(fixture, 'first')).isComplete).toBe(false);
+    await drainFirstReplica(other);
+    const response = await takeUp(other, 'second', 'first');
+    expect(response).toMatchObject({ isComplete: true, status: 200 });
+    expect(listVersions(fixture, softwareVersions, ['first', 'second'])).toEqual(['v1', 'v1']);
+  });
+
+  it('never go on at another version when no replica of their version is left', async () => {
+    const fixture = await startGateway(singleAttemptRoute, makeBehaviours(2), { softwareVersions });
+    await beginStream(fixture, 'first');
+    await drainFirstReplica(fixture);
+    expect((await takeUp(fixture, 'second', 'first')).status).toBe(503);
+    expect(listVersions(fixture, softwareVersions, ['first', 'second'])).toEqual(['v1']);
+  });
+
+  it.each([
+    ['no request', undefined],
+    ['a request that is not known', 'unknown'],
+  ])(
+    'never go on at a version that is guessed when the caller names %s',
+    async (_name, resumes) => {
+      const fixture = await startGateway(resumableRoute, makeBehaviours(4), { softwareVersions });
+      expect((await takeUp(fixture, 'second', resumes)).status).toBe(503);
+      expect(listVersions(fixture, softwareVersions, ['second'])).toEqual([]);
+    },
+  );
+
+  it('go on without a recorded version while a single one serves', async () => {
+    const fixture = await startGateway(resumableRoute, makeBehaviours(2));
+    const response = await takeUp(fixture, 'second', 'unknown');
+    expect(response).toMatchObject({ isComplete: true, status: 200 });
+  });
+});
