fix(gateway): go on with a stream only at the software version that began it

Cause: the choice of a replica did not know versions. Inside one response a further attempt went to any replica; a caller that took its stream up at another instance was served by any replica, since what began the stream was known to no one but the process that had.

Why this works: the version of the first event binds all further attempts of a response. While several versions of a service are registered, it is written to the store at that event, insert-only, so that a late write changes nothing; whoever is asked to go on reads it by `Resumes`. A stream without a row began while one version was alone. What is not certain is refused before anything is sent.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -183,11 +183,19 @@
     request: RunnableRequest,
     lifetime: RequestLifetime,
   ): Promise<Result<PreparedTurn, ZincringError>> {
+    const origin = await this.dependencies.streamOrigins.resolve(request);
+    if (origin.err) {
+      return origin;
+    }
     const composed = await this.dependencies.turnStore.compose(request, lifetime.signal);
     if (composed.err) {
       return composed;
     }
-    const requestWithHistory = { ...request, body: composed.val.body };
+    const requestWithHistory = {
+      ...request,
+      body: composed.val.body,
+      softwareVersion: origin.val,
+    };
     const refusal = this.dependencies.crashes.check(requestWithHistory);
     if (refusal !== undefined) {
       return Err(refusal);
@@ -241,6 +249,7 @@
       path: incoming.path,
       route,
       service,
+      softwareVersion: undefined,
       urgency:
         service.engine === undefined
           ? undefined
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -38,6 +38,8 @@
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaLoads } from '../upstreams/replicaLoads.js';
 import { ReplicaPool } from '../upstreams/replicaPool.js';
+import { StreamOrigins, sweptStreams } from '../upstreams/streamOrigins.js';
+import { VersionHistory } from '../upstreams/versionHistory.js';
 import { deriveGatewayTimes } from './gatewayOptions.js';
 import { ReadinessServer } from './readinessServer.js';
 import { ZoneOutageDetector } from './zoneOutageDetector.js';
@@ -70,8 +72,8 @@
 const REPLICA_REREGISTRATION_MILLISECONDS = 1_900;
 /** Minimum duration of an outage of the store after which entries of replicas may have expired, in milliseconds: longer than one heartbeat. */
 const MINIMUM_OUTAGE_MILLISECONDS = 2_500;
-/** Interval at which connections to removed replicas are closed, in milliseconds. */
-const CONNECTION_SWEEP_INTERVAL_MILLISECONDS = 1_000;
+/** Interval at which connections to removed replicas are closed and the versions of replicas are noted, in milliseconds. */
+const REPLICA_SWEEP_INTERVAL_MILLISECONDS = 1_000;
 /** Time without an answer of the store after which callers should use another instance, in milliseconds: longer than one wait for changes. */
 const MAXIMUM_STORE_SILENCE_MILLISECONDS = 1_600;
 /** Timeout for the release of reserved tokens during shutdown, in milliseconds: fits the remainder of the grace period. */
@@ -92,6 +94,7 @@
   private readonly replicas: ReplicaDirectory;
   private readonly crashes: CrashRecord;
   private readonly pool: ReplicaPool;
+  private readonly versions: VersionHistory;
   private readonly server: GatewayServer;
   private readonly readiness: ReadinessServer;
   private readonly zoneOutageDetector = new ZoneOutageDetector();
@@ -108,7 +111,7 @@
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
   private readonly holder: string;
   private readonly rowSweeper: RowSweeper;
-  private connectionSweepTimer: TimerSubscription | undefined;
+  private replicaSweepTimer: TimerSubscription | undefined;
   private isStopping = false;
 
   public constructor(
@@ -128,6 +131,7 @@
     this.times = deriveGatewayTimes(options);
     this.configuration = this.makeConfiguration();
     this.replicas = this.makeReplicas();
+    this.versions = new VersionHistory(this.replicas, timers);
     const { makeId } = dependencies;
     this.crashes = new CrashRecord({ logger, makeId, table: table.essential, timers });
     this.holder = `${options.instance}/${makeId()}`;
@@ -141,6 +145,7 @@
       sweptBudgets,
       sweptCrashes,
       sweptPeers,
+      sweptStreams,
     ]);
     const load = new ReplicaLoads(timers, entry => this.getMaximumConnections(entry));
     this.pool = new ReplicaPool(this.replicas, load, options.availabilityZone, dependencies.random);
@@ -193,10 +198,11 @@
     this.crashes.start();
     this.rowSweeper.start();
     this.storeCallReporter.start();
-    this.connectionSweepTimer = this.dependencies.timers.every(
-      CONNECTION_SWEEP_INTERVAL_MILLISECONDS,
+    this.replicaSweepTimer = this.dependencies.timers.every(
+      REPLICA_SWEEP_INTERVAL_MILLISECONDS,
       () => {
         this.pool.sweep();
+        this.versions.update();
       },
     );
     await this.server.listen(this.options.callers);
@@ -218,7 +224,7 @@
     this.tokenAccounts.stopReservingAhead();
     await sleep(this.dependencies.timers, this.times.acceptingMilliseconds);
     await this.server.close(this.times.stopMilliseconds - this.times.acceptingMilliseconds);
-    this.connectionSweepTimer?.stop();
+    this.replicaSweepTimer?.stop();
     await Promise.race([
       this.tokenAccounts.releaseAll(),
       sleep(this.dependencies.timers, BUDGET_RELEASE_TIMEOUT_MILLISECONDS),
@@ -323,6 +329,7 @@
           timers,
         }),
       ),
+      streamOrigins: new StreamOrigins({ logger, table, timers, versions: this.versions }),
       zoneOutageDetector: this.zoneOutageDetector,
       timers,
       headerCodec,
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -10,6 +10,7 @@
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
 import type { ReplicaPool } from './replicaPool.js';
+import type { StreamOrigins } from './streamOrigins.js';
 
 import { readResponseBody } from './readResponseBody.js';
 import { exchangeWithReplica } from './replicaExchange.js';
@@ -29,6 +30,8 @@
   /** Deadline of the response to the caller, on the monotonic clock, in milliseconds. */
   readonly deadline: number;
   readonly urgency: number | undefined;
+  /** Version at which a stream that the caller takes up goes on; `undefined` for other requests. */
+  readonly softwareVersion: SoftwareVersion | undefined;
 }
 
 /** Cancellation state of a running request. */
@@ -68,6 +71,7 @@
   readonly pool: ReplicaPool;
   readonly headerCodec: HeaderCodec;
   readonly crashes: CrashRecord;
+  readonly streamOrigins: StreamOrigins;
   readonly metrics: GatewayMetrics;
 }
 
@@ -98,6 +102,8 @@
   private refusals = 0;
   private lastEventId: string | undefined;
   private forwardedEvents = 0;
+  /** Version of the replica that sent the first event: what two versions write does not fit together. */
+  private softwareVersion: SoftwareVersion | undefined;
 
   public constructor(
     private readonly dependencies: AttemptLoopDependencies,
@@ -107,6 +113,7 @@
     private readonly control: RequestControl,
   ) {
     this.lastEventId = request.facts.lastEventId;
+    this.softwareVersion = request.softwareVersion;
   }
 
   /** Whether a replica may have started to process the request. */
@@ -159,6 +166,7 @@
       facts,
       isSticky: route.isSticky,
       service,
+      softwareVersion: this.softwareVersion,
     });
   }
 
@@ -258,7 +266,7 @@
   ): Promise<AttemptResult> {
     if (this.request.route.kind === 'streaming' && isSuccess(response.status)) {
       this.dependencies.pool.recordReplica(this.request.facts, entry);
-      return await this.relayResponse(response);
+      return await this.relayResponse(entry, response);
     }
     const body = await readResponseBody(response, MAXIMUM_BUFFERED_RESPONSE_BYTES);
     if (body === undefined) {
@@ -278,10 +286,14 @@
     return this.describeServed(response);
   }
 
-  private async relayResponse(response: ReplicaResponse): Promise<AttemptResult> {
+  private async relayResponse(
+    entry: ReplicaEntry,
+    response: ReplicaResponse,
+  ): Promise<AttemptResult> {
     const end = await relayStream(response, {
       onEvent: async event => {
         this.startStream(response);
+        this.recordOrigin(entry);
         this.lastEventId = event.id ?? this.lastEventId;
         this.forwardedEvents++;
         this.observer?.onEvent(event.data);
@@ -307,6 +319,13 @@
     return this.describeServed(response);
   }
 
+  private recordOrigin(entry: ReplicaEntry): void {
+    if (this.softwareVersion === undefined) {
+      this.softwareVersion = entry.softwareVersion;
+      this.dependencies.streamOrigins.record(this.request, entry);
+    }
+  }
+
   /** Writes the head of the first replica's response; the streams of further ones continue it. */
   private startStream({ framing, headers, status }: ReplicaResponse): void {
     if (!this.sink.isStarted) {
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -4,7 +4,7 @@
 
 import type { GatewayService } from '../configuration/gatewayConfiguration.js';
 import type { RequestFacts, SessionId } from '../callers/requestFacts.js';
-import type { ReplicaEntry, ReplicaRunId } from './replica.js';
+import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ReplicaDirectory } from './replicaDirectory.js';
 import type { ReplicaLoads } from './replicaLoads.js';
 import type { PlacementCandidate } from './replicaPlacement.js';
@@ -22,6 +22,8 @@
   readonly service: GatewayService;
   readonly facts: RequestFacts;
   readonly isSticky: boolean;
+  /** Version at which a stream goes on; `undefined` if any version may serve the request. */
+  readonly softwareVersion: SoftwareVersion | undefined;
   /** Replica runs that were already tried for this request. */
   readonly excluded: ReadonlySet<ReplicaRunId>;
 }
@@ -40,8 +42,9 @@
   ) {}
 
   /** Chooses the replica for a request; `undefined` if none is left. */
-  public choose({ excluded, facts, isSticky, service }: PoolRequest): ReplicaEntry | undefined {
-    const candidates = this.findCandidates(service, excluded);
+  public choose(poolRequest: PoolRequest): ReplicaEntry | undefined {
+    const { facts, isSticky, service } = poolRequest;
+    const candidates = this.findCandidates(poolRequest);
     const request = {
       affinity: service.engine === undefined ? chooseAffinity(facts, isSticky) : facts.sessionId,
       availabilityZone: this.availabilityZone,
@@ -66,10 +69,11 @@
     this.loads.retain(new Set(this.directory.listAll().map(entry => entry.runId)));
   }
 
-  private findCandidates(
-    service: GatewayService,
-    excluded: ReadonlySet<ReplicaRunId>,
-  ): readonly PlacementCandidate[] {
+  private findCandidates({
+    excluded,
+    service,
+    softwareVersion,
+  }: PoolRequest): readonly PlacementCandidate[] {
     const candidates = this.directory
       .findReplicas(service.name)
       .filter(entry => !entry.isDraining)
@@ -82,7 +86,11 @@
     // If most replicas fail, the cause is elsewhere, and avoiding them would overload the others.
     const mayAvoid = avoidedCount <= candidates.length * MAXIMUM_AVOIDED_SHARE;
     return candidates
-      .filter(({ entry }) => !excluded.has(entry.runId))
+      .filter(
+        ({ entry }) =>
+          !excluded.has(entry.runId) &&
+          (softwareVersion === undefined || entry.softwareVersion === softwareVersion),
+      )
       .map(candidate => ({ ...candidate, isAvoided: mayAvoid && candidate.isAvoided }));
   }
 }
--- /dev/null
+++ b/packages/gateway/src/upstreams/streamOrigins.ts
@@ -0,0 +1,156 @@
+import type { Logger, Result, ServiceName, TimerService } from '@zincring/core';
+import type { RowAddress } from '@zincring/platform';
+
+import { Err, Ok, ZincringError } from '@zincring/core';
+
+import type { RequestId } from '../callers/requestFacts.js';
+import type { GatewayRoute } from '../configuration/gatewayConfiguration.js';
+import type { MonitoredTable } from '../store/monitoredTable.js';
+import type { SweptTable } from '../store/rowSweeper.js';
+import type { RunnableRequest } from './attemptLoop.js';
+import type { ReplicaEntry, SoftwareVersion } from './replica.js';
+import type { OriginLookup, StreamOrigin } from './decideResumedVersion.js';
+import type { VersionHistory } from './versionHistory.js';
+
+import { readRow } from '../store/editRow.js';
+import { PartitionSet } from '../store/partitionSet.js';
+import { decideResumedVersion } from './decideResumedVersion.js';
+
+/** Dependencies of {@link StreamOrigins}. */
+export interface StreamOriginsDependencies {
+  readonly table: MonitoredTable;
+  readonly versions: VersionHistory;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+}
+
+/** Row of a stream. */
+interface StoredOrigin {
+  readonly service: string;
+  readonly version: string;
+  /** Earliest time at which the row may be removed, on the wall clock, in milliseconds. */
+  readonly expiresAt: number;
+}
+
+const STREAM_TABLE = 'streams';
+/** Partitions of the table: together they take more transactions than the store accepts from all instances. */
+const streamPartitions = new PartitionSet(STREAM_TABLE, 16);
+/** Description of the streams for the removal of expired rows. */
+export const sweptStreams: SweptTable = {
+  expiresAt: row => (JSON.parse(row.value.toString()) as StoredOrigin).expiresAt,
+  keysOf: row => [row.key],
+  partitions: streamPartitions.names,
+  table: STREAM_TABLE,
+};
+
+/**
+ * Records in the store at which software version a stream began, so that any instance can go on
+ * with it after the one that began it is gone. Nothing is recorded while a single version serves.
+ *
+ * @example
+ * origins.record(request, entry);
+ * const version = await origins.resolve(resumedRequest); // at any instance
+ */
+export class StreamOrigins {
+  public constructor(private readonly dependencies: StreamOriginsDependencies) {}
+
+  /** Records the replica that sent the first event of a stream. */
+  public record({ facts, route }: RunnableRequest, entry: ReplicaEntry): void {
+    if (
+      facts.requestId !== undefined &&
+      route.isResumable &&
+      this.dependencies.versions.hasSeveralVersions(entry.service)
+    ) {
+      void this.write(facts.requestId, route, entry);
+    }
+  }
+
+  /**
+   * Finds the version at which a stream that its caller takes up must go on; `undefined` for other
+   * requests. Fails with `upstream-unavailable` or `store-unavailable` if the version is not certain,
+   * since replicas do not check it.
+   */
+  public async resolve({
+    facts,
+    route,
+    service,
+  }: RunnableRequest): Promise<Result<SoftwareVersion | undefined, ZincringError>> {
+    if (facts.lastEventId === undefined || route.kind !== 'streaming') {
+      return Ok(undefined);
+    }
+    const { table, versions } = this.dependencies;
+    const lookup = await this.lookUp(facts.resumedRequest);
+    const windowMilliseconds = computeWindowMilliseconds(route);
+    const version = decideResumedVersion(lookup, {
+      lone: versions.findLoneVersion(service.name, windowMilliseconds),
+      service: service.name,
+      sole: versions.findSoleVersion(service.name, windowMilliseconds),
+    });
+    if (version !== undefined) {
+      return Ok(version);
+    }
+    return Err(
+      lookup.kind === 'unknown'
+        ? new ZincringError('store-unavailable', {
+            detail: 'the version at which the stream began could not be read',
+            retryAfterSeconds: table.retryAfterSeconds,
+          })
+        : new ZincringError('upstream-unavailable', {
+            detail: 'the version at which the stream began is not known or serves no longer',
+          }),
+    );
+  }
+
+  private async lookUp(id: RequestId | undefined): Promise<OriginLookup> {
+    if (id === undefined) {
+      return { kind: 'absent' };
+    }
+    const read = await readRow(this.dependencies.table, makeAddress(id));
+    if (read.err) {
+      return { kind: 'unknown' };
+    }
+    const { value } = read.val.row;
+    return value === undefined
+      ? { kind: 'absent' }
+      : { kind: 'found', origin: decodeOrigin(value) };
+  }
+
+  private async write(
+    id: RequestId,
+    { timeoutMilliseconds }: GatewayRoute,
+    { service, softwareVersion }: ReplicaEntry,
+  ): Promise<void> {
+    const { logger, table, timers } = this.dependencies;
+    const origin: StoredOrigin = {
+      expiresAt: timers.wallClock() + 2 * timeoutMilliseconds,
+      service,
+      version: softwareVersion,
+    };
+    const address = makeAddress(id);
+    const outcome = await table.transact({
+      checks: [{ ...address, version: 0 }],
+      removals: [],
+      writes: [{ ...address, value: Buffer.from(JSON.stringify(origin)) }],
+    });
+    if (outcome.err) {
+      logger.warn(
+        { event: 'stream-origin-not-kept', failure: outcome.val.message, request: id },
+        'could not record at which version a stream began',
+      );
+    }
+  }
+}
+
+/** Time before now in which a stream that is taken up can have begun, the delay of the list of replicas included. */
+function computeWindowMilliseconds({ timeoutMilliseconds }: GatewayRoute): number {
+  return 2 * timeoutMilliseconds;
+}
+
+function makeAddress(id: RequestId): RowAddress {
+  return { key: id, partition: streamPartitions.of(id), table: STREAM_TABLE };
+}
+
+function decodeOrigin(value: Buffer): StreamOrigin {
+  const { service, version } = JSON.parse(value.toString()) as StoredOrigin;
+  return { service: service as ServiceName, version: version as SoftwareVersion };
+}
--- a/packages/gateway/tests/support/samples.ts
+++ b/packages/gateway/tests/support/samples.ts
@@ -163,6 +163,7 @@
     path: '/summaries/1',
     route: sampleRoute(),
     service: engineService,
+    softwareVersion: undefined,
     urgency: 2,
     workspace: 'clerks' as WorkspaceName,
     ...overrides,
