fix(gateway): store a turn before the last event of a stream without framing

What callers saw: a turn that had arrived whole was answered 404 when it was named as the previous one.

Cause: a turn is stored before the end of its response is marked. A stream forwarded without a length or chunks has no such mark: with its last event it looks whole, also when the process is killed before the turn is stored and the kernel closes the connection in order.

Why this works: on routes that store turns, each event of such a stream is forwarded when the next one arrives, and the last one after the turn is stored. Framed streams are not delayed.

Evidence: the new case of unframedResponses.test.ts failed before (three events instead of two).

--- a/packages/gateway/src/callers/responseSink.ts
+++ b/packages/gateway/src/callers/responseSink.ts
@@ -24,6 +24,8 @@
 
 /** Observes the events of a stream as they are forwarded to the caller. */
 export interface StreamObserver {
+  /** Whether the caller may receive the whole stream only after {@link StreamObserver.beforeEnd}. */
+  readonly delaysEnd: boolean;
   onEvent(data: Buffer): void;
   /**
    * Called once the stream is complete, before the end of the body is written; `false` leaves the
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -3,6 +3,7 @@
 import { ZincringError } from '@zincring/core';
 
 import type { BodyFraming, ResponseSink, StreamObserver } from '../callers/responseSink.js';
+import type { StreamEvent } from '../callers/eventSplitter.js';
 import type { RequestFacts, HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
@@ -290,14 +291,18 @@
     entry: ReplicaEntry,
     response: ReplicaResponse,
   ): Promise<AttemptResult> {
+    const isUnframed = (this.sink.framing ?? response.framing) === 'connection';
+    // Without framing the last event makes the stream look whole, so it waits until the observer is done.
+    const holdsLastEvent = isUnframed && this.observer?.delaysEnd === true;
+    let heldEvent: StreamEvent | undefined;
     const end = await relayStream(response, {
       onEvent: async event => {
-        this.startStream(response);
-        this.recordOrigin(entry);
-        this.lastEventId = event.id ?? this.lastEventId;
-        this.forwardedEvents++;
-        this.observer?.onEvent(event.data);
-        await this.sink.write(event.bytes);
+        const nextEvent = holdsLastEvent ? heldEvent : event;
+        heldEvent = holdsLastEvent ? event : undefined;
+        if (nextEvent !== undefined) {
+          this.observer?.onEvent(nextEvent.data);
+          await this.forwardEvent(entry, response, nextEvent);
+        }
       },
       signal: this.control.signal,
     });
@@ -305,20 +310,38 @@
       const reason = `broke off after ${String(this.forwardedEvents)} events`;
       return { kind: 'lost', reason: describeBreak(reason, response) };
     }
-    if (end === 'unproven' && this.sink.framing !== 'connection') {
+    if (end === 'unproven' && !isUnframed) {
       return {
         kind: 'lost',
         reason: 'the end of the connection does not prove that of the stream',
       };
     }
+    if (heldEvent !== undefined) {
+      this.observer?.onEvent(heldEvent.data);
+    }
     if (!((await this.observer?.beforeEnd()) ?? true)) {
       return { kind: 'lost', reason: 'the turn could not be kept' };
     }
+    if (heldEvent !== undefined) {
+      await this.forwardEvent(entry, response, heldEvent);
+    }
     this.startStream(response);
     this.sink.end();
     return this.describeServed(response);
   }
 
+  private async forwardEvent(
+    entry: ReplicaEntry,
+    response: ReplicaResponse,
+    event: StreamEvent,
+  ): Promise<void> {
+    this.startStream(response);
+    this.recordOrigin(entry);
+    this.lastEventId = event.id ?? this.lastEventId;
+    this.forwardedEvents++;
+    await this.sink.write(event.bytes);
+  }
+
   private recordOrigin(entry: ReplicaEntry): void {
     if (this.softwareVersion === undefined) {
       this.softwareVersion = entry.softwareVersion;
--- a/packages/gateway/tests/upstreams/unframedResponses.test.ts
+++ b/packages/gateway/tests/upstreams/unframedResponses.test.ts
@@ -1,7 +1,10 @@
+import { Err } from '@zincring/core';
+import { PlatformError } from '@zincring/platform';
 import { describe, expect, it } from 'vitest';
 
 import type { ConnectionEnd } from '../support/fakeReplica.js';
 
+import { TURN_TABLE } from '../../src/programs/storedTurnRows.js';
 import {
   inOrder,
   respondsUnframed,
@@ -92,6 +95,22 @@
     expect(next.status).toBe(404);
   });
 
+  it('never delivers all events of a turn before the turn is stored', async () => {
+    const route = { ...streamRoute, storesTurns: true, timeoutMilliseconds: 300 };
+    const fixture = await startGateway(route, [[streamsUnframed([1, 2, 3], 'close')]], {
+      wrapTable: table => ({
+        ...table,
+        transact: async transaction =>
+          transaction.writes[0]?.table === TURN_TABLE
+            ? Err(new PlatformError('unavailable', 'turns are refused'))
+            : await table.transact(transaction),
+      }),
+    });
+    const response = await fixture.send({ body: 'input' });
+    expect(response.body.match(/id: \d+/g)).toEqual(['id: 1', 'id: 2']);
+    expect(response.isComplete).toBe(false);
+  });
+
   it('never returns the part of a response that arrived before a reset', async () => {
     const fixture = await startGateway(unsafeRoute, [[respondsUnframed('half', 'reset')]]);
     expect((await fixture.send()).status).toBe(502);
