fix(gateway): refuse to take up a turn whose earlier events are not at hand

A caller that took up a turn with Last-Event-Id on a route that stores turns got the rest of the stream, and the turn was stored with this rest alone, so the next turn went on from a history with events missing.

Cause: the events of the interrupted request are known to no one but the process that delivered them.

Why this works: such a request is refused with 503 before anything is sent, as what is not certain, and the caller begins the turn anew. docs/design/platform.md keeps the question of what the users expect.

Evidence: the new case of turnStore.test.ts failed before (the request was composed).

--- a/packages/gateway/src/programs/turnStore.ts
+++ b/packages/gateway/src/programs/turnStore.ts
@@ -73,6 +73,14 @@
     if (!request.route.storesTurns) {
       return Ok({ body: request.body, turn: undefined });
     }
+    if (request.facts.lastEventId !== undefined) {
+      // The output of the turn would lack the events that another request has delivered.
+      return Err(
+        new ZincringError('upstream-unavailable', {
+          detail: 'a turn that is stored cannot be taken up in the middle of its stream',
+        }),
+      );
+    }
     const chain = await this.loadChain(request, signal);
     if (chain.err) {
       return chain;
--- a/packages/gateway/tests/programs/turnStore.test.ts
+++ b/packages/gateway/tests/programs/turnStore.test.ts
@@ -73,6 +73,17 @@
     return composed.val.body.toString();
   }
 
+  it('never stores a turn without the events that an earlier request has delivered', async () => {
+    const request = sampleTurn(
+      'second',
+      { lastEventId: '2' },
+      { route: sampleRoute({ isResumable: true, storesTurns: true }) },
+    );
+    const composed = await finish(makeInstance().compose(request, signal));
+    expect(composed.err && composed.val.ran).toBe('no');
+    expect(composed.err && composed.val.status).toBe(503);
+  });
+
   it('leaves requests of routes that do not store turns unchanged', async () => {
     const composed = await finish(makeInstance().compose(sampleTurn('a'), signal));
     expect(composed.ok && composed.val.body.toString()).toBe('input');
