--- a/packages/gateway/src/upstreams/decideResumedVersion.ts
+++ b/packages/gateway/src/upstreams/decideResumedVersion.ts
@@ -19,9 +19,9 @@
   /** Service to which the request is to be sent. */
   readonly service: ServiceName;
   /** Version that was alone at some time, if it is the only such version. */
-  readonly lone: SoftwareVersion | undefined;
+  readonly single: SoftwareVersion | undefined;
   /** Version that was alone all the time. */
-  readonly sole: SoftwareVersion | undefined;
+  readonly constant: SoftwareVersion | undefined;
 }
 
 /**
@@ -30,19 +30,19 @@
  * version was alone.
  *
  * @example
- * decideResumedVersion({ kind: 'absent' }, { lone: 'v1', service, sole: undefined }); // 'v1'
+ * decideResumedVersion({ kind: 'absent' }, { single: 'v1', service, constant: undefined }); // 'v1'
  */
 export function decideResumedVersion(
   lookup: OriginLookup,
-  { lone, service, sole }: ObservedVersions,
+  { single, service, constant }: ObservedVersions,
 ): SoftwareVersion | undefined {
   switch (lookup.kind) {
     case 'absent':
-      return lone;
+      return single;
     case 'found':
       return lookup.origin.service === service ? lookup.origin.version : undefined;
     case 'unknown':
-      return sole;
+      return constant;
     default:
       return lookup satisfies never;
   }
--- a/packages/gateway/src/upstreams/streamOrigins.ts
+++ b/packages/gateway/src/upstreams/streamOrigins.ts
@@ -82,9 +82,9 @@
     const lookup = await this.lookUp(facts.resumedRequest);
     const windowMilliseconds = computeWindowMilliseconds(route);
     const version = decideResumedVersion(lookup, {
-      lone: versions.findLoneVersion(service.name, windowMilliseconds),
+      single: versions.findSingleVersion(service.name, windowMilliseconds),
       service: service.name,
-      sole: versions.findSoleVersion(service.name, windowMilliseconds),
+      constant: versions.findConstantVersion(service.name, windowMilliseconds),
     });
     if (version !== undefined) {
       return Ok(version);
--- a/packages/gateway/src/upstreams/versionHistory.ts
+++ b/packages/gateway/src/upstreams/versionHistory.ts
@@ -30,7 +30,7 @@
  *
  * @example
  * const history = new VersionHistory(directory, timers);
- * history.findSoleVersion('minutes-llm' as ServiceName, 6_000); // 'v1', or undefined while two versions serve
+ * history.findConstantVersion('minutes-llm' as ServiceName, 6_000); // 'v1', or undefined while two versions serve
  */
 export class VersionHistory {
   private readonly periods = new Map<ServiceName, VersionPeriod[]>();
@@ -74,25 +74,25 @@
    * Returns the version that was alone at some time of the window before now; `undefined` if none
    * was, or several one after the other.
    */
-  public findLoneVersion(
+  public findSingleVersion(
     service: ServiceName,
     windowMilliseconds: number,
   ): SoftwareVersion | undefined {
-    const lone = this.listPeriods(service, windowMilliseconds)
+    const single = this.listPeriods(service, windowMilliseconds)
       .filter(({ versions }) => versions.size === 1)
       .flatMap(({ versions }) => [...versions]);
-    return new Set(lone).size === 1 ? lone[0] : undefined;
+    return new Set(single).size === 1 ? single[0] : undefined;
   }
 
   /** Returns the version of a service if it alone was observed during the whole window before now. */
-  public findSoleVersion(
+  public findConstantVersion(
     service: ServiceName,
     windowMilliseconds: number,
   ): SoftwareVersion | undefined {
     const periods = this.listPeriods(service, windowMilliseconds);
     const wasObserved = this.timers.now() - this.observedSince >= windowMilliseconds;
     return wasObserved && periods.every(({ versions }) => versions.size < 2)
-      ? this.findLoneVersion(service, windowMilliseconds)
+      ? this.findSingleVersion(service, windowMilliseconds)
       : undefined;
   }
 
--- a/packages/gateway/tests/upstreams/decideResumedVersion.test.ts
+++ b/packages/gateway/tests/upstreams/decideResumedVersion.test.ts
@@ -29,7 +29,7 @@
       undefined,
       undefined,
     ],
-  ] as const)('%s', (_name, lookup, lone, sole, expected) => {
-    expect(decideResumedVersion(lookup, { lone, service, sole })).toBe(expected);
+  ] as const)('%s', (_name, lookup, single, constant, expected) => {
+    expect(decideResumedVersion(lookup, { single, service, constant })).toBe(expected);
   });
 });
--- a/packages/gateway/tests/upstreams/versionHistory.test.ts
+++ b/packages/gateway/tests/upstreams/versionHistory.test.ts
@@ -92,23 +92,23 @@
       'v1',
       'v1',
     ],
-  ] as const)('tells which version served alone: %s', async (_name, steps, lone, sole) => {
+  ] as const)('tells which version served alone: %s', async (_name, steps, single, constant) => {
     for (const [versions, seconds] of steps) {
       await serve(versions, seconds);
     }
-    expect(history.findLoneVersion(engineService.name, WINDOW_MILLISECONDS)).toBe(lone);
-    expect(history.findSoleVersion(engineService.name, WINDOW_MILLISECONDS)).toBe(sole);
+    expect(history.findSingleVersion(engineService.name, WINDOW_MILLISECONDS)).toBe(single);
+    expect(history.findConstantVersion(engineService.name, WINDOW_MILLISECONDS)).toBe(constant);
   });
 
   it('does not vouch for a time in which the list was not confirmed', async () => {
     await serve(['v1'], 9);
     ageMilliseconds = 3_000;
-    expect(history.findSoleVersion(engineService.name, WINDOW_MILLISECONDS)).toBeUndefined();
+    expect(history.findConstantVersion(engineService.name, WINDOW_MILLISECONDS)).toBeUndefined();
     ageMilliseconds = 0;
     history.update();
     await timers.advance(WINDOW_MILLISECONDS - 1);
-    expect(history.findSoleVersion(engineService.name, WINDOW_MILLISECONDS)).toBeUndefined();
+    expect(history.findConstantVersion(engineService.name, WINDOW_MILLISECONDS)).toBeUndefined();
     await timers.advance(1);
-    expect(history.findSoleVersion(engineService.name, WINDOW_MILLISECONDS)).toBe('v1');
+    expect(history.findConstantVersion(engineService.name, WINDOW_MILLISECONDS)).toBe('v1');
   });
 });
