fix(core): fail a response whose connection is reset together with its last bytes

What callers saw: 200 and an orderly end for a broken body or stream without a length or chunks; a turn of this kind was stored.

Cause: if a reset arrives in the same poll as the bytes before it, Node.js reports neither an error nor a reset, but the end of the connection. libuv (1.46) ends a stream after a short read if its socket has hung up, without the read that would return ECONNRESET. That happens whenever the event loop is late by more than the pause between the last bytes and the reset, as on a busy machine or after a pause of the process.

Evidence: a server that writes and resets in one step gives `end` with `complete`, no `error`, and `close` without an error, every time.

Why the fix works: an empty write sends nothing, succeeds after an orderly end and fails with ECONNRESET after a reset. It is made in the first listener of the end of the socket, so the failure is known before Node.js reports the end of the message. Only responses that end with their connection are concerned; an incomplete body with a length or chunks was recognized before. A reset that follows an orderly end leaves the body whole, as before.

The store's client now fails with its connection like the others; a body that was cut there would have been read as whole.

--- a/packages/core/src/http/failWithConnection.ts
+++ b/packages/core/src/http/failWithConnection.ts
@@ -1,4 +1,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+
+import { endsWithConnection } from './endsWithConnection.js';
 
 /**
  * Makes reading a response fail if its connection fails after the head. Node.js reports such a
@@ -14,4 +17,26 @@
   outgoing.on('error', failure => {
     incoming.destroy(failure);
   });
+  if (endsWithConnection(incoming)) {
+    failAfterHiddenReset(incoming.socket, incoming);
+  }
+}
+
+/**
+ * Node.js reports a reset that arrives together with data as an orderly end of the connection. An
+ * empty write tells them apart: it sends nothing, and fails after a reset.
+ */
+function failAfterHiddenReset(socket: Socket, incoming: IncomingMessage): void {
+  const probe = (): void => {
+    socket.write('', (failure?: NodeJS.ErrnoException | null) => {
+      if (failure?.code === 'ECONNRESET') {
+        incoming.destroy(failure);
+      }
+    });
+  };
+  // Node.js ends the message in its own listener, which has to come later.
+  socket.prependOnceListener('end', probe);
+  incoming.once('close', () => {
+    socket.off('end', probe);
+  });
 }
--- /dev/null
+++ b/packages/core/tests/http/failWithConnection.test.ts
@@ -0,0 +1,101 @@
+import type { AddressInfo, Socket } from 'node:net';
+
+import { Agent, request } from 'node:http';
+import { createServer } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { failWithConnection } from '../../src/http/failWithConnection.js';
+
+const cleanups: (() => void)[] = [];
+
+afterEach(() => {
+  cleanups.splice(0).forEach(cleanup => {
+    cleanup();
+  });
+});
+
+/** Starts a server that calls the function with each request. */
+async function startServer(respond: (socket: Socket) => void): Promise<number> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      respond(socket);
+    });
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  cleanups.push(() => server.close());
+  return (server.address() as AddressInfo).port;
+}
+
+/** Returns the body of a response; rejects if it could not be read to its end. */
+async function readBody(port: number, agent?: Agent): Promise<string> {
+  return await new Promise((resolve, reject) => {
+    const outgoing = request({ agent: agent ?? false, host: '127.0.0.1', port });
+    outgoing.on('error', reject);
+    outgoing.on('response', incoming => {
+      failWithConnection(outgoing, incoming);
+      let body = '';
+      incoming.on('data', chunk => (body += String(chunk)));
+      incoming.on('end', () => {
+        resolve(body);
+      });
+      incoming.on('error', reject);
+    });
+    outgoing.end();
+  });
+}
+
+const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
+const FRAMED_RESPONSE = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody';
+
+describe(failWithConnection, () => {
+  it.each(['body', ''])(
+    'reads an unframed body up to the end of its connection: %j',
+    async body => {
+      const port = await startServer(socket => socket.end(UNFRAMED_HEAD + body));
+      expect(await readBody(port)).toBe(body);
+    },
+  );
+
+  it('reads an unframed body whose connection is reset after its end', async () => {
+    const port = await startServer(socket => {
+      socket.end(`${UNFRAMED_HEAD}body`, () => socket.resetAndDestroy());
+    });
+    expect(await readBody(port)).toBe('body');
+  });
+
+  it.each([
+    ['after', 'a body', 'body'],
+    ['after', 'the head', ''],
+    ['together with', 'a body', 'body'],
+    ['together with', 'the head', ''],
+  ])('never reads a reset %s %s as the end of an unframed body', async (moment, _part, body) => {
+    const port = await startServer(socket => {
+      socket.write(UNFRAMED_HEAD + body);
+      if (moment === 'together with') {
+        socket.resetAndDestroy();
+        return;
+      }
+      setTimeout(() => socket.resetAndDestroy(), 5);
+    });
+    await expect(readBody(port)).rejects.toThrow('ECONNRESET');
+  });
+
+  it('leaves no listener on a connection that is used again', async () => {
+    const port = await startServer(socket => socket.write(FRAMED_RESPONSE));
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    cleanups.push(() => {
+      agent.destroy();
+    });
+    const counts: (number | undefined)[] = [];
+    for (let exchange = 0; exchange < 3; exchange++) {
+      await readBody(port, agent);
+      await new Promise(resolve => setImmediate(resolve));
+      counts.push(Object.values(agent.freeSockets)[0]?.[0]?.listenerCount('end'));
+    }
+    expect(new Set(counts).size).toBe(1);
+    expect(counts[0]).toBeDefined();
+  });
+});
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -1,7 +1,7 @@
 import type { TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
-import { failWithConnection } from '@zincring/core';
+import { endsWithConnection, failWithConnection } from '@zincring/core';
 import { request as startRequest } from 'node:http';
 
 import type { BodyFraming } from '../callers/responseSink.js';
@@ -130,12 +130,13 @@
   };
 }
 
-function findFraming(method: string, { headers, statusCode }: IncomingMessage): BodyFraming {
+function findFraming(method: string, incoming: IncomingMessage): BodyFraming {
+  const { headers, statusCode } = incoming;
   if (method === 'HEAD' || statusCode === 204 || statusCode === 304) {
     return 'length';
   }
-  if (headers['transfer-encoding'] !== undefined) {
-    return 'chunked';
+  if (endsWithConnection(incoming)) {
+    return 'connection';
   }
-  return headers['content-length'] === undefined ? 'connection' : 'length';
+  return headers['transfer-encoding'] === undefined ? 'length' : 'chunked';
 }
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -171,8 +171,11 @@
 /** Never responds. */
 export const neverResponds: Behaviour = () => undefined;
 
-/** How a fake replica ends the connection of a response without framing. */
-export type ConnectionEnd = 'close' | 'half-event' | 'reset';
+/**
+ * How a fake replica ends the connection of a response without framing. An `immediate-reset` arrives
+ * together with the bytes before it.
+ */
+export type ConnectionEnd = 'close' | 'half-event' | 'immediate-reset' | 'reset';
 
 /** Pause before a connection is reset, in milliseconds, so that the bytes written before it are received. */
 const RESET_PAUSE_MILLISECONDS = 5;
@@ -188,6 +191,9 @@
       case 'half-event':
         socket.end('id: 99\ndata: ha');
         return;
+      case 'immediate-reset':
+        socket.resetAndDestroy();
+        return;
       case 'reset':
         setTimeout(() => socket.resetAndDestroy(), RESET_PAUSE_MILLISECONDS);
         return;
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
-import { silentLogger, SystemTimerService } from '@zincring/core';
+import { failWithConnection, silentLogger, SystemTimerService } from '@zincring/core';
 import { request as startRequest } from 'node:http';
 import { afterEach } from 'vitest';
 
@@ -248,9 +248,7 @@
       outgoing.off('error', reject);
       const chunks: Buffer[] = [];
       let wasReset = false;
-      outgoing.on('error', () => {
-        wasReset = true;
-      });
+      failWithConnection(outgoing, response);
       const finish = (): void => {
         resolve({
           body: Buffer.concat(chunks).toString(),
@@ -261,7 +259,9 @@
         });
       };
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', () => undefined);
+      response.on('error', () => {
+        wasReset = true;
+      });
       response.on('close', finish);
     });
     outgoing.end(body);
--- a/packages/gateway/tests/upstreams/unframedResponses.test.ts
+++ b/packages/gateway/tests/upstreams/unframedResponses.test.ts
@@ -23,11 +23,15 @@
 const brokenStreams: readonly (readonly [string, readonly number[], ConnectionEnd])[] = [
   ['is reset before its first event', [], 'reset'],
   ['is reset between two events', [1, 2], 'reset'],
+  ['is reset together with its head', [], 'immediate-reset'],
+  ['is reset together with an event', [1, 2], 'immediate-reset'],
   ['ends inside its first event', [], 'half-event'],
   ['ends inside a later event', [1, 2], 'half-event'],
   ['ends without any event', [], 'close'],
 ];
 
+const resets: readonly ConnectionEnd[] = ['reset', 'immediate-reset'];
+
 describe('responses without a length or chunks', () => {
   it.each([
     ['stream', streamRoute, streamsUnframed([1, 2, 3], 'close'), /piece 3\n\n$/],
@@ -87,9 +91,9 @@
     },
   );
 
-  it('never stores a turn whose stream was reset', async () => {
+  it.each(resets)('never stores a turn whose stream was ended by %s', async end => {
     const route = { ...streamRoute, storesTurns: true };
-    const fixture = await startGateway(route, [[streamsUnframed([1, 2], 'reset')]]);
+    const fixture = await startGateway(route, [[streamsUnframed([1, 2], end)]]);
     await fixture.send({ body: 'input', headers: { 'request-id': 'turn-a' } });
     const next = await fixture.send({ body: 'more', headers: { 'previous-turn': 'turn-a' } });
     expect(next.status).toBe(404);
@@ -111,15 +115,15 @@
     expect(response.isComplete).toBe(false);
   });
 
-  it('never returns the part of a response that arrived before a reset', async () => {
-    const fixture = await startGateway(unsafeRoute, [[respondsUnframed('half', 'reset')]]);
+  it.each(resets)('never returns the part of a response that was ended by %s', async end => {
+    const fixture = await startGateway(unsafeRoute, [[respondsUnframed('half', end)]]);
     expect((await fixture.send()).status).toBe(502);
     expect(countRuns(fixture)).toBe(1);
   });
 
-  it('runs a safe request again when its response is reset', async () => {
+  it.each(resets)('runs a safe request again when its response was ended by %s', async end => {
     const behaviour = inOrder(
-      respondsUnframed('half', 'reset'),
+      respondsUnframed('half', end),
       respondsUnframed('all of it', 'close'),
     );
     const fixture = await startGateway(safeRoute, [[behaviour], [behaviour]]);
--- a/packages/instance/src/upstreams/plainServiceClient.ts
+++ b/packages/instance/src/upstreams/plainServiceClient.ts
@@ -1,7 +1,9 @@
+import { endsWithConnection } from '@zincring/core';
+
 import type { Replica } from './replicaTable.js';
 import type { PlainPayload, UpstreamFrame, UpstreamWork } from './upstreamMessages.js';
 
-import { endsWithConnection, sendRequest } from './upstreamRequest.js';
+import { sendRequest } from './upstreamRequest.js';
 
 const noUsage = { cachedTokens: 0, outputTokens: 0, promptTokens: 0 };
 
--- a/packages/instance/src/upstreams/upstreamRequest.ts
+++ b/packages/instance/src/upstreams/upstreamRequest.ts
@@ -42,11 +42,6 @@
   });
 }
 
-/** Whether a response has a body with neither a length nor chunks. */
-export function endsWithConnection({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
-
 /** Maximum length of a line, or of a response read as text, in characters. */
 const MAXIMUM_LINE_CHARACTERS = 1_048_576;
 
--- a/packages/instance/tests/upstreams/upstreamRequest.test.ts
+++ b/packages/instance/tests/upstreams/upstreamRequest.test.ts
@@ -29,9 +29,14 @@
   return `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
 }
 
-function resetsAfter(body: string): (socket: Socket) => void {
+/** Resets the connection after the body: together with it, or once it has been received. */
+function resetsAfter(body: string, isImmediate: boolean): (socket: Socket) => void {
   return socket => {
     socket.write(body);
+    if (isImmediate) {
+      socket.resetAndDestroy();
+      return;
+    }
     setTimeout(() => socket.resetAndDestroy(), 5);
   };
 }
@@ -57,12 +62,17 @@
 
 describe(sendRequest, () => {
   it.each([
-    ['lines', readLines],
-    ['text', readText],
-  ])('never presents %s without a length as complete after a reset', async (_name, read) => {
-    const address = await startUpstream(resetsAfter('one\ntwo\n'));
-    await expect(readAll(address, read)).rejects.toThrow('ECONNRESET');
-  });
+    ['lines', 'after', readLines, false],
+    ['lines', 'together with', readLines, true],
+    ['text', 'after', readText, false],
+    ['text', 'together with', readText, true],
+  ])(
+    'never presents %s as complete if a reset arrives %s them',
+    async (_n, _w, read, isImmediate) => {
+      const address = await startUpstream(resetsAfter('one\ntwo\n', isImmediate));
+      await expect(readAll(address, read)).rejects.toThrow('ECONNRESET');
+    },
+  );
 
   it.each([
     ['one\ntwo\n', 'one|two'],
--- a/packages/platform/src/http/httpClient.ts
+++ b/packages/platform/src/http/httpClient.ts
@@ -1,7 +1,7 @@
 import type { Result } from '@zincring/core';
 import type { IncomingMessage } from 'node:http';
 
-import { Err, Ok } from '@zincring/core';
+import { Err, failWithConnection, Ok } from '@zincring/core';
 import { Agent, request } from 'node:http';
 
 import { PlatformError } from '../platformError.js';
@@ -95,6 +95,7 @@
       });
       outgoing.on('error', reject);
       outgoing.on('response', response => {
+        failWithConnection(outgoing, response);
         readBody(response).then(body => {
           resolve({ status: response.statusCode ?? 0, body });
         }, reject);
