test(instance): abort a forwarded response only after its caller has data

The caller of this test is a Node.js client. If a reset reaches it together with the data before it, it sees an orderly end; 20 ms between the two are enough only while the machine is idle. The test now waits for the data. Its expectations are the same. Not seen to fail; found when the other tests of resets were looked through.

--- a/packages/instance/tests/callers/forwardedResponse.test.ts
+++ b/packages/instance/tests/callers/forwardedResponse.test.ts
@@ -1,6 +1,7 @@
 import type { AddressInfo } from 'node:net';
 
 import { ZincringError } from '@zincring/core';
+import { EventEmitter, once } from 'node:events';
 import { createServer } from 'node:http';
 import { connect } from 'node:net';
 import { describe, expect, it } from 'vitest';
@@ -12,10 +13,13 @@
   readonly wasReset: boolean;
 }
 
+type Forward = (response: ForwardedResponse, hasReceivedData: Promise<unknown>) => Promise<void>;
+
 /** Lets a server forward a response and returns what its caller receives. */
-async function receive(forward: (response: ForwardedResponse) => Promise<void>): Promise<Received> {
+async function receive(forward: Forward): Promise<Received> {
+  const received = new EventEmitter();
   const server = createServer((_request, response) => {
-    void forward(new ForwardedResponse(response, 1_000));
+    void forward(new ForwardedResponse(response, 1_000), once(received, 'data'));
   });
   await new Promise<void>(resolve => {
     server.listen(0, '127.0.0.1', resolve);
@@ -29,6 +33,7 @@
     });
     socket.on('data', chunk => {
       chunks.push(chunk);
+      received.emit('data');
       if (chunk.toString().endsWith('0\r\n\r\n')) {
         socket.end();
       }
@@ -67,10 +72,11 @@
     ['closes', false],
     ['resets', true],
   ])('%s the connection of a broken body', async (_name, endsWithConnection) => {
-    const { text, wasReset } = await receive(async response => {
+    const { text, wasReset } = await receive(async (response, hasReceivedData) => {
       response.setHead(makeHead(endsWithConnection));
       await response.write(Buffer.from('half'));
-      await new Promise(resolve => setTimeout(resolve, 20));
+      // The caller is a Node.js client, to which a reset together with data looks like an orderly end.
+      await hasReceivedData;
       response.abort(new ZincringError('upstream-failed'));
     });
     expect(text).toContain('half');
