fix(gateway): begin streams of the assumed version while the store is away

What callers would see: during an outage of the store beside two versions, 502 for every stream that may be taken up, from 2.5 s on.

Cause: lets the first event wait for its record unless this instance has observed that no other version was alone. Once the list of replicas is out of date, nothing counts as observed, so streams of the version that is assumed without a record waited for a write that could not succeed.

Why the fix works: while the store is away, the version at which streams should begin is by definition the one that is assumed without a record.

--- a/packages/gateway/src/upstreams/streamOrigins.ts
+++ b/packages/gateway/src/upstreams/streamOrigins.ts
@@ -72,7 +72,10 @@
     }
     const write = this.write(facts.requestId, route, entry);
     const window = computeWindowMilliseconds(route);
-    if (!versions.mayFindOtherVersion(entry.service, entry.softwareVersion, window)) {
+    if (
+      entry.softwareVersion === this.findPreferredVersion(request) ||
+      !versions.mayFindOtherVersion(entry.service, entry.softwareVersion, window)
+    ) {
       return true;
     }
     const timeout = Math.min(WRITE_TIMEOUT_MILLISECONDS, deadline - timers.now());
--- a/packages/gateway/tests/upstreams/streamOrigins.test.ts
+++ b/packages/gateway/tests/upstreams/streamOrigins.test.ts
@@ -29,10 +29,13 @@
 describe(StreamOrigins, () => {
   let timers: ManualTimerService;
   let store: MemoryTable;
+  /** Age of the list of replicas at all instances. */
+  let ageMilliseconds: number;
 
   beforeEach(() => {
     timers = new ManualTimerService();
     store = new MemoryTable(timers);
+    ageMilliseconds = 0;
   });
 
   /** Makes an instance that sees replicas of the given versions; before, it saw the earlier ones for a minute. */
@@ -43,7 +46,7 @@
     let entries = (earlierVersions.length === 0 ? versions : earlierVersions).map(makeReplica);
     let notify = (): void => undefined;
     const source = {
-      ageMilliseconds: () => 0,
+      ageMilliseconds: () => ageMilliseconds,
       listAll: () => entries,
       subscribe: (listener: () => void) => {
         notify = listener;
@@ -134,6 +137,16 @@
     expect(origins.findPreferredVersion(makeStream('first'))).toBe('v1');
   });
 
+  it('lets streams of that version begin although the list of replicas is out of date', async () => {
+    const origins = await makeInstance(['v1', 'v2'], ['v1']);
+    store.faults.isRefusing = true;
+    await record(origins, 'v2');
+    await record(origins, 'v2');
+    ageMilliseconds = 3_000;
+    expect(await record(origins, 'v1')).toBe(true);
+    expect(await record(origins, 'v2')).toBe(false);
+  });
+
   it.each([
     ['while a single version serves', ['v1'], makeStream('first')],
     ['of a route whose streams cannot be taken up', ['v1', 'v2'], sampleTurn('first')],
