fix(gateway): keep to the rate that a replica announces, over all instances

Cause: the announcement was not read, and each instance chose replicas by its own requests alone. A rate of 2 to 6 a second is one request in 4 s for each of 11 instances, so no instance can keep to it by itself either.

Now the instance that owns a replica by rendezvous hashing grants a permit for each request to it, spaced evenly. An owner that others may disagree about grants a quarter, so two owners stay within the bound.

--- a/packages/gateway/src/callers/requestFacts.ts
+++ b/packages/gateway/src/callers/requestFacts.ts
@@ -68,6 +68,11 @@
   readonly hasServerStamp: boolean;
   /** Whether the body has a content encoding, which replicas never apply. */
   readonly isEncoded: boolean;
+  /**
+   * Rate that the replica accepts from all instances together for as long as it announces it, in
+   * requests per second; `undefined` if it announces none.
+   */
+  readonly requestsPerSecond: number | undefined;
 }
 
 /** Reads and writes the headers of callers and replicas. Header lists are flat: name, value, name, value. */
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -35,6 +35,8 @@
 import { MetricsServer } from '../observation/metricsServer.js';
 import { StoreCallReporter } from '../observation/storeCallReporter.js';
 import { CrashRecord, sweptCrashes } from '../upstreams/crashRecord.js';
+import { OwnedPermits } from '../upstreams/permits/ownedPermits.js';
+import { ReplicaPermits } from '../upstreams/permits/replicaPermits.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaLoads } from '../upstreams/replicaLoads.js';
 import { ReplicaPool } from '../upstreams/replicaPool.js';
@@ -108,6 +110,8 @@
   private readonly credits: StoreCreditSource;
   private readonly tokenAccounts: StoreTokenAccounts;
   private readonly peers: PeerNetwork;
+  private readonly ownedPermits: OwnedPermits;
+  private readonly permits: ReplicaPermits;
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
   private readonly holder: string;
   private readonly rowSweeper: RowSweeper;
@@ -139,6 +143,15 @@
     this.credits = new StoreCreditSource(ownership);
     this.tokenAccounts = new StoreTokenAccounts(ownership);
     this.peers = this.makePeers();
+    const { owners } = this.peers;
+    this.ownedPermits = new OwnedPermits({ logger, ranking: owners, timers });
+    this.permits = new ReplicaPermits({
+      local: this.ownedPermits,
+      logger,
+      metrics: this.metrics,
+      owners,
+      timers,
+    });
     this.budgets = this.makeBudgets();
     this.rowSweeper = new RowSweeper({ logger, random: dependencies.random, table, timers }, [
       sweptTurns,
@@ -202,6 +215,7 @@
       REPLICA_SWEEP_INTERVAL_MILLISECONDS,
       () => {
         this.pool.sweep();
+        this.permits.retain(this.replicas.listRuns());
         this.versions.update();
       },
     );
@@ -284,6 +298,8 @@
     const owned = new OwnedTokenAccounts(this.tokenAccounts, timers);
     const self: GatewayPeer = {
       acquireOwned: async bucket => await credits.acquireOwned(bucket),
+      acquirePermit: async request => await this.ownedPermits.acquirePermit(request),
+      reportRate: async report => await this.ownedPermits.reportRate(report),
       reserveOwned: async demand => await owned.reserveOwned(demand),
       settleOwned: async (reservation, deliveredTokens) =>
         await owned.settleOwned(reservation, deliveredTokens),
@@ -320,6 +336,7 @@
       turnStore: new TurnStore({ logger, random, rowBytes: this.options.rowBytes, table, timers }),
       logger,
       metrics: this.metrics,
+      permits: this.permits,
       pool: this.pool,
       rates: new WorkspaceRates(
         this.options.instance,
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -37,6 +37,12 @@
     name: 'zincring_attempts_total',
     registers: [this.registry],
   });
+  public readonly permits = new Counter({
+    help: 'Permits asked for to send a request to a replica that limits its rate.',
+    labelNames: ['outcome'] as const,
+    name: 'zincring_permits_total',
+    registers: [this.registry],
+  });
   public readonly admissionSeconds = new Histogram({
     buckets: LATENCY_BUCKETS,
     help: 'Time from the headers of a request to its first attempt.',
--- a/packages/gateway/src/peers/ownerSelector.ts
+++ b/packages/gateway/src/peers/ownerSelector.ts
@@ -16,6 +16,8 @@
 export interface OwnerDirectory {
   /** All other registered instances; a new array whenever they change. */
   readonly owners: readonly Owner[];
+  /** Time of their last change, on the monotonic clock, in milliseconds. */
+  readonly changedAt: number;
 }
 
 /** Time for which an instance that failed is not chosen, in milliseconds; it doubles while it does not respond. */
@@ -60,9 +62,8 @@
 
   /** Returns the owner of a key; `undefined` if it is this instance. */
   public choose(key: string): Owner | undefined {
-    const { owners } = this.directory;
-    if (this.chosenFrom !== owners || this.timers.now() >= this.choicesExpireAt) {
-      this.chosenFrom = owners;
+    this.refresh();
+    if (this.timers.now() >= this.choicesExpireAt) {
       this.clearChoices();
     }
     const known = this.choices.get(key);
@@ -74,6 +75,18 @@
     return owner;
   }
 
+  /** Whether this instance ranks first for a key among all registered instances, including those that do not respond. */
+  public ranksFirst(key: string): boolean {
+    this.refresh();
+    const ownWeight = computeWeight(key, this.self);
+    return this.chosenFrom.every(({ instance }) => computeWeight(key, instance) <= ownWeight);
+  }
+
+  /** Time since the registered instances last changed, as far as this instance knows, in milliseconds. */
+  public unchangedMilliseconds(): number {
+    return this.timers.now() - this.directory.changedAt;
+  }
+
   /** Records that an instance could not be used, so that others own its keys for a time. */
   public recordFailure({ instance }: Owner, reason: OwnerFailure): void {
     const now = this.timers.now();
@@ -107,6 +120,14 @@
     }
   }
 
+  private refresh(): void {
+    const { owners } = this.directory;
+    if (this.chosenFrom !== owners) {
+      this.chosenFrom = owners;
+      this.clearChoices();
+    }
+  }
+
   private clearChoices(): void {
     const now = this.timers.now();
     const ends = [...this.avoided.values()].map(({ until }) => until).filter(end => end > now);
--- a/packages/gateway/src/peers/peerClients.ts
+++ b/packages/gateway/src/peers/peerClients.ts
@@ -5,6 +5,7 @@
 
 import type { OwnedCreditReply } from '../limits/ownedCredit.js';
 import type { OwnedTokensReply } from '../programs/tokenAccounts.js';
+import type { PermitReply } from '../upstreams/permits/permitOwner.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 
 import { PEER_PATHS } from './peerPaths.js';
@@ -15,7 +16,7 @@
 
 /**
  * Clients of the other instances. A call that fails or is not answered in time is a reply of kind
- * `unreachable`, or `false` for a settlement.
+ * `unreachable`, or `false` for a settlement or a report.
  *
  * @example
  * const reply = await clients.at('10.1.0.11:7780').acquireOwned(bucket);
@@ -32,6 +33,12 @@
         (await this.call<OwnedCreditReply>(address, PEER_PATHS.acquireCredit, bucket)) ?? {
           kind: 'unreachable',
         },
+      acquirePermit: async request =>
+        (await this.call<PermitReply>(address, PEER_PATHS.acquirePermit, request)) ?? {
+          kind: 'unreachable',
+        },
+      reportRate: async report =>
+        (await this.call(address, PEER_PATHS.reportRate, report)) !== undefined,
       reserveOwned: async demand =>
         (await this.call<OwnedTokensReply>(address, PEER_PATHS.reserveTokens, demand)) ?? {
           kind: 'unreachable',
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -69,6 +69,7 @@
  */
 export class PeerDirectory implements OwnerDirectory {
   public owners: readonly Owner[] = [];
+  public changedAt: number;
   private readonly peers = new Map<string, RegisteredPeer>();
   private readonly follower: TableFollower;
   private renewalTimer: TimerSubscription | undefined;
@@ -76,6 +77,7 @@
 
   public constructor(private readonly dependencies: PeerDirectoryDependencies) {
     const { logger, table, timers } = dependencies;
+    this.changedAt = timers.now();
     this.follower = new TableFollower(
       table,
       timers,
@@ -192,6 +194,7 @@
       return;
     }
     this.owners = owners;
+    this.changedAt = this.dependencies.timers.now();
     this.dependencies.retain(new Set(registered.map(({ address }) => address)));
     this.dependencies.logger.info(
       { event: 'peers-changed', peers: owners.length },
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -1,5 +1,8 @@
 import type { NamedRateLimit } from '../limits/creditSource.js';
 import type { TurnDemand } from '../programs/tokenAccounts.js';
+import type { AnnouncedRate } from '../upstreams/permits/announcedRate.js';
+import type { PermitRequest, RateReport } from '../upstreams/permits/permitOwner.js';
+import type { ReplicaRunId } from '../upstreams/replica.js';
 
 /** Settlement of a reservation, as another instance sends it. */
 export interface Settlement {
@@ -58,15 +61,53 @@
     : undefined;
 }
 
+/**
+ * Reads a request for a permit; `undefined` if the text is no such message.
+ *
+ * @example
+ * parsePermitRequest('{"announced":{"ageMilliseconds":40,"requestsPerSecond":3},"maximumWaitMilliseconds":0,"replica":"r1@1"}');
+ */
+export function parsePermitRequest(text: string): PermitRequest | undefined {
+  const report = parseRateReport(text);
+  const { maximumWaitMilliseconds } = parseFields(text);
+  return report !== undefined && isNumber(maximumWaitMilliseconds)
+    ? { ...report, maximumWaitMilliseconds }
+    : undefined;
+}
+
+/**
+ * Reads a report of the rate of a replica; `undefined` if the text is no such message.
+ *
+ * @example
+ * parseRateReport('{"announced":{"ageMilliseconds":40},"replica":"r1@1"}');
+ */
+export function parseRateReport(text: string): RateReport | undefined {
+  const { announced, replica } = parseFields(text);
+  const rate = readAnnouncedRate(toFields(announced));
+  return rate !== undefined && typeof replica === 'string'
+    ? { announced: rate, replica: replica as ReplicaRunId }
+    : undefined;
+}
+
+function readAnnouncedRate(fields: JsonFields): AnnouncedRate | undefined {
+  const { ageMilliseconds, requestsPerSecond } = fields;
+  const isRate =
+    requestsPerSecond === undefined || (isNumber(requestsPerSecond) && requestsPerSecond >= 0);
+  return isNumber(ageMilliseconds) && isRate ? { ageMilliseconds, requestsPerSecond } : undefined;
+}
+
 function parseFields(text: string): JsonFields {
   try {
-    const value: unknown = JSON.parse(text);
-    return typeof value === 'object' && value !== null ? (value as JsonFields) : {};
+    return toFields(JSON.parse(text));
   } catch {
     return {};
   }
 }
 
+function toFields(value: unknown): JsonFields {
+  return typeof value === 'object' && value !== null ? (value as JsonFields) : {};
+}
+
 function isNumber(value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value);
 }
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -9,7 +9,13 @@
 
 import { readBoundedBody } from '../util/readBoundedBody.js';
 import { getPort, listenOn } from '../util/listen.js';
-import { parseBucket, parseDemand, parseSettlement } from './peerMessages.js';
+import {
+  parseBucket,
+  parseDemand,
+  parsePermitRequest,
+  parseRateReport,
+  parseSettlement,
+} from './peerMessages.js';
 import { PEER_PATHS } from './peerPaths.js';
 
 /** Time after which a connection without calls is closed, in milliseconds: a peer that is gone may never close it. */
@@ -81,6 +87,14 @@
         const bucket = parseBucket(text);
         return bucket && (await this.self.acquireOwned(bucket));
       }
+      case PEER_PATHS.acquirePermit: {
+        const request = parsePermitRequest(text);
+        return request && (await this.self.acquirePermit(request));
+      }
+      case PEER_PATHS.reportRate: {
+        const report = parseRateReport(text);
+        return report && { isRecorded: await this.self.reportRate(report) };
+      }
       case PEER_PATHS.reserveTokens: {
         const demand = parseDemand(text);
         return demand && (await this.self.reserveOwned(demand));
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -1,18 +1,21 @@
 import type { Logger, TimerService, UpstreamId, WorkspaceName } from '@zincring/core';
 
-import { ZincringError } from '@zincring/core';
+import { sleep, ZincringError } from '@zincring/core';
 
 import type { BodyFraming, ResponseSink, StreamObserver } from '../callers/responseSink.js';
 import type { StreamEvent } from '../callers/eventSplitter.js';
 import type { RequestFacts, HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
+import type { AdmittedReplica } from './chooseAdmittedReplica.js';
 import type { CrashRecord } from './crashRecord.js';
+import type { ReplicaPermits } from './permits/replicaPermits.js';
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
 import type { ReplicaPool } from './replicaPool.js';
 import type { StreamOrigins } from './streamOrigins.js';
 
+import { chooseAdmittedReplica } from './chooseAdmittedReplica.js';
 import { readResponseBody } from './readResponseBody.js';
 import { exchangeWithReplica } from './replicaExchange.js';
 import { relayStream } from './streamRelay.js';
@@ -70,6 +73,7 @@
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly pool: ReplicaPool;
+  readonly permits: ReplicaPermits;
   readonly headerCodec: HeaderCodec;
   readonly crashes: CrashRecord;
   readonly streamOrigins: StreamOrigins;
@@ -78,8 +82,12 @@
 
 /** Number of refusals by replicas after which the caller is asked to retry later: most replicas of a small service. */
 const MAXIMUM_REFUSALS = 6;
-/** Retry delay for callers whose request no replica accepted, in seconds: about the length of a short call. */
-const UNAVAILABLE_RETRY_AFTER_SECONDS = 0.15;
+/** Retry delay for callers whose request no replica accepted, in milliseconds: about the length of a short call. */
+const UNAVAILABLE_RETRY_AFTER_MILLISECONDS = 150;
+/** Maximum wait for a replica that limits its rate, in milliseconds, and as a share of the time left to the request. */
+const MAXIMUM_PERMIT_WAIT = { milliseconds: 400, share: 0.25 };
+/** Status of a server that is not the intended replica. */
+const STATUS_MISDIRECTED = 421;
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 1024 * 1024;
 
@@ -131,10 +139,14 @@
       if (this.isCancelled()) {
         return { kind: 'aborted', mayHaveRun: this.mayHaveRun };
       }
-      const entry = this.chooseReplica();
-      if (entry === undefined) {
-        return this.giveUp('no replica can take the request');
+      const admitted = await this.admitToReplica();
+      if (admitted.kind === 'none') {
+        return this.giveUp('no replica can take the request', admitted.retryAfterMilliseconds);
       }
+      if (this.isCancelled()) {
+        return { kind: 'aborted', mayHaveRun: this.mayHaveRun };
+      }
+      const { entry } = admitted;
       const result = await this.attempt(entry);
       this.dependencies.metrics.attempts.inc({
         end: result.kind,
@@ -160,19 +172,29 @@
     return this.control.signal.aborted || !this.control.isCallerWaiting();
   }
 
-  private chooseReplica(): ReplicaEntry | undefined {
+  /** Chooses a replica and waits until the request may be sent to it. */
+  private async admitToReplica(): Promise<AdmittedReplica> {
     if (this.refusals >= MAXIMUM_REFUSALS) {
-      return undefined;
+      return { kind: 'none', retryAfterMilliseconds: undefined };
     }
-    const { facts, route, service } = this.request;
-    return this.dependencies.pool.choose({
+    const { permits, pool, streamOrigins, timers } = this.dependencies;
+    const { deadline, facts, route, service } = this.request;
+    const poolRequest = {
       excluded: this.excluded,
       facts,
       isSticky: route.isSticky,
       service,
-      softwareVersion:
-        this.softwareVersion ?? this.dependencies.streamOrigins.findPreferredVersion(this.request),
-    });
+      softwareVersion: this.softwareVersion ?? streamOrigins.findPreferredVersion(this.request),
+    };
+    const maximumWait = Math.min(
+      MAXIMUM_PERMIT_WAIT.milliseconds,
+      (deadline - timers.now()) * MAXIMUM_PERMIT_WAIT.share,
+    );
+    const admitted = await chooseAdmittedReplica(pool, permits, poolRequest, maximumWait);
+    if (admitted.kind === 'admitted' && admitted.delayMilliseconds > 0) {
+      await sleep(timers, admitted.delayMilliseconds, this.control.signal);
+    }
+    return admitted;
   }
 
   private canRunAgain(): boolean {
@@ -181,7 +203,10 @@
     return isRepeatable && this.possibleRuns < maximumAttempts;
   }
 
-  private giveUp(reason: string): RunOutcome {
+  private giveUp(
+    reason: string,
+    retryAfterMilliseconds = UNAVAILABLE_RETRY_AFTER_MILLISECONDS,
+  ): RunOutcome {
     if (this.sink.isStarted) {
       return { kind: 'interrupted' };
     }
@@ -189,7 +214,7 @@
       ? new ZincringError('upstream-failed', { detail: reason })
       : new ZincringError('upstream-unavailable', {
           detail: reason,
-          retryAfterSeconds: UNAVAILABLE_RETRY_AFTER_SECONDS,
+          retryAfterSeconds: Math.ceil(retryAfterMilliseconds) / 1_000,
         });
     return { error, kind: 'failed' };
   }
@@ -252,9 +277,12 @@
       response.discard();
       return { kind: 'lost', reason: 'the answer belongs to another request' };
     }
+    if (response.status !== STATUS_MISDIRECTED) {
+      this.dependencies.permits.record(entry, facts.requestsPerSecond);
+    }
     if (facts.isNotExecuted) {
       response.body.resume();
-      loads.recordEnd(entry, response.status === 421 ? 'misdirected' : 'full');
+      loads.recordEnd(entry, response.status === STATUS_MISDIRECTED ? 'misdirected' : 'full');
       return { kind: 'not-run', reason: `the replica refused with ${String(response.status)}` };
     }
     if (isSuccess(response.status) && (!facts.hasServerStamp || facts.isEncoded)) {
--- /dev/null
+++ b/packages/gateway/src/upstreams/permits/ownedPermits.ts
@@ -0,0 +1,119 @@
+import type { Logger, TimerService } from '@zincring/core';
+
+import { LRUCache } from 'lru-cache';
+
+import type { ReplicaRunId } from '../replica.js';
+import type { RateObservation } from './announcedRate.js';
+import type { PermitOwner, PermitReply, PermitRequest, RateReport } from './permitOwner.js';
+
+import { toAnnouncedRate, toObservation } from './announcedRate.js';
+import { PermitSchedule } from './permitSchedule.js';
+
+/** Where this instance ranks among the instances that may own a key. */
+export interface OwnerRanking {
+  /** Whether this instance ranks first among all registered instances, including those that do not respond. */
+  ranksFirst(key: string): boolean;
+  /** Time since the registered instances last changed, in milliseconds. */
+  unchangedMilliseconds(): number;
+}
+
+/** Dependencies of {@link OwnedPermits}. */
+export interface OwnedPermitsDependencies {
+  readonly ranking: OwnerRanking;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+}
+
+/** A replica whose permits this instance grants. */
+interface OwnedReplica {
+  observation: RateObservation;
+  readonly schedule: PermitSchedule;
+  /** Time since which this instance ranks first, on the monotonic clock, in milliseconds; `undefined` if it does not. */
+  rankedFirstSince: number | undefined;
+}
+
+/** Maximum number of replicas whose permits are kept. */
+const MAXIMUM_REPLICAS = 1_000;
+/**
+ * Share of the rate that an instance grants while another one may also grant permits. Two of these and
+ * a full owner stay within one and a half times the rate.
+ */
+const PROVISIONAL_SHARE = 0.25;
+/** Time until all instances know of a change of the registered instances, in milliseconds: longer than their polls pause. */
+const SETTLING_MILLISECONDS = 3_000;
+
+/**
+ * Grants permits for the replicas that this instance owns, so that all instances together stay within the
+ * rate that a replica announced. Nothing is stored: instances that disagree about the owner are allowed
+ * for by a reduced rate at every owner that does not certainly rank first.
+ *
+ * @example
+ * const reply = await permits.acquirePermit({ announced, maximumWaitMilliseconds: 0, replica });
+ */
+export class OwnedPermits implements PermitOwner {
+  private readonly replicas = new LRUCache<ReplicaRunId, OwnedReplica>({ max: MAXIMUM_REPLICAS });
+
+  public constructor(private readonly dependencies: OwnedPermitsDependencies) {}
+
+  public async acquirePermit(request: PermitRequest): Promise<PermitReply> {
+    return await Promise.resolve(this.grant(request));
+  }
+
+  public async reportRate(report: RateReport): Promise<boolean> {
+    this.observe(report);
+    return await Promise.resolve(true);
+  }
+
+  private grant(request: PermitRequest): PermitReply {
+    const now = this.dependencies.timers.now();
+    const owned = this.observe(request);
+    const { requestsPerSecond } = owned.observation;
+    const announced = toAnnouncedRate(owned.observation, now);
+    if (requestsPerSecond === undefined) {
+      return { announced, delayMilliseconds: 0, kind: 'granted' };
+    }
+    owned.schedule.changeRate(requestsPerSecond * this.computeShare(request.replica, owned), now);
+    return { ...owned.schedule.take(now, request.maximumWaitMilliseconds), announced };
+  }
+
+  private observe({ announced, replica }: RateReport): OwnedReplica {
+    const now = this.dependencies.timers.now();
+    const observation = toObservation(announced, now);
+    const known = this.replicas.get(replica);
+    if (known === undefined) {
+      const owned: OwnedReplica = {
+        observation,
+        rankedFirstSince: undefined,
+        schedule: new PermitSchedule(observation.requestsPerSecond ?? 0, now),
+      };
+      this.replicas.set(replica, owned);
+      this.logRate(replica, observation.requestsPerSecond);
+      return owned;
+    }
+    if (observation.observedAt > known.observation.observedAt) {
+      if (observation.requestsPerSecond !== known.observation.requestsPerSecond) {
+        this.logRate(replica, observation.requestsPerSecond);
+      }
+      known.observation = observation;
+    }
+    return known;
+  }
+
+  private computeShare(replica: ReplicaRunId, owned: OwnedReplica): number {
+    const { ranking, timers } = this.dependencies;
+    if (!ranking.ranksFirst(replica)) {
+      owned.rankedFirstSince = undefined;
+      return PROVISIONAL_SHARE;
+    }
+    owned.rankedFirstSince ??= timers.now() - ranking.unchangedMilliseconds();
+    const isSettled = timers.now() - owned.rankedFirstSince >= SETTLING_MILLISECONDS;
+    return isSettled ? 1 : PROVISIONAL_SHARE;
+  }
+
+  private logRate(replica: ReplicaRunId, requestsPerSecond: number | undefined): void {
+    this.dependencies.logger.info(
+      { event: 'permits-owned', replica, requestsPerSecond },
+      'this instance grants the permits for a replica',
+    );
+  }
+}
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -66,7 +66,7 @@
 
   /** Closes the connections to replicas that are no longer registered. */
   public sweep(): void {
-    this.loads.retain(new Set(this.directory.listAll().map(entry => entry.runId)));
+    this.loads.retain(this.directory.listRuns());
   }
 
   private findCandidates({
--- a/packages/gateway/tests/limits/delegatedCreditSource.test.ts
+++ b/packages/gateway/tests/limits/delegatedCreditSource.test.ts
@@ -61,7 +61,7 @@
         );
       });
     const instance = `entry-${String(index)}` as InstanceId;
-    const selector = new OwnerSelector(instance, { owners }, timers, silentLogger);
+    const selector = new OwnerSelector(instance, { changedAt: 0, owners }, timers, silentLogger);
     const delegated = new DelegatedCreditSource({ local: credits, owners: selector, timers });
     instances[index] = { credits, delegated };
   }
@@ -156,7 +156,7 @@
       });
       const selector = new OwnerSelector(
         'self' as InstanceId,
-        { owners: [owner] },
+        { changedAt: 0, owners: [owner] },
         timers,
         silentLogger,
       );
@@ -196,7 +196,7 @@
     });
     const selector = new OwnerSelector(
       'a' as InstanceId,
-      { owners: [owner] },
+      { changedAt: 0, owners: [owner] },
       timers,
       silentLogger,
     );
--- a/packages/gateway/tests/peers/ownerSelector.test.ts
+++ b/packages/gateway/tests/peers/ownerSelector.test.ts
@@ -23,7 +23,7 @@
 
   function makeSelector(self: string, all: readonly Owner[]): OwnerSelector {
     const owners = all.filter(({ instance }) => instance !== self);
-    return new OwnerSelector(self as InstanceId, { owners }, timers, silentLogger);
+    return new OwnerSelector(self as InstanceId, { changedAt: 0, owners }, timers, silentLogger);
   }
 
   function chooseName(selector: OwnerSelector, self: string, key: string): string {
@@ -55,7 +55,7 @@
   });
 
   it('moves only the keys of an instance that leaves', () => {
-    const directory = { owners: makeOwners(8) };
+    const directory = { changedAt: 0, owners: makeOwners(8) };
     const selector = new OwnerSelector('self' as InstanceId, directory, timers, silentLogger);
     const before = KEYS.map(key => chooseName(selector, 'self', key));
     directory.owners = directory.owners.filter(({ instance }) => instance !== 'entry-3');
@@ -65,11 +65,23 @@
     expect(after).not.toContain('entry-3');
   });
 
+  it('ranks one instance first for each key, also while that one does not respond', () => {
+    const all = makeOwners(9);
+    const selectors = all.map(({ instance }) => makeSelector(instance, all));
+    for (const key of KEYS) {
+      const chosen = selectors[0]!.choose(key);
+      if (chosen !== undefined) {
+        selectors[0]!.recordFailure(chosen, 'unreachable');
+      }
+      expect(selectors.filter(selector => selector.ranksFirst(key))).toHaveLength(1);
+    }
+  });
+
   it('leaves out an instance that does not respond, each time for longer, until it responds', async () => {
     const owner = makeOwner('entry-1');
     const selector = new OwnerSelector(
       'self' as InstanceId,
-      { owners: [owner] },
+      { changedAt: 0, owners: [owner] },
       timers,
       silentLogger,
     );
@@ -93,7 +105,7 @@
     const owner = makeOwner('entry-1');
     const selector = new OwnerSelector(
       'self' as InstanceId,
-      { owners: [owner] },
+      { changedAt: 0, owners: [owner] },
       timers,
       silentLogger,
     );
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -5,6 +5,8 @@
 import { afterEach, describe, expect, it } from 'vitest';
 
 import type { GatewayPeer } from '../../src/peers/gatewayPeer.js';
+import type { PermitRequest } from '../../src/upstreams/permits/permitOwner.js';
+import type { ReplicaRunId } from '../../src/upstreams/replica.js';
 
 import { PeerClients } from '../../src/peers/peerClients.js';
 import { PeerServer } from '../../src/peers/peerServer.js';
@@ -20,6 +22,12 @@
   reservation: 'run-1.7',
 };
 
+const permitRequest: PermitRequest = {
+  announced: { ageMilliseconds: 40, requestsPerSecond: 2.5 },
+  maximumWaitMilliseconds: 300,
+  replica: 'r1@1' as ReplicaRunId,
+};
+
 describe('calls between instances', () => {
   const cleanups: (() => void)[] = [];
 
@@ -98,6 +106,43 @@
     expect(received).toEqual([demand]);
   });
 
+  it.each([
+    {
+      announced: { ageMilliseconds: 40, requestsPerSecond: 2.5 },
+      kind: 'denied',
+      retryAfterMilliseconds: 400,
+    },
+    {
+      announced: { ageMilliseconds: 0, requestsPerSecond: 0 },
+      delayMilliseconds: 20,
+      kind: 'granted',
+    },
+    { announced: { ageMilliseconds: 7 }, delayMilliseconds: 0, kind: 'granted' },
+  ] as const)('carries a request for a permit and the reply $kind', async reply => {
+    const received: unknown[] = [];
+    const server = await startServer({
+      acquirePermit: async request => {
+        received.push(request);
+        return await Promise.resolve(reply);
+      },
+    });
+    expect(await connect(server.port).acquirePermit(permitRequest)).toEqual(reply);
+    expect(received).toEqual([permitRequest]);
+  });
+
+  it('carries the report that a replica accepts any rate', async () => {
+    const received: unknown[] = [];
+    const server = await startServer({
+      reportRate: async report => {
+        received.push(report);
+        return await Promise.resolve(true);
+      },
+    });
+    const report = { announced: { ageMilliseconds: 3 }, replica: 'r1@1' as ReplicaRunId };
+    expect(await connect(server.port).reportRate(report)).toBe(true);
+    expect(received).toEqual([report]);
+  });
+
   it('carries a settlement', async () => {
     const received: unknown[] = [];
     const server = await startServer({
@@ -125,6 +170,8 @@
     expect(await peer.acquireOwned(bucket)).toEqual({ kind: 'unreachable' });
     expect(await peer.reserveOwned(demand)).toEqual({ kind: 'unreachable' });
     expect(await peer.settleOwned('run-1.7', 1)).toBe(false);
+    expect(await peer.acquirePermit(permitRequest)).toEqual({ kind: 'unreachable' });
+    expect(await peer.reportRate(permitRequest)).toBe(false);
   });
 
   it('reaches an instance again that was started anew at its address', async () => {
@@ -149,6 +196,9 @@
     ['/acquire-credit', '{"name":"clerks"}'],
     ['/acquire-credit', 'no message'],
     ['/reserve-tokens', '{"budget":"much"}'],
+    ['/acquire-permit', '{"announced":{"ageMilliseconds":1},"replica":"r1@1"}'],
+    ['/acquire-permit', '{"announced":7,"maximumWaitMilliseconds":0,"replica":"r1@1"}'],
+    ['/report-rate', '{"announced":{"ageMilliseconds":1,"requestsPerSecond":-2},"replica":"r"}'],
     ['/settle-tokens', '[]'],
     ['/settle-tokens', 'x'.repeat(20_000)],
     ['/unknown', '{}'],
@@ -160,6 +210,8 @@
     };
     const server = await startServer({
       acquireOwned: count,
+      acquirePermit: count,
+      reportRate: count,
       reserveOwned: count,
       settleOwned: count,
     });
--- a/packages/gateway/tests/programs/delegatedTokenAccounts.test.ts
+++ b/packages/gateway/tests/programs/delegatedTokenAccounts.test.ts
@@ -70,7 +70,7 @@
     const owned = new OwnedTokenAccounts(accounts, timers);
     const selector = new OwnerSelector(
       `entry-${String(index)}` as InstanceId,
-      { owners: makeOwners(index, seed) },
+      { changedAt: 0, owners: makeOwners(index, seed) },
       timers,
       silentLogger,
     );
--- a/packages/gateway/tests/support/fakePeer.ts
+++ b/packages/gateway/tests/support/fakePeer.ts
@@ -5,6 +5,8 @@
 
 const unreachablePeer: GatewayPeer = {
   acquireOwned: async () => await Promise.resolve({ kind: 'unreachable' }),
+  acquirePermit: async () => await Promise.resolve({ kind: 'unreachable' }),
+  reportRate: async () => await Promise.resolve(false),
   reserveOwned: async () => await Promise.resolve({ kind: 'unreachable' }),
   settleOwned: async () => await Promise.resolve(false),
 };
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -119,6 +119,14 @@
   };
 }
 
+/** Sends a complete response that announces the rate that the replica accepts, in requests per second. */
+export function respondsWithRate(requestsPerSecond: number, status = '200 OK'): Behaviour {
+  return (socket, request) => {
+    const headerLines = [`Rate-Limit: ${String(requestsPerSecond)}`, 'Content-Length: 0'];
+    socket.write(formatHead(request, status, headerLines));
+  };
+}
+
 /** Refuses the request with the guarantee that it did not run. */
 export const refuses: Behaviour = (socket, request) => {
   socket.write(formatHead(request, '503 Full', ['Not-Executed: 1', 'Content-Length: 0']));
--- a/packages/gateway/tests/support/faultyPeer.ts
+++ b/packages/gateway/tests/support/faultyPeer.ts
@@ -49,6 +49,9 @@
   return {
     acquireOwned: async bucket =>
       await call(async () => await inner().acquireOwned(bucket), { kind: 'unreachable' }),
+    acquirePermit: async request =>
+      await call(async () => await inner().acquirePermit(request), { kind: 'unreachable' }),
+    reportRate: async report => await call(async () => await inner().reportRate(report), false),
     reserveOwned: async demand =>
       await call(async () => await inner().reserveOwned(demand), { kind: 'unreachable' }),
     settleOwned: async (reservation, deliveredTokens) =>
--- a/packages/gateway/tests/support/plainHeaderCodec.ts
+++ b/packages/gateway/tests/support/plainHeaderCodec.ts
@@ -16,6 +16,7 @@
       isNotExecuted: headerMap.has('not-executed') || status === 421,
       hasServerStamp: headerMap.has('server-stamp'),
       requestId: headerMap.get('request-id'),
+      requestsPerSecond: parseNumber(headerMap.get('rate-limit')),
     };
   },
   readFacts: headers => {
--- a/packages/gateway/tests/support/programLoad.ts
+++ b/packages/gateway/tests/support/programLoad.ts
@@ -16,6 +16,7 @@
 import { StoreTokenAccounts } from '../../src/programs/storeTokenAccounts.js';
 import { TurnBudgets } from '../../src/programs/turnBudgets.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
+import { makeOwner } from './fakePeer.js';
 import { makeRandom } from './makeRandom.js';
 import { sampleTurn, sampleWorkspace } from './samples.js';
 
@@ -117,7 +118,9 @@
     const credits = new StoreCreditSource(dependencies);
     const accounts = new StoreTokenAccounts(dependencies);
     const owned = new OwnedTokenAccounts(accounts, timers);
+    const { peer: unreachablePeer } = makeOwner(instance);
     const peer: GatewayPeer = {
+      ...unreachablePeer,
       acquireOwned: async bucket => {
         await sleep(timers, PEER_MILLISECONDS);
         return await credits.acquireOwned(bucket);
@@ -135,7 +138,12 @@
   });
   return parts.map(({ accounts: local, credits, dependencies, owner: self }) => {
     const owners = parts.map(({ owner }) => owner).filter(owner => owner !== self);
-    const selector = new OwnerSelector(self.instance, { owners }, timers, silentLogger);
+    const selector = new OwnerSelector(
+      self.instance,
+      { changedAt: 0, owners },
+      timers,
+      silentLogger,
+    );
     const delegated = new DelegatedCreditSource({ local: credits, owners: selector, timers });
     const accounts = new DelegatedTokenAccounts({ ...dependencies, local, owners: selector });
     const budgets = new TurnBudgets({ ...dependencies, accounts });
