fix(gateway): send nothing further to a replica that announces that it is leaving

Cause: an instance knew of a leaving replica only by its registration, which comes late while the store does not answer, and some replicas never register as draining. The announcement in their responses was not read.

The run of the replica is left out of every choice from the first announcement on; a run never returns from it. A misdirected response belongs to another replica and is not counted.

--- a/packages/gateway/src/callers/requestFacts.ts
+++ b/packages/gateway/src/callers/requestFacts.ts
@@ -73,6 +73,8 @@
    * requests per second; `undefined` if it announces none.
    */
   readonly requestsPerSecond: number | undefined;
+  /** Whether the replica announces that it is about to leave. */
+  readonly isLeaving: boolean;
 }
 
 /** Reads and writes the headers of callers and replicas. Header lists are flat: name, value, name, value. */
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -4,7 +4,7 @@
 
 import type { BodyFraming, ResponseSink, StreamObserver } from '../callers/responseSink.js';
 import type { StreamEvent } from '../callers/eventSplitter.js';
-import type { RequestFacts, HeaderCodec } from '../callers/requestFacts.js';
+import type { RequestFacts, HeaderCodec, ResponseFacts } from '../callers/requestFacts.js';
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { AdmittedReplica } from './chooseAdmittedReplica.js';
@@ -278,7 +278,7 @@
       return { kind: 'lost', reason: 'the answer belongs to another request' };
     }
     if (response.status !== STATUS_MISDIRECTED) {
-      this.dependencies.permits.record(entry, facts.requestsPerSecond);
+      this.recordAnnouncements(entry, facts);
     }
     if (facts.isNotExecuted) {
       response.body.resume();
@@ -293,6 +293,21 @@
     return await this.forwardResponse(entry, response);
   }
 
+  private recordAnnouncements(
+    entry: ReplicaEntry,
+    { isLeaving, requestsPerSecond }: ResponseFacts,
+  ): void {
+    const { logger, permits, pool } = this.dependencies;
+    permits.record(entry, requestsPerSecond);
+    if (isLeaving && !pool.loads.findOrAddState(entry).isLeaving) {
+      pool.loads.recordLeaving(entry);
+      logger.info(
+        { event: 'replica-leaving', replica: entry.id },
+        'a replica announced that it is about to leave; it gets no further requests',
+      );
+    }
+  }
+
   private async forwardResponse(
     entry: ReplicaEntry,
     response: ReplicaResponse,
--- a/packages/gateway/src/upstreams/replicaLoads.ts
+++ b/packages/gateway/src/upstreams/replicaLoads.ts
@@ -15,6 +15,8 @@
   consecutiveFailures: number;
   /** Time until which the replica is used only if there is no other, on the monotonic clock, in milliseconds. */
   avoidedUntil: number;
+  /** Whether the replica announced that it is about to leave. */
+  isLeaving: boolean;
 }
 
 /** Initial time for which a failing replica is avoided, in milliseconds: about one of its heartbeat intervals. */
@@ -52,6 +54,7 @@
       avoidedUntil: -Infinity,
       consecutiveFailures: 0,
       inFlight: 0,
+      isLeaving: false,
     };
     this.states.set(entry.runId, state);
     return state;
@@ -62,6 +65,11 @@
     return this.findOrAddState(entry).avoidedUntil > this.timers.now();
   }
 
+  /** Records that a replica announced that it is about to leave; no run of a replica ever returns from that. */
+  public recordLeaving(entry: ReplicaEntry): void {
+    this.findOrAddState(entry).isLeaving = true;
+  }
+
   /** Records the end of an attempt. */
   public recordEnd(entry: ReplicaEntry, end: AttemptEnd): void {
     const state = this.findOrAddState(entry);
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -76,7 +76,7 @@
   }: PoolRequest): readonly PlacementCandidate[] {
     const candidates = this.directory
       .findReplicas(service.name)
-      .filter(entry => !entry.isDraining)
+      .filter(entry => !entry.isDraining && !this.loads.findOrAddState(entry).isLeaving)
       .map(entry => ({
         entry,
         inFlight: this.loads.findOrAddState(entry).inFlight,
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -127,6 +127,17 @@
   };
 }
 
+/** Sends a response that announces that the replica is about to leave. */
+export function announcesLeaving(
+  status = '200 OK',
+  headerLines: readonly string[] = [],
+): Behaviour {
+  return (socket, request) => {
+    const lines = ['Leaving: 1', 'Content-Length: 0', ...headerLines];
+    socket.write(formatHead(request, status, lines));
+  };
+}
+
 /** Refuses the request with the guarantee that it did not run. */
 export const refuses: Behaviour = (socket, request) => {
   socket.write(formatHead(request, '503 Full', ['Not-Executed: 1', 'Content-Length: 0']));
--- a/packages/gateway/tests/support/plainHeaderCodec.ts
+++ b/packages/gateway/tests/support/plainHeaderCodec.ts
@@ -13,6 +13,7 @@
     const headerMap = toHeaderMap(headers);
     return {
       isEncoded: headerMap.has('content-encoding'),
+      isLeaving: headerMap.has('leaving'),
       isNotExecuted: headerMap.has('not-executed') || status === 421,
       hasServerStamp: headerMap.has('server-stamp'),
       requestId: headerMap.get('request-id'),
