fix(gateway): close responses that go on without end

Callers waited until their deadline, and a refusal of that kind held its connection and the processor for as long as the replica went on.

Cause: what comes before the end of a head was bounded by the parser only where it counts it (not blank lines or informational responses), an incomplete event was not bounded at all, and the body of a refusal was read to its end.

The stand-alone instance closes the connection of a failed engine response instead of reading on; its lines and texts were bounded already.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export { toZincringError, ZincringError } from './errors/zincringError.js';
 export { Err, Ok } from './result/result.js';
 export type { Result } from './result/result.js';
+export { discardBody } from './http/discardBody.js';
 export { endsWithConnection } from './http/endsWithConnection.js';
 export { failWithConnection } from './http/failWithConnection.js';
 export type { SessionCheckOptions } from './http2/sessionManager.js';
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -1,6 +1,6 @@
 import type { Logger, TimerService, UpstreamId, WorkspaceName } from '@zincring/core';
 
-import { sleep, ZincringError } from '@zincring/core';
+import { discardBody, sleep, ZincringError } from '@zincring/core';
 
 import type { BodyFraming, ResponseSink, StreamObserver } from '../callers/responseSink.js';
 import type { StreamEvent } from '../callers/eventSplitter.js';
@@ -281,7 +281,7 @@
       this.recordAnnouncements(entry, facts);
     }
     if (facts.isNotExecuted) {
-      response.body.resume();
+      discardBody(this.dependencies.timers, response.body);
       loads.recordEnd(entry, response.status === STATUS_MISDIRECTED ? 'misdirected' : 'full');
       return { kind: 'not-run', reason: `the replica refused with ${String(response.status)}` };
     }
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -43,6 +43,9 @@
 /** Timeout of opening a connection, in milliseconds; a replica normally accepts within about one. */
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 
+/** Maximum size of everything before the end of the head of a response, in bytes: more than the parser accepts as a head. */
+const MAXIMUM_HEAD_BYTES = 65_536;
+
 /**
  * Sends one attempt to a replica and waits for the head of its response.
  *
@@ -66,6 +69,7 @@
       signal,
     });
     const connection = watchConnection(timers, outgoing);
+    limitHead(outgoing);
     outgoing.on('response', incoming => {
       connection.stop();
       resolve({ response: buildResponse(outgoing, incoming), kind: 'answered' });
@@ -111,6 +115,27 @@
   };
 }
 
+/** Fails a request whose replica sends bytes without end that never become the head of a response. */
+function limitHead(outgoing: ClientRequest): void {
+  outgoing.on('socket', socket => {
+    let receivedBytes = 0;
+    const countBytes = (chunk: Buffer): void => {
+      receivedBytes += chunk.length;
+      if (receivedBytes > MAXIMUM_HEAD_BYTES) {
+        outgoing.destroy(
+          new Error(`no head of a response within ${String(MAXIMUM_HEAD_BYTES)} bytes`),
+        );
+      }
+    };
+    const stop = (): void => {
+      socket.off('data', countBytes);
+    };
+    socket.on('data', countBytes);
+    outgoing.once('response', stop);
+    outgoing.once('close', stop);
+  });
+}
+
 function buildResponse(outgoing: ClientRequest, incoming: IncomingMessage): ReplicaResponse {
   let connectionFailure: string | undefined;
   failWithConnection(outgoing, incoming);
--- a/packages/gateway/src/upstreams/streamRelay.ts
+++ b/packages/gateway/src/upstreams/streamRelay.ts
@@ -3,6 +3,9 @@
 
 import { EventSplitter } from '../callers/eventSplitter.js';
 
+/** Maximum size of an incomplete event, in bytes: far more than any event has. */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
 /** Options of {@link relayStream}. */
 export interface StreamRelayOptions {
   /** Returns whether to go on; otherwise the response is discarded. */
@@ -18,7 +21,8 @@
 
 /**
  * Forwards the events of a stream as they arrive, each only when it is complete. A stream that
- * ends inside an event, or with its connection before any event, is broken.
+ * ends inside an event, or with its connection before any event, is broken, and so is one with an
+ * event that exceeds the maximum size.
  *
  * @example
  * const end = await relayStream(response, { onEvent: forward, signal });
@@ -38,7 +42,7 @@
           return 'stopped';
         }
       }
-      if (options.signal.aborted) {
+      if (options.signal.aborted || eventSplitter.pendingBytes > MAXIMUM_EVENT_BYTES) {
         response.discard();
         return 'broken';
       }
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -274,3 +274,65 @@
 function formatChunk(text: string): string {
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
+
+/** Where a fake replica sends bytes without end. */
+export type EndlessPart =
+  | 'blank lines'
+  | 'body'
+  | 'event'
+  | 'framed body'
+  | 'header lines'
+  | 'informational responses'
+  | 'refusal'
+  | 'status line'
+  | 'trailers';
+
+/** Number of bytes that a fake replica sends at once without end. */
+const ENDLESS_CHUNK_BYTES = 4_096;
+
+/** Sends bytes without end, until the connection is closed or as long as its peer reads. */
+export function sendsWithoutEnd(part: EndlessPart): Behaviour {
+  return (socket, request) => {
+    const { head, repeated } = describeEndless(part, request);
+    const chunk = repeated.repeat(Math.ceil(ENDLESS_CHUNK_BYTES / repeated.length));
+    const write = (): void => {
+      while (!socket.destroyed && socket.write(chunk)) {
+        // Goes on until the buffer is full.
+      }
+    };
+    socket.on('drain', write);
+    socket.write(head);
+    write();
+  };
+}
+
+function describeEndless(
+  part: EndlessPart,
+  request: ReceivedRequest,
+): { readonly head: string; readonly repeated: string } {
+  const chunkOfBytes = `1000\r\n${'x'.repeat(0x1000)}\r\n`;
+  const chunkedHead = formatHead(request, '200 OK', ['Transfer-Encoding: chunked']);
+  switch (part) {
+    case 'blank lines':
+      return { head: '', repeated: '\r\n' };
+    case 'body':
+      return { head: formatHead(request, '200 OK', []), repeated: 'x' };
+    case 'event':
+      return { head: `${chunkedHead}5\r\ndata:\r\n`, repeated: chunkOfBytes };
+    case 'framed body':
+      return { head: chunkedHead, repeated: chunkOfBytes };
+    case 'header lines':
+      return { head: 'HTTP/1.1 200 OK\r\n', repeated: 'X-More: x\r\n' };
+    case 'informational responses':
+      return { head: '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n' };
+    case 'refusal':
+      return {
+        head: formatHead(request, '503 Full', ['Not-Executed: 1', 'Transfer-Encoding: chunked']),
+        repeated: chunkOfBytes,
+      };
+    case 'status line':
+      return { head: 'HTTP/1.1 200 ', repeated: 'x' };
+    case 'trailers':
+      return { head: `${chunkedHead}0\r\n`, repeated: 'X-More: x\r\n' };
+  }
+}
--- a/packages/instance/src/upstreams/engineClient.ts
+++ b/packages/instance/src/upstreams/engineClient.ts
@@ -52,7 +52,8 @@
 
 async function* readGeneration(response: IncomingMessage): AsyncGenerator<UpstreamFrame> {
   if (response.statusCode !== 200) {
-    response.resume();
+    // The rest may never end.
+    response.destroy();
     throw new UpstreamFailure('failed', `status ${response.statusCode ?? 0}`);
   }
   for await (const line of readLines(response)) {
