fix(gateway): relay the requests of an instance that reaches no replica

Cause: an instance took each replica for unreachable by itself. It tried one after the other, 400 ms each, until its caller's time was over, and sent requests on kept connections that were dead. It never concluded that its own links were cut, although its peers reach every replica.

Now connections that do not open at two replicas, or the silence of all of them, raise a suspicion that connections to three others prove or dismiss. Meanwhile and while stranded, attempts go through a peer that has accepted them first, so a request that may run only once is sent by a path that is known to work.

--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -35,11 +35,8 @@
 import { MetricsServer } from '../observation/metricsServer.js';
 import { StoreCallReporter } from '../observation/storeCallReporter.js';
 import { CrashRecord, sweptCrashes } from '../upstreams/crashRecord.js';
-import { OwnedPermits } from '../upstreams/permits/ownedPermits.js';
-import { ReplicaPermits } from '../upstreams/permits/replicaPermits.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
-import { ReplicaLoads } from '../upstreams/replicaLoads.js';
-import { ReplicaPool } from '../upstreams/replicaPool.js';
+import { ReplicaNetwork } from '../upstreams/replicaNetwork.js';
 import { StreamOrigins, sweptStreams } from '../upstreams/streamOrigins.js';
 import { VersionHistory } from '../upstreams/versionHistory.js';
 import { deriveGatewayTimes } from './gatewayOptions.js';
@@ -95,7 +92,7 @@
   private readonly configuration: ConfigurationFollower;
   private readonly replicas: ReplicaDirectory;
   private readonly crashes: CrashRecord;
-  private readonly pool: ReplicaPool;
+  private readonly replicaNetwork: ReplicaNetwork;
   private readonly versions: VersionHistory;
   private readonly server: GatewayServer;
   private readonly readiness: ReadinessServer;
@@ -110,8 +107,6 @@
   private readonly credits: StoreCreditSource;
   private readonly tokenAccounts: StoreTokenAccounts;
   private readonly peers: PeerNetwork;
-  private readonly ownedPermits: OwnedPermits;
-  private readonly permits: ReplicaPermits;
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
   private readonly holder: string;
   private readonly rowSweeper: RowSweeper;
@@ -143,15 +138,7 @@
     this.credits = new StoreCreditSource(ownership);
     this.tokenAccounts = new StoreTokenAccounts(ownership);
     this.peers = this.makePeers();
-    const { owners } = this.peers;
-    this.ownedPermits = new OwnedPermits({ logger, ranking: owners, timers });
-    this.permits = new ReplicaPermits({
-      local: this.ownedPermits,
-      logger,
-      metrics: this.metrics,
-      owners,
-      timers,
-    });
+    this.replicaNetwork = this.makeReplicaNetwork();
     this.budgets = this.makeBudgets();
     this.rowSweeper = new RowSweeper({ logger, random: dependencies.random, table, timers }, [
       sweptTurns,
@@ -160,8 +147,6 @@
       sweptPeers,
       sweptStreams,
     ]);
-    const load = new ReplicaLoads(timers, entry => this.getMaximumConnections(entry));
-    this.pool = new ReplicaPool(this.replicas, load, options.availabilityZone, dependencies.random);
     this.server = new GatewayServer({
       hasStoreContact: () => this.hasStoreContact,
       logger,
@@ -214,8 +199,7 @@
     this.replicaSweepTimer = this.dependencies.timers.every(
       REPLICA_SWEEP_INTERVAL_MILLISECONDS,
       () => {
-        this.pool.sweep();
-        this.permits.retain(this.replicas.listRuns());
+        this.replicaNetwork.sweep();
         this.versions.update();
       },
     );
@@ -232,13 +216,16 @@
       return;
     }
     this.isStopping = true;
+    const stopEndsAt = this.dependencies.timers.now() + this.times.stopMilliseconds;
     this.logger.info({ event: 'stopping', underWay: this.server.requestsInFlight }, 'stopping');
     this.server.announceClose();
     void this.peers.leave();
     this.tokenAccounts.stopReservingAhead();
     await sleep(this.dependencies.timers, this.times.acceptingMilliseconds);
     await this.server.close(this.times.stopMilliseconds - this.times.acceptingMilliseconds);
+    await this.peers.finishRelays(stopEndsAt - this.dependencies.timers.now());
     this.replicaSweepTimer?.stop();
+    this.replicaNetwork.stop();
     await Promise.race([
       this.tokenAccounts.releaseAll(),
       sleep(this.dependencies.timers, BUDGET_RELEASE_TIMEOUT_MILLISECONDS),
@@ -298,8 +285,8 @@
     const owned = new OwnedTokenAccounts(this.tokenAccounts, timers);
     const self: GatewayPeer = {
       acquireOwned: async bucket => await credits.acquireOwned(bucket),
-      acquirePermit: async request => await this.ownedPermits.acquirePermit(request),
-      reportRate: async report => await this.ownedPermits.reportRate(report),
+      acquirePermit: async request => await this.replicaNetwork.ownedPermits.acquirePermit(request),
+      reportRate: async report => await this.replicaNetwork.ownedPermits.reportRate(report),
       reserveOwned: async demand => await owned.reserveOwned(demand),
       settleOwned: async (reservation, deliveredTokens) =>
         await owned.settleOwned(reservation, deliveredTokens),
@@ -307,13 +294,36 @@
     return new PeerNetwork({
       instance: this.options.instance,
       logger,
+      metrics: this.metrics,
       random,
+      relayTarget: {
+        accept: run => this.replicaNetwork.relayTarget.accept(run),
+        exchange: async (entry, request) =>
+          await this.replicaNetwork.relayTarget.exchange(entry, request),
+      },
       self,
       table: table.essential,
       timers,
     });
   }
 
+  private makeReplicaNetwork(): ReplicaNetwork {
+    const { headerCodec, random, timers } = this.dependencies;
+    return new ReplicaNetwork({
+      availabilityZone: this.options.availabilityZone,
+      directory: this.replicas,
+      getMaximumConnections: entry => this.getMaximumConnections(entry),
+      headerCodec,
+      isStopping: () => this.isStopping,
+      logger: this.logger,
+      metrics: this.metrics,
+      owners: this.peers.owners,
+      random,
+      relay: this.peers.relay,
+      timers,
+    });
+  }
+
   private makeBudgets(): TurnBudgets {
     const { holder, logger, table } = this;
     const { timers } = this.dependencies;
@@ -327,7 +337,7 @@
   }
 
   private makePipeline(): RequestPipeline {
-    const { budgets, logger, table } = this;
+    const { budgets, logger, replicaNetwork, table } = this;
     const { headerCodec, random, timers } = this.dependencies;
     return new RequestPipeline({
       budgets,
@@ -336,8 +346,10 @@
       turnStore: new TurnStore({ logger, random, rowBytes: this.options.rowBytes, table, timers }),
       logger,
       metrics: this.metrics,
-      permits: this.permits,
-      pool: this.pool,
+      announcements: replicaNetwork.announcements,
+      permits: replicaNetwork.permits,
+      pool: replicaNetwork.pool,
+      transport: replicaNetwork.transport,
       rates: new WorkspaceRates(
         this.options.instance,
         new DelegatedCreditSource({
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -43,6 +43,12 @@
     name: 'zincring_permits_total',
     registers: [this.registry],
   });
+  public readonly relays = new Counter({
+    help: 'Attempts at replicas through another instance by outcome.',
+    labelNames: ['outcome'] as const,
+    name: 'zincring_relays_total',
+    registers: [this.registry],
+  });
   public readonly admissionSeconds = new Histogram({
     buckets: LATENCY_BUCKETS,
     help: 'Time from the headers of a request to its first attempt.',
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -70,6 +70,8 @@
 export class PeerDirectory implements OwnerDirectory {
   public owners: readonly Owner[] = [];
   public changedAt: number;
+  /** Addresses of all other registered instances. */
+  public addresses: readonly string[] = [];
   private readonly peers = new Map<string, RegisteredPeer>();
   private readonly follower: TableFollower;
   private renewalTimer: TimerSubscription | undefined;
@@ -195,7 +197,8 @@
     }
     this.owners = owners;
     this.changedAt = this.dependencies.timers.now();
-    this.dependencies.retain(new Set(registered.map(({ address }) => address)));
+    this.addresses = registered.map(({ address }) => address);
+    this.dependencies.retain(new Set(this.addresses));
     this.dependencies.logger.info(
       { event: 'peers-changed', peers: owners.length },
       'the registered instances changed',
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -1,13 +1,20 @@
 import type { InstanceId, Logger, TimerService } from '@zincring/core';
 import type { PartitionedTable } from '@zincring/platform';
 
+import { sleep } from '@zincring/core';
+
+import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { GatewayPeer } from './gatewayPeer.js';
+import type { RelayTarget } from './relayServer.js';
 
 import { OwnerSelector } from './ownerSelector.js';
 import { PeerClients } from './peerClients.js';
 import { PeerDirectory } from './peerDirectory.js';
 import { PeerServer } from './peerServer.js';
+import { RelayCandidates } from './relayCandidates.js';
+import { RelayClient } from './relayClient.js';
+import { RelayServer } from './relayServer.js';
 
 /** Dependencies of a {@link PeerNetwork}. */
 export interface PeerNetworkDependencies {
@@ -18,8 +25,14 @@
   readonly random: () => number;
   /** What other instances may ask of this one. */
   readonly self: GatewayPeer;
+  /** Replicas that this instance relays requests of others to. */
+  readonly relayTarget: RelayTarget;
+  readonly metrics: GatewayMetrics;
 }
 
+/** Interval at which a stopping instance looks whether it still relays requests, in milliseconds. */
+const RELAY_CHECK_MILLISECONDS = 50;
+
 /**
  * Connects this instance with the others: where they listen, what they own, and what they ask.
  *
@@ -30,11 +43,17 @@
 export class PeerNetwork {
   /** Chooses the instance that owns a key. */
   public readonly owners: OwnerSelector;
+  /** Sends requests to replicas through other instances. */
+  public readonly relay: RelayClient;
+  private readonly relayServer: RelayServer;
+  private readonly timers: TimerService;
   private readonly clients: PeerClients;
   private readonly directory: PeerDirectory;
   private readonly server: PeerServer;
 
-  public constructor({ instance, logger, random, self, table, timers }: PeerNetworkDependencies) {
+  public constructor(dependencies: PeerNetworkDependencies) {
+    const { instance, logger, metrics, random, relayTarget, self, table, timers } = dependencies;
+    this.timers = timers;
     this.clients = new PeerClients(logger);
     this.directory = new PeerDirectory({
       connect: address => this.clients.at(address),
@@ -48,7 +67,10 @@
       timers,
     });
     this.owners = new OwnerSelector(instance, this.directory, timers, logger);
-    this.server = new PeerServer(self, logger);
+    this.relayServer = new RelayServer(relayTarget, logger);
+    this.server = new PeerServer(self, logger, this.relayServer);
+    const candidates = new RelayCandidates(() => this.directory.addresses, timers, random);
+    this.relay = new RelayClient({ candidates, logger, metrics, timers });
   }
 
   /** Port for other instances. */
@@ -67,9 +89,18 @@
     await this.directory.stop();
   }
 
+  /** Waits until no request is relayed any more or the timeout has passed. */
+  public async finishRelays(timeoutMilliseconds: number): Promise<void> {
+    const endsAt = this.timers.now() + timeoutMilliseconds;
+    while (this.relayServer.requestsInFlight > 0 && this.timers.now() < endsAt) {
+      await sleep(this.timers, RELAY_CHECK_MILLISECONDS);
+    }
+  }
+
   /** Stops answering other instances. */
   public close(): void {
     this.server.close();
     this.clients.close();
+    this.relay.close();
   }
 }
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -6,6 +6,7 @@
 
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { GatewayPeer } from './gatewayPeer.js';
+import type { RelayServer } from './relayServer.js';
 
 import { readBoundedBody } from '../util/readBoundedBody.js';
 import { getPort, listenOn } from '../util/listen.js';
@@ -24,10 +25,10 @@
 const MAXIMUM_MESSAGE_BYTES = 16_384;
 
 /**
- * Serves the other instances: JSON over HTTP/1.1.
+ * Serves the other instances: JSON over HTTP/1.1, and relayed requests.
  *
  * @example
- * await new PeerServer(self, logger).listen({ host: '10.1.0.11', port: 7780 });
+ * await new PeerServer(self, logger, relay).listen({ host: '10.1.0.11', port: 7780 });
  */
 export class PeerServer {
   private readonly server: Server;
@@ -35,6 +36,7 @@
   public constructor(
     private readonly self: GatewayPeer,
     private readonly logger: Logger,
+    relay: RelayServer,
   ) {
     this.server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
       this.handle(request, response).catch((failure: unknown) => {
@@ -45,6 +47,9 @@
         response.destroy();
       });
     });
+    this.server.on('checkContinue', (request, response) => {
+      relay.handle(request, response);
+    });
     this.server.keepAliveTimeout = IDLE_TIMEOUT_MILLISECONDS;
   }
 
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -4,20 +4,21 @@
 
 import type { BodyFraming, ResponseSink, StreamObserver } from '../callers/responseSink.js';
 import type { StreamEvent } from '../callers/eventSplitter.js';
-import type { RequestFacts, HeaderCodec, ResponseFacts } from '../callers/requestFacts.js';
+import type { RequestFacts, HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
+import type { Announcements } from './announcements.js';
 import type { AdmittedReplica } from './chooseAdmittedReplica.js';
 import type { CrashRecord } from './crashRecord.js';
 import type { ReplicaPermits } from './permits/replicaPermits.js';
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
 import type { ReplicaPool } from './replicaPool.js';
+import type { ReplicaTransport } from './replicaTransport.js';
 import type { StreamOrigins } from './streamOrigins.js';
 
 import { chooseAdmittedReplica } from './chooseAdmittedReplica.js';
 import { readResponseBody } from './readResponseBody.js';
-import { exchangeWithReplica } from './replicaExchange.js';
 import { relayStream } from './streamRelay.js';
 
 /** An admitted request that is ready to be sent to a replica. */
@@ -74,6 +75,8 @@
   readonly logger: Logger;
   readonly pool: ReplicaPool;
   readonly permits: ReplicaPermits;
+  readonly announcements: Announcements;
+  readonly transport: ReplicaTransport;
   readonly headerCodec: HeaderCodec;
   readonly crashes: CrashRecord;
   readonly streamOrigins: StreamOrigins;
@@ -197,10 +200,14 @@
     return admitted;
   }
 
+  /** Whether the request may run again if it may have run. */
+  private get isRepeatable(): boolean {
+    const { isResumable, kind } = this.request.route;
+    return kind === 'safe' || (kind === 'streaming' && isResumable);
+  }
+
   private canRunAgain(): boolean {
-    const { isResumable, kind, maximumAttempts } = this.request.route;
-    const isRepeatable = kind === 'safe' || (kind === 'streaming' && isResumable);
-    return isRepeatable && this.possibleRuns < maximumAttempts;
+    return this.isRepeatable && this.possibleRuns < this.request.route.maximumAttempts;
   }
 
   private giveUp(
@@ -224,9 +231,10 @@
     load.inFlight++;
     this.possibleRuns++;
     try {
-      const outcome = await exchangeWithReplica(this.dependencies.timers, load.agent, entry, {
+      const outcome = await this.dependencies.transport.exchange(entry, {
         body: this.request.body.length === 0 ? undefined : this.request.body,
         headers: this.makeReplicaHeaders(entry),
+        isRepeatable: this.isRepeatable,
         method: this.request.method,
         path: this.request.path,
         signal: this.control.signal,
@@ -261,15 +269,11 @@
   ): Promise<AttemptResult> {
     const { loads } = this.dependencies.pool;
     if (outcome.kind !== 'answered') {
-      if (!this.control.signal.aborted) {
-        loads.recordEnd(entry, 'unreachable');
-        if (outcome.kind === 'lost') {
-          this.dependencies.crashes.record(this.request, entry);
-        }
-      } else if (this.control.isCallerWaiting()) {
-        loads.recordEnd(entry, 'failed');
-      }
-      return outcome.kind === 'lost' ? outcome : { kind: 'not-run', reason: outcome.reason };
+      this.recordUnanswered(entry, outcome);
+      return {
+        kind: outcome.kind === 'lost' ? 'lost' : 'not-run',
+        reason: outcome.reason,
+      };
     }
     const { response } = outcome;
     const facts = this.dependencies.headerCodec.readResponse(response.status, response.headers);
@@ -277,9 +281,7 @@
       response.discard();
       return { kind: 'lost', reason: 'the answer belongs to another request' };
     }
-    if (response.status !== STATUS_MISDIRECTED) {
-      this.recordAnnouncements(entry, facts);
-    }
+    this.dependencies.announcements.record(entry, response.status, facts);
     if (facts.isNotExecuted) {
       discardBody(this.dependencies.timers, response.body);
       loads.recordEnd(entry, response.status === STATUS_MISDIRECTED ? 'misdirected' : 'full');
@@ -293,18 +295,24 @@
     return await this.forwardResponse(entry, response);
   }
 
-  private recordAnnouncements(
+  /** Records a failed exchange against its replica, unless the path to it may have failed. */
+  private recordUnanswered(
     entry: ReplicaEntry,
-    { isLeaving, requestsPerSecond }: ResponseFacts,
+    { isPathFault, kind }: Exclude<ExchangeOutcome, { kind: 'answered' }>,
   ): void {
-    const { logger, permits, pool } = this.dependencies;
-    permits.record(entry, requestsPerSecond);
-    if (isLeaving && !pool.loads.findOrAddState(entry).isLeaving) {
-      pool.loads.recordLeaving(entry);
-      logger.info(
-        { event: 'replica-leaving', replica: entry.id },
-        'a replica announced that it is about to leave; it gets no further requests',
-      );
+    const { crashes, pool } = this.dependencies;
+    if (isPathFault) {
+      return;
+    }
+    if (this.control.signal.aborted) {
+      if (this.control.isCallerWaiting()) {
+        pool.loads.recordEnd(entry, 'failed');
+      }
+      return;
+    }
+    pool.loads.recordEnd(entry, 'unreachable');
+    if (kind === 'lost') {
+      crashes.record(this.request, entry);
     }
   }
 
--- /dev/null
+++ b/packages/gateway/src/upstreams/directRelayTarget.ts
@@ -0,0 +1,58 @@
+import type { HeaderCodec } from '../callers/requestFacts.js';
+import type { RelayAcceptance, RelayTarget } from '../peers/relayServer.js';
+import type { Announcements } from './announcements.js';
+import type { ReplicaEntry, ReplicaRunId } from './replica.js';
+import type { ReplicaDirectory } from './replicaDirectory.js';
+import type { ExchangeOutcome, ReplicaRequest } from './replicaExchange.js';
+import type { ReplicaLoads } from './replicaLoads.js';
+import type { ReplicaTransport } from './replicaTransport.js';
+
+/** Dependencies of a {@link DirectRelayTarget}. */
+export interface DirectRelayTargetDependencies {
+  readonly announcements: Announcements;
+  readonly directory: ReplicaDirectory;
+  readonly headerCodec: HeaderCodec;
+  readonly loads: ReplicaLoads;
+  readonly transport: ReplicaTransport;
+  readonly isStopping: () => boolean;
+}
+
+/** Relays requests of other instances over the connections of this one, never through a third instance. */
+export class DirectRelayTarget implements RelayTarget {
+  public constructor(private readonly dependencies: DirectRelayTargetDependencies) {}
+
+  public accept(run: ReplicaRunId): RelayAcceptance {
+    const { directory, isStopping, loads, transport } = this.dependencies;
+    if (isStopping()) {
+      return { kind: 'unavailable', reason: 'the instance is stopping' };
+    }
+    if (transport.isPathSuspect) {
+      return { kind: 'unavailable', reason: 'the instance may not reach the replicas itself' };
+    }
+    const entry = directory.listAll().find(({ runId }) => runId === run);
+    if (entry === undefined) {
+      return { kind: 'unavailable', reason: 'the replica is not known to the instance' };
+    }
+    if (entry.isDraining || loads.findOrAddState(entry).isLeaving) {
+      return { kind: 'not-sent', reason: 'the replica is leaving' };
+    }
+    return { entry, kind: 'accepted' };
+  }
+
+  public async exchange(entry: ReplicaEntry, request: ReplicaRequest): Promise<ExchangeOutcome> {
+    const { announcements, headerCodec, loads, transport } = this.dependencies;
+    const load = loads.findOrAddState(entry);
+    load.inFlight++;
+    const outcome = await transport.exchangeDirectly(entry, request);
+    if (outcome.kind !== 'answered') {
+      load.inFlight--;
+      return outcome;
+    }
+    const { body, headers, status } = outcome.response;
+    announcements.record(entry, status, headerCodec.readResponse(status, headers));
+    body.once('close', () => {
+      load.inFlight--;
+    });
+    return outcome;
+  }
+}
--- a/packages/gateway/src/upstreams/replicaAgent.ts
+++ b/packages/gateway/src/upstreams/replicaAgent.ts
@@ -23,6 +23,13 @@
     });
   }
 
+  /** Closes the connections that are not in use. */
+  public closeIdleConnections(): void {
+    for (const sockets of Object.values(this.freeSockets)) {
+      sockets?.forEach(socket => socket.destroy());
+    }
+  }
+
   public override keepSocketAlive(socket: Socket): boolean {
     socket.on('data', destroyOnData);
     socket.resume();
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -1,13 +1,18 @@
 import type { TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { endsWithConnection, failWithConnection } from '@zincring/core';
 import { request as startRequest } from 'node:http';
 
 import type { BodyFraming } from '../callers/responseSink.js';
 import type { ReplicaEntry } from './replica.js';
+import type { ExchangeWatch } from './reachability/exchangeWatch.js';
 import type { ReplicaAgent } from './replicaAgent.js';
 
+/** Failure of an exchange that was ended because this instance has lost its links to the replicas. */
+export class PathLostError extends Error {}
+
 /** Request of one attempt at a replica. */
 export interface ReplicaRequest {
   readonly method: string;
@@ -17,16 +22,22 @@
   readonly body: Buffer | undefined;
   /** Aborts the attempt by closing the connection to the replica. */
   readonly signal: AbortSignal;
+  /** Whether the request may be sent again if its outcome is unknown. */
+  readonly isRepeatable: boolean;
 }
 
 /**
  * Outcome of an attempt up to the head of the response. `not-sent` means that the replica certainly did
- * not run the request, `lost` that it may have run it.
+ * not run the request, `lost` that it may have run it. `isPathFault` says that the path to the replica failed,
+ * which says nothing about the replica.
  */
 export type ExchangeOutcome =
   | { readonly kind: 'answered'; readonly response: ReplicaResponse }
-  | { readonly kind: 'lost'; readonly reason: string }
-  | { readonly kind: 'not-sent'; readonly reason: string };
+  | {
+      readonly kind: 'lost' | 'not-sent';
+      readonly reason: string;
+      readonly isPathFault: boolean;
+    };
 
 /** Response of a replica whose head has been received and whose body has yet to be read. */
 export interface ReplicaResponse {
@@ -46,16 +57,22 @@
 /** Maximum size of everything before the end of the head of a response, in bytes: more than the parser accepts as a head. */
 const MAXIMUM_HEAD_BYTES = 65_536;
 
+/** The replica of an exchange, and how it is reached. */
+export interface ExchangeTarget {
+  readonly entry: ReplicaEntry;
+  readonly agent: ReplicaAgent;
+  readonly watch: ExchangeWatch;
+}
+
 /**
  * Sends one attempt to a replica and waits for the head of its response.
  *
  * @example
- * const outcome = await exchangeWithReplica(timers, agent, entry, request);
+ * const outcome = await exchangeWithReplica(timers, { agent, entry, watch }, request);
  */
 export async function exchangeWithReplica(
   timers: TimerService,
-  agent: ReplicaAgent,
-  entry: ReplicaEntry,
+  { agent, entry, watch }: ExchangeTarget,
   { body, headers, method, path, signal }: ReplicaRequest,
 ): Promise<ExchangeOutcome> {
   return await new Promise(resolve => {
@@ -68,28 +85,38 @@
       port: entry.port,
       signal,
     });
-    const connection = watchConnection(timers, outgoing);
-    limitHead(outgoing);
+    const connection = observeConnection(timers, outgoing, watch);
     outgoing.on('response', incoming => {
       connection.stop();
       resolve({ response: buildResponse(outgoing, incoming), kind: 'answered' });
     });
     outgoing.on('error', failure => {
       connection.stop();
-      const kind = connection.isOpen() ? 'lost' : 'not-sent';
-      resolve({ kind, reason: failure.message });
+      const isOpen = connection.isOpen();
+      if (!isOpen && !signal.aborted) {
+        watch.onConnectionFailed();
+      }
+      resolve({
+        isPathFault: failure instanceof PathLostError,
+        kind: isOpen ? 'lost' : 'not-sent',
+        reason: failure.message,
+      });
     });
     outgoing.end(body);
   });
 }
 
-interface ConnectionWatch {
+interface ObservedConnection {
   isOpen(): boolean;
   stop(): void;
 }
 
 /** Records whether the request may have reached the replica, and aborts it if the connection does not open in time. */
-function watchConnection(timers: TimerService, outgoing: ClientRequest): ConnectionWatch {
+function observeConnection(
+  timers: TimerService,
+  outgoing: ClientRequest,
+  watch: ExchangeWatch,
+): ObservedConnection {
   let isOpen = false;
   const timeout = timers.after(CONNECT_TIMEOUT_MILLISECONDS, () => {
     if (!isOpen) {
@@ -98,13 +125,21 @@
       );
     }
   });
+  watch.onStarted(() => {
+    outgoing.destroy(new PathLostError('the links to the replicas are lost'));
+  });
+  outgoing.once('close', () => {
+    watch.onEnded();
+  });
   outgoing.on('socket', socket => {
+    observeData(outgoing, socket, watch);
     if (!socket.connecting) {
       isOpen = true;
       return;
     }
     socket.once('connect', () => {
       isOpen = true;
+      watch.onConnected();
     });
   });
   return {
@@ -115,28 +150,35 @@
   };
 }
 
-/** Fails a request whose replica sends bytes without end that never become the head of a response. */
-function limitHead(outgoing: ClientRequest): void {
-  outgoing.on('socket', socket => {
-    let receivedBytes = 0;
-    const countBytes = (chunk: Buffer): void => {
-      receivedBytes += chunk.length;
-      if (receivedBytes > MAXIMUM_HEAD_BYTES) {
-        outgoing.destroy(
-          new Error(`no head of a response within ${String(MAXIMUM_HEAD_BYTES)} bytes`),
-        );
-      }
-    };
-    const stop = (): void => {
-      socket.off('data', countBytes);
-    };
-    socket.on('data', countBytes);
-    outgoing.once('response', stop);
-    outgoing.once('close', stop);
+/** Reports data that arrives, and fails a request whose replica sends bytes without end that never become a head. */
+function observeData(outgoing: ClientRequest, socket: Socket, watch: ExchangeWatch): void {
+  let receivedBytes = 0;
+  let hasHead = false;
+  const onData = (chunk: Buffer): void => {
+    watch.onData();
+    receivedBytes += chunk.length;
+    if (!hasHead && receivedBytes > MAXIMUM_HEAD_BYTES) {
+      outgoing.destroy(
+        new Error(`no head of a response within ${String(MAXIMUM_HEAD_BYTES)} bytes`),
+      );
+    }
+  };
+  socket.on('data', onData);
+  outgoing.once('response', () => {
+    hasHead = true;
+  });
+  outgoing.once('close', () => {
+    socket.off('data', onData);
   });
 }
 
-function buildResponse(outgoing: ClientRequest, incoming: IncomingMessage): ReplicaResponse {
+/**
+ * Builds the response of an exchange from its head.
+ *
+ * @example
+ * outgoing.on('response', incoming => resolve(buildResponse(outgoing, incoming)));
+ */
+export function buildResponse(outgoing: ClientRequest, incoming: IncomingMessage): ReplicaResponse {
   let connectionFailure: string | undefined;
   failWithConnection(outgoing, incoming);
   incoming.on('error', failure => {
--- /dev/null
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -0,0 +1,97 @@
+import type { AvailabilityZone, Logger, TimerService } from '@zincring/core';
+
+import type { HeaderCodec } from '../callers/requestFacts.js';
+import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
+import type { OwnerSelector } from '../peers/ownerSelector.js';
+import type { ReplicaEntry } from './replica.js';
+import type { ReplicaDirectory } from './replicaDirectory.js';
+import type { ReplicaRelay } from './replicaTransport.js';
+
+import { Announcements } from './announcements.js';
+import { DirectRelayTarget } from './directRelayTarget.js';
+import { OwnedPermits } from './permits/ownedPermits.js';
+import { ReplicaPermits } from './permits/replicaPermits.js';
+import { probeConnection } from './reachability/probeConnection.js';
+import { ReplicaReachability } from './reachability/replicaReachability.js';
+import { ReplicaLoads } from './replicaLoads.js';
+import { ReplicaPool } from './replicaPool.js';
+import { ReplicaTransport } from './replicaTransport.js';
+
+/** Dependencies of a {@link ReplicaNetwork}. */
+export interface ReplicaNetworkDependencies {
+  readonly availabilityZone: AvailabilityZone;
+  readonly directory: ReplicaDirectory;
+  readonly headerCodec: HeaderCodec;
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+  readonly owners: OwnerSelector;
+  readonly relay: ReplicaRelay;
+  readonly random: () => number;
+  readonly timers: TimerService;
+  readonly getMaximumConnections: (entry: ReplicaEntry) => number;
+  readonly isStopping: () => boolean;
+}
+
+/**
+ * The replicas as this instance uses them: which one a request goes to, when it may go there, and by
+ * which path.
+ *
+ * @example
+ * const network = new ReplicaNetwork(dependencies);
+ * network.pool.choose(request);
+ */
+export class ReplicaNetwork {
+  public readonly announcements: Announcements;
+  public readonly ownedPermits: OwnedPermits;
+  public readonly permits: ReplicaPermits;
+  public readonly pool: ReplicaPool;
+  public readonly relayTarget: DirectRelayTarget;
+  public readonly transport: ReplicaTransport;
+  private readonly reachability: ReplicaReachability;
+
+  public constructor(private readonly dependencies: ReplicaNetworkDependencies) {
+    const { directory, logger, metrics, owners, random, timers } = dependencies;
+    const loads = new ReplicaLoads(timers, dependencies.getMaximumConnections);
+    this.pool = new ReplicaPool(directory, loads, dependencies.availabilityZone, random);
+    this.ownedPermits = new OwnedPermits({ logger, ranking: owners, timers });
+    this.permits = new ReplicaPermits({
+      local: this.ownedPermits,
+      logger,
+      metrics,
+      owners,
+      timers,
+    });
+    this.announcements = new Announcements({ loads, logger, permits: this.permits });
+    this.reachability = new ReplicaReachability({
+      listReplicas: () => directory.listAll(),
+      logger,
+      probe: async entry => await probeConnection(timers, entry),
+      random,
+      timers,
+    });
+    const { reachability } = this;
+    const { relay } = dependencies;
+    this.transport = new ReplicaTransport({ loads, reachability, relay, timers });
+    const { announcements, transport } = this;
+    const { headerCodec, isStopping } = dependencies;
+    this.relayTarget = new DirectRelayTarget({
+      announcements,
+      directory,
+      headerCodec,
+      isStopping,
+      loads,
+      transport,
+    });
+  }
+
+  /** Discards what is known of replicas that are no longer registered, and their connections. */
+  public sweep(): void {
+    this.pool.sweep();
+    this.permits.retain(this.dependencies.directory.listRuns());
+  }
+
+  /** Stops observing the links to the replicas. */
+  public stop(): void {
+    this.reachability.stop();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/replicaTransport.ts
@@ -0,0 +1,68 @@
+import type { TimerService } from '@zincring/core';
+
+import type { ReplicaReachability } from './reachability/replicaReachability.js';
+import type { ReplicaEntry } from './replica.js';
+import type { ExchangeOutcome, ReplicaRequest } from './replicaExchange.js';
+import type { ReplicaLoads } from './replicaLoads.js';
+
+import { exchangeWithReplica } from './replicaExchange.js';
+
+/** Outcome of an exchange through another instance: `unavailable` if none can relay it. */
+export type RelayOutcome =
+  ExchangeOutcome | { readonly kind: 'unavailable'; readonly reason: string };
+
+/** Exchanges with replicas through other instances. */
+export interface ReplicaRelay {
+  exchange(entry: ReplicaEntry, request: ReplicaRequest): Promise<RelayOutcome>;
+}
+
+/** Dependencies of a {@link ReplicaTransport}. */
+export interface ReplicaTransportDependencies {
+  readonly timers: TimerService;
+  readonly loads: ReplicaLoads;
+  readonly reachability: ReplicaReachability;
+  readonly relay: ReplicaRelay;
+}
+
+/**
+ * Sends attempts to replicas: directly, or through another instance while this one may have lost its links
+ * to the replicas.
+ *
+ * @example
+ * const outcome = await transport.exchange(entry, request);
+ */
+export class ReplicaTransport {
+  public constructor(private readonly dependencies: ReplicaTransportDependencies) {}
+
+  /** Whether the failures of connections may be due to the links of this instance. */
+  public get isPathSuspect(): boolean {
+    return this.dependencies.reachability.state !== 'reachable';
+  }
+
+  /** Sends an attempt by the path that is known to work. */
+  public async exchange(entry: ReplicaEntry, request: ReplicaRequest): Promise<ExchangeOutcome> {
+    if (!this.isPathSuspect) {
+      return await this.exchangeDirectly(entry, request);
+    }
+    const outcome = await this.dependencies.relay.exchange(entry, request);
+    return outcome.kind === 'unavailable' ? await this.exchangeDirectly(entry, request) : outcome;
+  }
+
+  /** Sends an attempt without other instances. */
+  public async exchangeDirectly(
+    entry: ReplicaEntry,
+    request: ReplicaRequest,
+  ): Promise<ExchangeOutcome> {
+    const { loads, reachability, timers } = this.dependencies;
+    const { agent } = loads.findOrAddState(entry);
+    if (!request.isRepeatable && !reachability.hasEvidence) {
+      // A kept connection may be dead; opening a new one shows that the path works.
+      agent.closeIdleConnections();
+    }
+    const watch = reachability.watch(entry, request.isRepeatable);
+    const outcome = await exchangeWithReplica(timers, { agent, entry, watch }, request);
+    return outcome.kind === 'answered'
+      ? outcome
+      : { ...outcome, isPathFault: outcome.isPathFault || this.isPathSuspect };
+  }
+}
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -10,7 +10,7 @@
 
 import { PeerClients } from '../../src/peers/peerClients.js';
 import { PeerServer } from '../../src/peers/peerServer.js';
-import { makeOwner } from '../support/fakePeer.js';
+import { makeOwner, makeRelayServer } from '../support/fakePeer.js';
 
 const bucket = { burst: 20, name: 'clerks', ratePerSecond: 10, slackShare: 0.5 };
 const demand = {
@@ -38,7 +38,11 @@
   });
 
   async function startServer(overrides: Partial<GatewayPeer>): Promise<PeerServer> {
-    const server = new PeerServer(makeOwner('self', overrides).peer, silentLogger);
+    const server = new PeerServer(
+      makeOwner('self', overrides).peer,
+      silentLogger,
+      makeRelayServer(),
+    );
     await server.listen({ host: '127.0.0.1', port: 0 });
     cleanups.push(() => {
       server.close();
@@ -184,7 +188,7 @@
     expect(await peer.acquireOwned(bucket)).toMatchObject({ kind: 'granted' });
     first.close();
     expect(await peer.acquireOwned(bucket)).toEqual({ kind: 'unreachable' });
-    const second = new PeerServer(makeOwner('self', granted).peer, silentLogger);
+    const second = new PeerServer(makeOwner('self', granted).peer, silentLogger, makeRelayServer());
     await second.listen({ host: '127.0.0.1', port });
     cleanups.push(() => {
       second.close();
--- /dev/null
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -0,0 +1,262 @@
+import type { AddressInfo, Server, Socket } from 'node:net';
+
+import { silentLogger, SystemTimerService } from '@zincring/core';
+import { createServer } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import type { RelayTarget } from '../../src/peers/relayServer.js';
+import type { ReplicaEntry } from '../../src/upstreams/replica.js';
+import type { ReplicaRequest } from '../../src/upstreams/replicaExchange.js';
+import type { RelayOutcome } from '../../src/upstreams/replicaTransport.js';
+import type { Behaviour } from '../support/fakeReplica.js';
+
+import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
+import { PeerServer } from '../../src/peers/peerServer.js';
+import { RelayCandidates } from '../../src/peers/relayCandidates.js';
+import { RelayClient } from '../../src/peers/relayClient.js';
+import { RelayServer } from '../../src/peers/relayServer.js';
+import { ReplicaAgent } from '../../src/upstreams/replicaAgent.js';
+import { exchangeWithReplica } from '../../src/upstreams/replicaExchange.js';
+import { readBoundedBody } from '../../src/util/readBoundedBody.js';
+import { makeOwner } from '../support/fakePeer.js';
+import {
+  FakeReplica,
+  neverResponds,
+  refuses,
+  resetsConnection,
+  responds,
+  respondsMisdirected,
+  respondsUnframed,
+  sendsMalformedResponse,
+  streamsEvents,
+  truncatesBody,
+} from '../support/fakeReplica.js';
+import { waitUntil } from '../support/gatewayFixture.js';
+import { sampleReplica } from '../support/samples.js';
+
+const timers = new SystemTimerService();
+const idleWatch = {
+  onConnected: () => undefined,
+  onConnectionFailed: () => undefined,
+  onData: () => undefined,
+  onEnded: () => undefined,
+  onStarted: () => undefined,
+};
+const cleanups: (() => void)[] = [];
+
+afterEach(() => {
+  cleanups.splice(0).forEach(cleanup => {
+    cleanup();
+  });
+});
+
+async function startReplica(
+  behaviour: Behaviour,
+): Promise<{ entry: ReplicaEntry; replica: FakeReplica }> {
+  const replica = new FakeReplica([behaviour]);
+  const port = await replica.start();
+  cleanups.push(() => {
+    replica.stop();
+  });
+  return { entry: sampleReplica('r0', { port }), replica };
+}
+
+/** Starts an instance that relays to a replica; returns its address. */
+async function startRelay(
+  entry: ReplicaEntry,
+  overrides: Partial<RelayTarget> = {},
+): Promise<string> {
+  const agent = new ReplicaAgent(8);
+  const target: RelayTarget = {
+    accept: run =>
+      run === entry.runId
+        ? { entry, kind: 'accepted' }
+        : { kind: 'unavailable', reason: 'unknown replica' },
+    exchange: async (known, request) =>
+      await exchangeWithReplica(timers, { agent, entry: known, watch: idleWatch }, request),
+    ...overrides,
+  };
+  const server = new PeerServer(
+    makeOwner('self').peer,
+    silentLogger,
+    new RelayServer(target, silentLogger),
+  );
+  await server.listen({ host: '127.0.0.1', port: 0 });
+  cleanups.push(() => {
+    server.close();
+    agent.destroy();
+  });
+  return `127.0.0.1:${String(server.port)}`;
+}
+
+/** Starts a server that is no instance; returns its address. */
+async function startStranger(handle: (socket: Socket) => void): Promise<string> {
+  const sockets: Socket[] = [];
+  const server: Server = createServer(socket => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    handle(socket);
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  cleanups.push(() => {
+    server.close();
+    sockets.forEach(socket => socket.destroy());
+  });
+  return `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+}
+
+/** Makes a client that asks the instances in the given order. */
+function makeClient(addresses: readonly string[]): RelayClient {
+  const client = new RelayClient({
+    candidates: new RelayCandidates(
+      () => addresses,
+      timers,
+      () => 0,
+    ),
+    logger: silentLogger,
+    metrics: new GatewayMetrics(),
+    timers,
+  });
+  cleanups.push(() => {
+    client.close();
+  });
+  return client;
+}
+
+function makeRequest(overrides: Partial<ReplicaRequest> = {}): ReplicaRequest {
+  return {
+    body: Buffer.from('input'),
+    headers: ['request-id', 'request-1', 'x-own', 'kept', 'content-length', '5'],
+    isRepeatable: false,
+    method: 'POST',
+    path: '/summaries/7?full=1',
+    signal: new AbortController().signal,
+    ...overrides,
+  };
+}
+
+/** Reads the body of an answered exchange; `broken` if it is incomplete. */
+async function readBody(outcome: RelayOutcome): Promise<string> {
+  if (outcome.kind !== 'answered') {
+    return outcome.kind;
+  }
+  const body = await readBoundedBody(outcome.response.body, 1_000_000);
+  return body.ok ? body.val.toString() : body.val;
+}
+
+describe('a request that another instance relays', () => {
+  it('reaches the replica unchanged', async () => {
+    const { entry, replica } = await startReplica(responds('done'));
+    const outcome = await makeClient([await startRelay(entry)]).exchange(entry, makeRequest());
+    expect(outcome).toMatchObject({
+      kind: 'answered',
+      response: { framing: 'length', status: 200 },
+    });
+    expect(await readBody(outcome)).toBe('done');
+    const [received] = replica.receivedRequests;
+    expect(received).toMatchObject({ body: 'input', method: 'POST', path: '/summaries/7?full=1' });
+    expect(received!.headers.get('x-own')).toBe('kept');
+    expect(received!.headers.has('expect')).toBe(false);
+  });
+
+  it.each<[string, Behaviour, object, RegExp]>([
+    ['a stream', streamsEvents([1, 2], 'whole'), { framing: 'chunked' }, /piece 2\n\n$/],
+    ['an unframed body', respondsUnframed('all', 'close'), { framing: 'connection' }, /^all$/],
+    ['a failure', responds('no', '500 Failed'), { framing: 'length', status: 500 }, /^no$/],
+    ['a refusal', refuses, { status: 503 }, /^$/],
+    ['another replica', respondsMisdirected, { status: 421 }, /^$/],
+  ])('returns %s as the replica sent it', async (_name, behaviour, response, body) => {
+    const { entry } = await startReplica(behaviour);
+    const outcome = await makeClient([await startRelay(entry)]).exchange(entry, makeRequest());
+    expect(outcome).toMatchObject({ kind: 'answered', response });
+    expect(await readBody(outcome)).toMatch(body);
+  });
+
+  it.each<[string, Behaviour]>([
+    ['a truncated body', truncatesBody],
+    ['a stream that breaks off', streamsEvents([1, 2], 'break')],
+    ['an unframed body that is reset', respondsUnframed('half', 'reset')],
+    ['an unframed body that is reset at once', respondsUnframed('half', 'immediate-reset')],
+  ])('never returns %s as complete', async (_name, behaviour) => {
+    const { entry } = await startReplica(behaviour);
+    const outcome = await makeClient([await startRelay(entry)]).exchange(entry, makeRequest());
+    expect(['broken', 'lost']).toContain(await readBody(outcome));
+  });
+
+  it.each<[string, Behaviour]>([
+    ['resets the connection', resetsConnection],
+    ['sends something else', sendsMalformedResponse],
+  ])('may have run when its replica %s', async (_name, behaviour) => {
+    const { entry, replica } = await startReplica(behaviour);
+    const outcome = await makeClient([await startRelay(entry)]).exchange(entry, makeRequest());
+    expect(outcome).toMatchObject({ isPathFault: false, kind: 'lost' });
+    expect(replica.receivedRequests).toHaveLength(1);
+  });
+
+  it('has not run when its replica refuses connections', async () => {
+    const { entry, replica } = await startReplica(responds('done'));
+    replica.stop();
+    const outcome = await makeClient([await startRelay(entry)]).exchange(entry, makeRequest());
+    expect(outcome).toMatchObject({ isPathFault: false, kind: 'not-sent' });
+  });
+
+  it.each<[string, (entry: ReplicaEntry) => Promise<string>]>([
+    [
+      'does not reach the replicas',
+      async entry =>
+        await startRelay(entry, { accept: () => ({ kind: 'unavailable', reason: 'stranded' }) }),
+    ],
+    ['does not answer', async () => await startStranger(() => undefined)],
+    ['resets the connection', async () => await startStranger(socket => socket.resetAndDestroy())],
+    ['speaks something else', async () => await startStranger(socket => socket.end('no\r\n\r\n'))],
+  ])('goes to another instance, once, when the first one %s', async (_name, startFirst) => {
+    const { entry, replica } = await startReplica(responds('done'));
+    const client = makeClient([await startFirst(entry), await startRelay(entry)]);
+    expect(await readBody(await client.exchange(entry, makeRequest()))).toBe('done');
+    expect(replica.receivedRequests).toHaveLength(1);
+  });
+
+  it('may have run when the relaying instance is lost after it has accepted the request', async () => {
+    const { entry, replica } = await startReplica(responds('done'));
+    const lost = await startStranger(socket => {
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 100 Continue\r\n\r\n');
+        socket.once('data', () => socket.resetAndDestroy());
+      });
+    });
+    const client = makeClient([lost, await startRelay(entry)]);
+    expect(await client.exchange(entry, makeRequest())).toMatchObject({
+      isPathFault: true,
+      kind: 'lost',
+    });
+    expect(replica.receivedRequests).toHaveLength(0);
+  });
+
+  it('cannot be relayed without other instances', async () => {
+    const { entry } = await startReplica(responds('done'));
+    expect(await makeClient([]).exchange(entry, makeRequest())).toMatchObject({
+      kind: 'unavailable',
+    });
+  });
+
+  it('is cancelled at the replica when its caller leaves', async () => {
+    const { entry, replica } = await startReplica(neverResponds);
+    const controller = new AbortController();
+    const client = makeClient([await startRelay(entry)]);
+    const pending = client.exchange(entry, makeRequest({ signal: controller.signal }));
+    await waitUntil(() => replica.receivedRequests.length === 1);
+    controller.abort();
+    expect(await pending).toMatchObject({ kind: 'lost' });
+    await waitUntil(() => replica.closedConnections === 1);
+  });
+
+  it('has no body in either direction when there is none', async () => {
+    const { entry, replica } = await startReplica(responds('', '204 No Content'));
+    const request = makeRequest({ body: undefined, headers: ['request-id', '1'], method: 'GET' });
+    const outcome = await makeClient([await startRelay(entry)]).exchange(entry, request);
+    expect(await readBody(outcome)).toBe('');
+    expect(replica.receivedRequests[0]).toMatchObject({ body: '', method: 'GET' });
+  });
+});
--- a/packages/gateway/tests/support/fakePeer.ts
+++ b/packages/gateway/tests/support/fakePeer.ts
@@ -1,8 +1,12 @@
 import type { InstanceId } from '@zincring/core';
 
+import { silentLogger } from '@zincring/core';
+
 import type { GatewayPeer } from '../../src/peers/gatewayPeer.js';
 import type { Owner } from '../../src/peers/ownerSelector.js';
 
+import { RelayServer } from '../../src/peers/relayServer.js';
+
 const unreachablePeer: GatewayPeer = {
   acquireOwned: async () => await Promise.resolve({ kind: 'unreachable' }),
   acquirePermit: async () => await Promise.resolve({ kind: 'unreachable' }),
@@ -15,3 +19,12 @@
 export function makeOwner(name: string, overrides: Partial<GatewayPeer> = {}): Owner {
   return { instance: name as InstanceId, peer: { ...unreachablePeer, ...overrides } };
 }
+
+/** Makes a server that relays no requests. */
+export function makeRelayServer(): RelayServer {
+  const target = {
+    accept: () => ({ kind: 'unavailable', reason: 'it relays nothing' }) as const,
+    exchange: async () => await Promise.reject(new Error('not accepted')),
+  };
+  return new RelayServer(target, silentLogger);
+}
