fix(gateway): bound the time in which instances are asked to relay an attempt

The headers of an attempt say how much time is left. Four instances that do not answer took 600 ms, by which the replica was told too much.

--- a/packages/gateway/src/peers/relayClient.ts
+++ b/packages/gateway/src/peers/relayClient.ts
@@ -30,6 +30,8 @@
 const MAXIMUM_ASKED = 4;
 /** Time within which an instance must accept a request, in milliseconds: many round trips between instances. */
 const ACCEPT_TIMEOUT_MILLISECONDS = 150;
+/** Time in which instances are asked to relay one attempt, in milliseconds: the time left that the replica is told ages with it. */
+const MAXIMUM_ASKING_MILLISECONDS = 300;
 /** Idle time after which a connection to another instance is closed, in milliseconds. */
 const IDLE_TIMEOUT_MILLISECONDS = 10_000;
 
@@ -54,11 +56,12 @@
   public constructor(private readonly dependencies: RelayClientDependencies) {}
 
   public async exchange(entry: ReplicaEntry, request: ReplicaRequest): Promise<RelayOutcome> {
-    const { candidates, logger, metrics } = this.dependencies;
+    const { candidates, logger, metrics, timers } = this.dependencies;
+    const endsAt = timers.now() + MAXIMUM_ASKING_MILLISECONDS;
     let reason = 'no other instance is known';
-    for (let asked = 0; asked < MAXIMUM_ASKED && !request.signal.aborted; asked++) {
+    for (let asked = 0; asked < MAXIMUM_ASKED && timers.now() < endsAt; asked++) {
       const address = candidates.choose();
-      if (address === undefined) {
+      if (address === undefined || request.signal.aborted) {
         break;
       }
       const outcome = await this.exchangeThrough(address, entry, request);
