--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -1,7 +1,6 @@
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 
 import { silentLogger } from '@zincring/core';
-import { createServer } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 
 import type { GatewayPeer } from '../../src/peers/gatewayPeer.js';
@@ -11,6 +10,7 @@
 import { PeerClients } from '../../src/peers/peerClients.js';
 import { PeerServer } from '../../src/peers/peerServer.js';
 import { makeOwner, makeRelayServer } from '../support/fakePeer.js';
+import { startStranger } from '../support/startStranger.js';
 
 const bucket = { burst: 20, name: 'clerks', ratePerSecond: 10, slackShare: 0.5 };
 const demand = {
@@ -59,21 +59,10 @@
   }
 
   /** Starts a server that is no instance; returns its port. */
-  async function startStranger(handle: (socket: Socket) => void): Promise<number> {
-    const sockets: Socket[] = [];
-    const server: Server = createServer(socket => {
-      sockets.push(socket);
-      socket.on('error', () => undefined);
-      handle(socket);
-    });
-    await new Promise<void>(resolve => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    cleanups.push(() => {
-      server.close();
-      sockets.forEach(socket => socket.destroy());
-    });
-    return (server.address() as AddressInfo).port;
+  async function startOther(handle: (socket: Socket) => void): Promise<number> {
+    const { close, port } = await startStranger(handle);
+    cleanups.push(close);
+    return port;
   }
 
   it.each([
@@ -170,7 +159,7 @@
       socket => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext'),
     ],
   ])('reports a peer that %s as unreachable', async (_name, handle) => {
-    const peer = connect(await startStranger(handle));
+    const peer = connect(await startOther(handle));
     expect(await peer.acquireOwned(bucket)).toEqual({ kind: 'unreachable' });
     expect(await peer.reserveOwned(demand)).toEqual({ kind: 'unreachable' });
     expect(await peer.settleOwned('run-1.7', 1)).toBe(false);
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -1,7 +1,6 @@
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 
 import { silentLogger, SystemTimerService } from '@zincring/core';
-import { createServer } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 
 import type { RelayTarget } from '../../src/peers/relayServer.js';
@@ -33,6 +32,7 @@
 } from '../support/fakeReplica.js';
 import { waitUntil } from '../support/gatewayFixture.js';
 import { sampleReplica } from '../support/samples.js';
+import { startStranger } from '../support/startStranger.js';
 
 const timers = new SystemTimerService();
 const idleWatch = {
@@ -90,21 +90,10 @@
 }
 
 /** Starts a server that is no instance; returns its address. */
-async function startStranger(handle: (socket: Socket) => void): Promise<string> {
-  const sockets: Socket[] = [];
-  const server: Server = createServer(socket => {
-    sockets.push(socket);
-    socket.on('error', () => undefined);
-    handle(socket);
-  });
-  await new Promise<void>(resolve => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  cleanups.push(() => {
-    server.close();
-    sockets.forEach(socket => socket.destroy());
-  });
-  return `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+async function startOther(handle: (socket: Socket) => void): Promise<string> {
+  const { close, port } = await startStranger(handle);
+  cleanups.push(close);
+  return `127.0.0.1:${String(port)}`;
 }
 
 /** Makes a client that asks the instances in the given order. */
@@ -208,9 +197,9 @@
       async entry =>
         await startRelay(entry, { accept: () => ({ kind: 'unavailable', reason: 'stranded' }) }),
     ],
-    ['does not answer', async () => await startStranger(() => undefined)],
-    ['resets the connection', async () => await startStranger(socket => socket.resetAndDestroy())],
-    ['speaks something else', async () => await startStranger(socket => socket.end('no\r\n\r\n'))],
+    ['does not answer', async () => await startOther(() => undefined)],
+    ['resets the connection', async () => await startOther(socket => socket.resetAndDestroy())],
+    ['speaks something else', async () => await startOther(socket => socket.end('no\r\n\r\n'))],
   ])('goes to another instance, once, when the first one %s', async (_name, startFirst) => {
     const { entry, replica } = await startReplica(responds('done'));
     const client = makeClient([await startFirst(entry), await startRelay(entry)]);
@@ -220,7 +209,7 @@
 
   it('may have run when the relaying instance is lost after it has accepted the request', async () => {
     const { entry, replica } = await startReplica(responds('done'));
-    const lost = await startStranger(socket => {
+    const lost = await startOther(socket => {
       socket.once('data', () => {
         socket.write('HTTP/1.1 100 Continue\r\n\r\n');
         socket.once('data', () => socket.resetAndDestroy());
--- a/packages/gateway/tests/upstreams/announcedRates.test.ts
+++ b/packages/gateway/tests/upstreams/announcedRates.test.ts
@@ -3,14 +3,9 @@
 import type { Behaviour } from '../support/fakeReplica.js';
 import type { GatewayFixture, ReceivedResponse } from '../support/gatewayFixture.js';
 
-import { responds, respondsWithRate, streamsEvents } from '../support/fakeReplica.js';
-import {
-  resumableRoute,
-  safeRoute,
-  startGateway,
-  streamRoute,
-  unsafeRoute,
-} from '../support/gatewayFixture.js';
+import { respondsWithRate } from '../support/fakeReplica.js';
+import { safeRoute, startGateway, unsafeRoute } from '../support/gatewayFixture.js';
+import { routeCases } from '../support/routeCases.js';
 
 const INSTANCES = 3;
 const REQUESTS_PER_INSTANCE = 10;
@@ -41,12 +36,7 @@
 }
 
 describe('a replica that announces the rate it accepts', () => {
-  it.each([
-    ['an unsafe route', unsafeRoute, responds('done')],
-    ['a safe route', safeRoute, responds('done')],
-    ['streams', streamRoute, streamsEvents([1, 2], 'whole')],
-    ['streams that may be resumed', resumableRoute, streamsEvents([1, 2], 'whole')],
-  ])(
+  it.each(routeCases)(
     'never gets more than that from all instances together on %s',
     async (_name, route, behaviour) => {
       const fixtures = await startInstances(route, [[respondsWithRate(1)], [behaviour]]);
--- a/packages/gateway/tests/upstreams/chooseAdmittedReplica.test.ts
+++ b/packages/gateway/tests/upstreams/chooseAdmittedReplica.test.ts
@@ -25,7 +25,7 @@
     await timers.advance(10_000);
   });
 
-  async function choose(maximumWaitMilliseconds = 400): Promise<AdmittedReplica> {
+  async function choose(chooser = pool): Promise<AdmittedReplica> {
     const request = {
       excluded: new Set<ReplicaEntry['runId']>(),
       facts: sampleFacts(),
@@ -33,12 +33,7 @@
       service: engineService,
       softwareVersion: undefined,
     };
-    return await chooseAdmittedReplica(
-      pool,
-      fleet.instances[0]!.permits,
-      request,
-      maximumWaitMilliseconds,
-    );
+    return await chooseAdmittedReplica(chooser, fleet.instances[0]!.permits, request, 400);
   }
 
   function limit(rates: ReadonlyMap<ReplicaEntry, number>): void {
@@ -82,16 +77,7 @@
   });
 
   it('names no time when there is no replica', async () => {
-    const empty: ReplicaChooser = { choose: () => undefined };
-    const { permits } = fleet.instances[0]!;
-    const request = {
-      excluded: new Set<ReplicaEntry['runId']>(),
-      facts: sampleFacts(),
-      isSticky: false,
-      service: engineService,
-      softwareVersion: undefined,
-    };
-    expect(await chooseAdmittedReplica(empty, permits, request, 400)).toEqual({
+    expect(await choose({ choose: () => undefined })).toEqual({
       kind: 'none',
       retryAfterMilliseconds: undefined,
     });
--- a/packages/gateway/tests/upstreams/leavingReplicas.test.ts
+++ b/packages/gateway/tests/upstreams/leavingReplicas.test.ts
@@ -2,22 +2,12 @@
 
 import type { Behaviour } from '../support/fakeReplica.js';
 
-import { announcesLeaving, responds, streamsEvents } from '../support/fakeReplica.js';
-import {
-  resumableRoute,
-  safeRoute,
-  startGateway,
-  streamRoute,
-  unsafeRoute,
-} from '../support/gatewayFixture.js';
+import { announcesLeaving, responds } from '../support/fakeReplica.js';
+import { safeRoute, startGateway } from '../support/gatewayFixture.js';
+import { routeCases } from '../support/routeCases.js';
 
 describe('a replica that announces that it is about to leave', () => {
-  it.each([
-    ['an unsafe route', unsafeRoute, responds('done')],
-    ['a safe route', safeRoute, responds('done')],
-    ['streams', streamRoute, streamsEvents([1, 2], 'whole')],
-    ['streams that may be resumed', resumableRoute, streamsEvents([1, 2], 'whole')],
-  ])('gets no further requests on %s', async (_name, route, behaviour) => {
+  it.each(routeCases)('gets no further requests on %s', async (_name, route, behaviour) => {
     const fixture = await startGateway(route, [[announcesLeaving()], [behaviour]]);
     const [leaving] = fixture.replicas;
     while (leaving!.receivedRequests.length === 0) {
