fix(gateway): remember what a replica announced beyond its registration

A replica that loses the store for a while is removed from the list and returns, with the same run, while it goes on serving. Each instance forgot its announcements within a second of the removal.

Cause: the rate and the notice of leaving were kept with the connections, which are swept by registration.

They are now kept for the last 1,000 runs. Without this, a replica that announces one request a second got 30 at once from three instances where 14 are allowed, and one that had announced its leaving got a further request (announcedRates and leavingReplicas, "when its registration lapses and returns").

--- a/packages/gateway/src/upstreams/announcements.ts
+++ b/packages/gateway/src/upstreams/announcements.ts
@@ -35,7 +35,7 @@
     }
     const { loads, logger, permits } = this.dependencies;
     permits.record(entry, requestsPerSecond);
-    if (isLeaving && !loads.findOrAddState(entry).isLeaving) {
+    if (isLeaving && !loads.isLeaving(entry)) {
       loads.recordLeaving(entry);
       logger.info(
         { event: 'replica-leaving', replica: entry.id },
--- a/packages/gateway/src/upstreams/directRelayTarget.ts
+++ b/packages/gateway/src/upstreams/directRelayTarget.ts
@@ -33,7 +33,7 @@
     if (entry === undefined) {
       return { kind: 'unavailable', reason: 'the replica is not known to the instance' };
     }
-    if (entry.isDraining || loads.findOrAddState(entry).isLeaving) {
+    if (entry.isDraining || loads.isLeaving(entry)) {
       return { kind: 'not-sent', reason: 'the replica is leaving' };
     }
     return { entry, kind: 'accepted' };
--- a/packages/gateway/src/upstreams/permits/replicaPermits.ts
+++ b/packages/gateway/src/upstreams/permits/replicaPermits.ts
@@ -1,5 +1,7 @@
 import type { Logger, TimerService, UpstreamId } from '@zincring/core';
 
+import { LRUCache } from 'lru-cache';
+
 import type { GatewayMetrics } from '../../observation/gatewayMetrics.js';
 import type { OwnerSelector } from '../../peers/ownerSelector.js';
 import type { ReplicaEntry, ReplicaRunId } from '../replica.js';
@@ -26,6 +28,8 @@
   deniedUntil: number;
 }
 
+/** Maximum number of replicas whose rate is remembered. */
+const MAXIMUM_REPLICAS = 1_000;
 /** Number of owners that are asked for one permit. */
 const MAXIMUM_OWNERS = 2;
 /** Time after which a replica whose owners do not respond is asked for again, in milliseconds: about one timeout of a call. */
@@ -41,7 +45,10 @@
  * await permits.acquire(entry, 0); // { delayMilliseconds: 0, kind: 'granted' }
  */
 export class ReplicaPermits {
-  private readonly limitedReplicas = new Map<ReplicaRunId, LimitedReplica>();
+  // Kept beyond the registration, which may lapse and return while the replica goes on.
+  private readonly limitedReplicas = new LRUCache<ReplicaRunId, LimitedReplica>({
+    max: MAXIMUM_REPLICAS,
+  });
 
   public constructor(private readonly dependencies: ReplicaPermitsDependencies) {}
 
@@ -96,15 +103,6 @@
     return reply;
   }
 
-  /** Discards what is known of all runs but the given ones. */
-  public retain(runs: ReadonlySet<ReplicaRunId>): void {
-    for (const run of this.limitedReplicas.keys()) {
-      if (!runs.has(run)) {
-        this.limitedReplicas.delete(run);
-      }
-    }
-  }
-
   private async askOwners(
     { runId }: ReplicaEntry,
     { observation }: LimitedReplica,
--- a/packages/gateway/src/upstreams/replicaDirectory.ts
+++ b/packages/gateway/src/upstreams/replicaDirectory.ts
@@ -1,7 +1,7 @@
 import type { Logger, Result, ServiceName, TimerService, UpstreamId } from '@zincring/core';
 import type { PartitionedRow, PartitionedTable, RowChange } from '@zincring/platform';
 
-import type { ReplicaEntry, ReplicaRunId } from './replica.js';
+import type { ReplicaEntry } from './replica.js';
 
 import { TableFollower } from '../store/tableFollower.js';
 
@@ -101,11 +101,6 @@
     return [...this.entries.values()];
   }
 
-  /** Returns the runs of all registered replicas. */
-  public listRuns(): ReadonlySet<ReplicaRunId> {
-    return new Set(this.listAll().map(entry => entry.runId));
-  }
-
   /** Calls the listener with each change. */
   public subscribe(listener: (change: ReplicaChange) => void): void {
     this.listeners.push(listener);
--- a/packages/gateway/src/upstreams/replicaLoads.ts
+++ b/packages/gateway/src/upstreams/replicaLoads.ts
@@ -1,5 +1,7 @@
 import type { TimerService } from '@zincring/core';
 
+import { LRUCache } from 'lru-cache';
+
 import type { ReplicaEntry, ReplicaRunId } from './replica.js';
 
 import { ReplicaAgent } from './replicaAgent.js';
@@ -15,10 +17,10 @@
   consecutiveFailures: number;
   /** Time until which the replica is used only if there is no other, on the monotonic clock, in milliseconds. */
   avoidedUntil: number;
-  /** Whether the replica announced that it is about to leave. */
-  isLeaving: boolean;
 }
 
+/** Maximum number of leaving runs that are remembered. */
+const MAXIMUM_LEAVING_RUNS = 1_000;
 /** Initial time for which a failing replica is avoided, in milliseconds: about one of its heartbeat intervals. */
 const INITIAL_AVOID_MILLISECONDS = 1_000;
 /** Maximum time for which a failing replica is avoided, in milliseconds: its registration expires by then. */
@@ -37,6 +39,8 @@
  */
 export class ReplicaLoads {
   private readonly states = new Map<ReplicaRunId, ReplicaLoadState>();
+  /** Runs that announced that they are about to leave; kept beyond their registration, which may lapse and return. */
+  private readonly leavingRuns = new LRUCache<ReplicaRunId, true>({ max: MAXIMUM_LEAVING_RUNS });
 
   public constructor(
     private readonly timers: TimerService,
@@ -54,7 +58,6 @@
       avoidedUntil: -Infinity,
       consecutiveFailures: 0,
       inFlight: 0,
-      isLeaving: false,
     };
     this.states.set(entry.runId, state);
     return state;
@@ -67,7 +70,12 @@
 
   /** Records that a replica announced that it is about to leave; no run of a replica ever returns from that. */
   public recordLeaving(entry: ReplicaEntry): void {
-    this.findOrAddState(entry).isLeaving = true;
+    this.leavingRuns.set(entry.runId, true);
+  }
+
+  /** Whether a replica announced that it is about to leave. */
+  public isLeaving(entry: ReplicaEntry): boolean {
+    return this.leavingRuns.has(entry.runId);
   }
 
   /** Records the end of an attempt. */
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -49,7 +49,7 @@
   public readonly transport: ReplicaTransport;
   private readonly reachability: ReplicaReachability;
 
-  public constructor(private readonly dependencies: ReplicaNetworkDependencies) {
+  public constructor(dependencies: ReplicaNetworkDependencies) {
     const { directory, logger, metrics, owners, random, timers } = dependencies;
     const loads = new ReplicaLoads(timers, dependencies.getMaximumConnections);
     this.pool = new ReplicaPool(directory, loads, dependencies.availabilityZone, random);
@@ -84,10 +84,9 @@
     });
   }
 
-  /** Discards what is known of replicas that are no longer registered, and their connections. */
+  /** Closes the connections to replicas that are no longer registered. */
   public sweep(): void {
     this.pool.sweep();
-    this.permits.retain(this.dependencies.directory.listRuns());
   }
 
   /** Stops observing the links to the replicas. */
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -66,7 +66,7 @@
 
   /** Closes the connections to replicas that are no longer registered. */
   public sweep(): void {
-    this.loads.retain(this.directory.listRuns());
+    this.loads.retain(new Set(this.directory.listAll().map(entry => entry.runId)));
   }
 
   private findCandidates({
@@ -76,7 +76,7 @@
   }: PoolRequest): readonly PlacementCandidate[] {
     const candidates = this.directory
       .findReplicas(service.name)
-      .filter(entry => !entry.isDraining && !this.loads.findOrAddState(entry).isLeaving)
+      .filter(entry => !entry.isDraining && !this.loads.isLeaving(entry))
       .map(entry => ({
         entry,
         inFlight: this.loads.findOrAddState(entry).inFlight,
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -120,10 +120,16 @@
 }
 
 /** Sends a complete response that announces the rate that the replica accepts, in requests per second. */
-export function respondsWithRate(requestsPerSecond: number, status = '200 OK'): Behaviour {
+export function respondsWithRate(
+  requestsPerSecond: number,
+  status = '200 OK',
+  pauseMilliseconds = 0,
+): Behaviour {
   return (socket, request) => {
     const headerLines = [`Rate-Limit: ${String(requestsPerSecond)}`, 'Content-Length: 0'];
-    socket.write(formatHead(request, status, headerLines));
+    setTimeout(() => {
+      socket.write(formatHead(request, status, headerLines));
+    }, pauseMilliseconds);
   };
 }
 
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -45,6 +45,8 @@
   readonly store: RealTimeTable;
   /** Registers a replica as draining. */
   drainReplica(index: number): void;
+  /** Removes the registration of a replica, and registers it again once all instances have forgotten it. */
+  lapseReplica(index: number): Promise<void>;
   /** Starts a further instance with the same store and replicas. */
   startInstance(): Promise<GatewayFixture>;
   /** Sends a request as a caller. */
@@ -80,6 +82,9 @@
 export const streamRoute: GatewayRoute = { ...unsafeRoute, kind: 'streaming' };
 export const resumableRoute: GatewayRoute = { ...streamRoute, isResumable: true };
 
+/** Time after which instances have noticed a change of the registrations and swept what they no longer need, in milliseconds. */
+const FORGET_MILLISECONDS = 2_500;
+
 let nextId = 0;
 const cleanups: (() => Promise<void> | void)[] = [];
 
@@ -187,6 +192,15 @@
       }
     },
     gateway,
+    lapseReplica: async index => {
+      const registration = registrations[index];
+      if (registration !== undefined) {
+        store.remove({ key: registration.id, partition: '', table: replicaTable });
+        await new Promise(resolve => setTimeout(resolve, FORGET_MILLISECONDS));
+        registerReplica(store, registration);
+        await new Promise(resolve => setTimeout(resolve, FORGET_MILLISECONDS));
+      }
+    },
     replicas,
     send: async options => await send(gateway.ports.callers, options),
     startInstance: async () => await startInstance(parts),
--- a/packages/gateway/tests/support/realTimeTable.ts
+++ b/packages/gateway/tests/support/realTimeTable.ts
@@ -36,4 +36,8 @@
   public put(address: RowAddress, value: unknown): void {
     this.inner.put(address, value);
   }
+
+  public remove(address: RowAddress): void {
+    this.inner.remove(address);
+  }
 }
--- a/packages/gateway/tests/upstreams/announcedRates.test.ts
+++ b/packages/gateway/tests/upstreams/announcedRates.test.ts
@@ -62,6 +62,18 @@
     }
   });
 
+  it('never gets more than that when its registration lapses and returns', async () => {
+    const slow = respondsWithRate(1, '200 OK', 100);
+    const fixtures = await startInstances(unsafeRoute, [[slow]]);
+    await sendToAll(fixtures, 1);
+    const [first] = fixtures;
+    await first!.lapseReplica(0);
+    const { receivedRequests } = first!.replicas[0]!;
+    const receivedBefore = receivedRequests.length;
+    await sendToAll(fixtures, REQUESTS_PER_INSTANCE);
+    expect(receivedRequests.length - receivedBefore).toBeLessThanOrEqual(MAXIMUM_REQUESTS);
+  });
+
   it.each(['500 Failed', '404 Not Found'])(
     'never gets more than that when it announces the rate with the status %s',
     async status => {
--- a/packages/gateway/tests/upstreams/leavingReplicas.test.ts
+++ b/packages/gateway/tests/upstreams/leavingReplicas.test.ts
@@ -30,6 +30,14 @@
     expect(fixture.replicas[0]!.receivedRequests).toHaveLength(1);
   });
 
+  it('gets no further requests when its registration lapses and returns', async () => {
+    const fixture = await startGateway(safeRoute, [[announcesLeaving()]]);
+    await fixture.send();
+    await fixture.lapseReplica(0);
+    expect((await fixture.send()).status).toBe(503);
+    expect(fixture.replicas[0]!.receivedRequests).toHaveLength(1);
+  });
+
   it('is not taken for the one that has taken over its address', async () => {
     const misdirected = announcesLeaving('421 Misdirected');
     const fixture = await startGateway(safeRoute, [[misdirected, responds('done')]]);
