fix(gateway): grant the full rate of a replica only from a current list of instances

Cause: an instance takes itself for the owner if it ranks first in its list, and the list was assumed to be at most 3 s behind. A poll of 10 s whose answer is lost is noticed after 10 s.

Now an owner grants a quarter unless it is registered, has a list that was current within 5 s, and has ranked first for 7 s. Polls wait for 2 s.

--- a/packages/gateway/src/peers/ownerSelector.ts
+++ b/packages/gateway/src/peers/ownerSelector.ts
@@ -16,8 +16,12 @@
 export interface OwnerDirectory {
   /** All other registered instances; a new array whenever they change. */
   readonly owners: readonly Owner[];
-  /** Time of their last change, on the monotonic clock, in milliseconds. */
+  /** Time of their last change or of the registration of this instance, on the monotonic clock, in milliseconds. */
   readonly changedAt: number;
+  /** Whether the others can know of this instance. */
+  readonly isRegistered: boolean;
+  /** Time since the list was last known to be current, in milliseconds. */
+  ageMilliseconds(): number;
 }
 
 /** Time for which an instance that failed is not chosen, in milliseconds; it doubles while it does not respond. */
@@ -25,6 +29,8 @@
 /** Maximum of this time, in milliseconds: instances that are gone for good leave the directory by themselves. */
 const MAXIMUM_AVOID_MILLISECONDS = 16_000;
 
+/** Age up to which the list of instances counts as current, in milliseconds: longer than a poll with the pause before it. */
+export const MAXIMUM_LIST_AGE_MILLISECONDS = 5_000;
 /** Maximum number of keys whose owner is remembered. */
 const MAXIMUM_REMEMBERED_KEYS = 5_000;
 
@@ -82,6 +88,12 @@
     return this.chosenFrom.every(({ instance }) => computeWeight(key, instance) <= ownWeight);
   }
 
+  /** Whether this instance is registered and its list of the others is known to be current. */
+  public isCurrent(): boolean {
+    const { directory } = this;
+    return directory.isRegistered && directory.ageMilliseconds() < MAXIMUM_LIST_AGE_MILLISECONDS;
+  }
+
   /** Time since the registered instances last changed, as far as this instance knows, in milliseconds. */
   public unchangedMilliseconds(): number {
     return this.timers.now() - this.directory.changedAt;
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -1,10 +1,12 @@
 import type { InstanceId, Logger, TimerService, TimerSubscription } from '@zincring/core';
 import type { PartitionedTable, RowAddress, RowChange } from '@zincring/platform';
 
+import type { ClockReading } from '../configuration/contactAge.js';
 import type { SweptTable } from '../store/rowSweeper.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { Owner, OwnerDirectory } from './ownerSelector.js';
 
+import { elapsedSince, readClocks } from '../configuration/contactAge.js';
 import { TableFollower } from '../store/tableFollower.js';
 
 /** Dependencies of a {@link PeerDirectory}. */
@@ -53,7 +55,7 @@
 /** Mean interval at which a failed registration is tried again, in milliseconds. */
 const RETRY_INTERVAL_MILLISECONDS = 1_000;
 /** Maximum wait of a poll for changes, in milliseconds. */
-const POLL_WAIT_MILLISECONDS = 10_000;
+const POLL_WAIT_MILLISECONDS = 2_000;
 /** Pause after a poll that returned changes, in milliseconds: every instance reads every registration, so they are read in batches. */
 const POLL_PAUSE_MILLISECONDS = 2_000;
 /** Initial backoff after a failed poll, in milliseconds. */
@@ -75,6 +77,8 @@
   private readonly peers = new Map<string, RegisteredPeer>();
   private readonly follower: TableFollower;
   private renewalTimer: TimerSubscription | undefined;
+  /** Time of the last renewal that the store answered, by when it was sent. */
+  private renewedAt: ClockReading | undefined;
   private isStopped = false;
 
   public constructor(private readonly dependencies: PeerDirectoryDependencies) {
@@ -109,6 +113,20 @@
     );
   }
 
+  /** Whether the registration of this instance has been stored and has not expired. */
+  public get isRegistered(): boolean {
+    return (
+      !this.isStopped &&
+      this.renewedAt !== undefined &&
+      elapsedSince(this.dependencies.timers, this.renewedAt) < REGISTRATION_MILLISECONDS
+    );
+  }
+
+  /** Time since the list was last known to be current, in milliseconds. */
+  public ageMilliseconds(): number {
+    return this.follower.contactMilliseconds();
+  }
+
   /** Registers this instance at its address and starts to follow the others. */
   public start(address: string): void {
     this.follower.start();
@@ -142,6 +160,7 @@
   }
 
   private async renew(address: string): Promise<void> {
+    const sentAt = readClocks(this.dependencies.timers);
     const registration: PeerRegistration = {
       address,
       expiresAt: this.dependencies.timers.wallClock() + REGISTRATION_MILLISECONDS,
@@ -153,6 +172,11 @@
     });
     if (outcome.err) {
       this.logFailure(outcome.val.message);
+    } else {
+      if (!this.isRegistered) {
+        this.changedAt = this.dependencies.timers.now();
+      }
+      this.renewedAt = sentAt;
     }
     if (!this.isStopped) {
       this.scheduleRenewal(
--- a/packages/gateway/src/upstreams/permits/ownedPermits.ts
+++ b/packages/gateway/src/upstreams/permits/ownedPermits.ts
@@ -6,6 +6,7 @@
 import type { RateObservation } from './announcedRate.js';
 import type { PermitOwner, PermitReply, PermitRequest, RateReport } from './permitOwner.js';
 
+import { MAXIMUM_LIST_AGE_MILLISECONDS } from '../../peers/ownerSelector.js';
 import { toAnnouncedRate, toObservation } from './announcedRate.js';
 import { PermitSchedule } from './permitSchedule.js';
 
@@ -13,6 +14,8 @@
 export interface OwnerRanking {
   /** Whether this instance ranks first among all registered instances, including those that do not respond. */
   ranksFirst(key: string): boolean;
+  /** Whether this instance is registered and knows the registered instances as they are now. */
+  isCurrent(): boolean;
   /** Time since the registered instances last changed, in milliseconds. */
   unchangedMilliseconds(): number;
 }
@@ -28,7 +31,7 @@
 interface OwnedReplica {
   observation: RateObservation;
   readonly schedule: PermitSchedule;
-  /** Time since which this instance ranks first, on the monotonic clock, in milliseconds; `undefined` if it does not. */
+  /** Time since which this instance certainly ranks first, on the monotonic clock, in milliseconds; `undefined` if it may not. */
   rankedFirstSince: number | undefined;
 }
 
@@ -39,8 +42,11 @@
  * a full owner stay within one and a half times the rate.
  */
 const PROVISIONAL_SHARE = 0.25;
-/** Time until all instances know of a change of the registered instances, in milliseconds: longer than their polls pause. */
-const SETTLING_MILLISECONDS = 3_000;
+/**
+ * Time until an owner that was replaced knows of it or its list counts as out of date, in milliseconds; the
+ * feed of changes may miss a second.
+ */
+const SETTLING_MILLISECONDS = MAXIMUM_LIST_AGE_MILLISECONDS + 2_000;
 
 /**
  * Grants permits for the replicas that this instance owns, so that all instances together stay within the
@@ -101,7 +107,7 @@
 
   private computeShare(replica: ReplicaRunId, owned: OwnedReplica): number {
     const { ranking, timers } = this.dependencies;
-    if (!ranking.ranksFirst(replica)) {
+    if (!ranking.isCurrent() || !ranking.ranksFirst(replica)) {
       owned.rankedFirstSince = undefined;
       return PROVISIONAL_SHARE;
     }
--- a/packages/gateway/tests/peers/peerDirectory.test.ts
+++ b/packages/gateway/tests/peers/peerDirectory.test.ts
@@ -3,6 +3,7 @@
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
+import { MAXIMUM_LIST_AGE_MILLISECONDS } from '../../src/peers/ownerSelector.js';
 import { PEER_TABLE, PeerDirectory, sweptPeers } from '../../src/peers/peerDirectory.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { RowSweeper } from '../../src/store/rowSweeper.js';
@@ -49,6 +50,37 @@
     store.put({ key: name, partition: PARTITION, table: PEER_TABLE }, value);
   }
 
+  it('knows that its list is out of date while its polls are not answered', async () => {
+    const directory = makeDirectory('entry-1');
+    directory.start('10.1.0.1:7780');
+    await timers.advance(20_000);
+    expect(directory.ageMilliseconds()).toBeLessThan(MAXIMUM_LIST_AGE_MILLISECONDS);
+    store.faults.isSilent = true;
+    await timers.advance(MAXIMUM_LIST_AGE_MILLISECONDS);
+    expect(directory.ageMilliseconds()).toBeGreaterThanOrEqual(MAXIMUM_LIST_AGE_MILLISECONDS);
+  });
+
+  it('counts as registered from the answer of the store until it leaves', async () => {
+    const directory = makeDirectory('entry-1');
+    store.faults.isRefusing = true;
+    directory.start('10.1.0.1:7780');
+    await timers.advance(3_000);
+    expect(directory.isRegistered).toBe(false);
+    store.faults.isRefusing = false;
+    await timers.advance(3_000);
+    expect(directory.isRegistered).toBe(true);
+    const changedAt = directory.changedAt;
+    store.faults.isRefusing = true;
+    await timers.advance(61_000);
+    expect(directory.isRegistered).toBe(false);
+    store.faults.isRefusing = false;
+    await timers.advance(3_000);
+    expect(directory.isRegistered).toBe(true);
+    expect(directory.changedAt).toBeGreaterThan(changedAt);
+    void directory.stop();
+    expect(directory.isRegistered).toBe(false);
+  });
+
   it('finds the other instances but not itself', async () => {
     const names = ['entry-1', 'entry-2', 'entry-3'];
     const directories = names.map(name => makeDirectory(name));
--- a/packages/gateway/tests/support/fakePeer.ts
+++ b/packages/gateway/tests/support/fakePeer.ts
@@ -28,3 +28,13 @@
   };
   return new RelayServer(target, silentLogger);
 }
+
+/** Makes a list of other instances that is always current. */
+export function makeOwnerDirectory(owners: readonly Owner[]): {
+  ageMilliseconds: () => number;
+  changedAt: number;
+  isRegistered: boolean;
+  owners: readonly Owner[];
+} {
+  return { ageMilliseconds: () => 0, changedAt: 0, isRegistered: true, owners };
+}
