fix(gateway): go on past stored rows that cannot be read

What callers saw: nothing yet; found by reading for builds that run side by side.

Cause: both places parsed a row without expecting that it cannot be read; the feed takes an exception of its listener for a gap.

Such rows are now logged (`row-unreadable`), kept and passed over.

Cost: none for a row that can be read.

--- a/packages/gateway/src/store/rowSweeper.ts
+++ b/packages/gateway/src/store/rowSweeper.ts
@@ -1,6 +1,8 @@
 import type { Logger, TimerService, TimerSubscription } from '@zincring/core';
 import type { PartitionedRow, PartitionedTable } from '@zincring/platform';
 
+import { failureText } from '@zincring/core';
+
 /** A table whose rows expire. */
 export interface SweptTable {
   readonly table: string;
@@ -85,11 +87,29 @@
   }
 
   private hasExpired(sweptTable: SweptTable, row: PartitionedRow): boolean {
-    const expiresAt = sweptTable.expiresAt(row);
+    const expiresAt = this.readExpiry(sweptTable, row);
     const now = this.dependencies.timers.wallClock();
     return expiresAt !== undefined && now >= expiresAt + CLOCK_MARGIN_MILLISECONDS;
   }
 
+  /** Reads the expiry of a row; `undefined` for one that cannot be read, which another build may have written. */
+  private readExpiry(sweptTable: SweptTable, row: PartitionedRow): number | undefined {
+    try {
+      return sweptTable.expiresAt(row);
+    } catch (failure) {
+      this.dependencies.logger.warn(
+        {
+          event: 'row-unreadable',
+          failure: failureText(failure),
+          row: row.key,
+          table: sweptTable.table,
+        },
+        'a stored row cannot be read, so it is kept',
+      );
+      return undefined;
+    }
+  }
+
   /** Removes rows in one transaction; if one of them has changed since, none is removed and a later sweep finds the rest again. */
   private async removeRows(sweptTable: SweptTable, rows: readonly PartitionedRow[]): Promise<void> {
     const outcome = await this.dependencies.table.transact({
--- a/packages/gateway/src/upstreams/crashRecord.ts
+++ b/packages/gateway/src/upstreams/crashRecord.ts
@@ -155,7 +155,14 @@
   }
 
   private applyRow(crashId: string, value: Buffer): void {
-    const storedCrash = JSON.parse(value.toString()) as StoredCrash;
+    const storedCrash = parseCrash(value);
+    if (storedCrash === undefined) {
+      this.dependencies.logger.warn(
+        { event: 'row-unreadable', row: crashId, table: CRASH_TABLE },
+        'a reported crash cannot be read, so it is not counted',
+      );
+      return;
+    }
     this.addToQuarantine({
       ageMilliseconds: this.dependencies.timers.wallClock() - storedCrash.at,
       body: storedCrash.body as BodyDigest,
@@ -169,6 +176,18 @@
   }
 }
 
+function parseCrash(value: Buffer): StoredCrash | undefined {
+  try {
+    const { at, body, upstream } = JSON.parse(value.toString()) as Partial<StoredCrash>;
+    return typeof at === 'number' && typeof body === 'string' && typeof upstream === 'string'
+      ? { at, body, upstream }
+      : undefined;
+  } catch {
+    // Text that is no JSON is reported like any other row that is no crash.
+    return undefined;
+  }
+}
+
 function computeDigest(request: RunnableRequest): BodyDigest {
   const head = `${request.method} ${request.path}\n${request.workspace ?? ''}\n`;
   return sha256Hex(Buffer.concat([Buffer.from(head), request.body])) as BodyDigest;
--- a/packages/gateway/tests/store/rowSweeper.test.ts
+++ b/packages/gateway/tests/store/rowSweeper.test.ts
@@ -80,6 +80,18 @@
     expect(sweptBudgets.expiresAt(store.get(address)!)).toBe(7);
   });
 
+  it.each(['no head at all', '{"expiresAt":', 'null\n'])(
+    'removes the expired rows beside a row that it cannot read: %s',
+    async value => {
+      const unreadable = { key: 'a-unreadable', partition: '0', table: TURN_TABLE };
+      store.put(unreadable, value);
+      const [key] = storeTurn('b', timers.wallClock() - 60_000, 10);
+      await finishWithin(timers, sweeper.sweepPage(), 1_000);
+      expect(isStored(key!)).toBe(false);
+      expect(store.get(unreadable)).toBeDefined();
+    },
+  );
+
   it('retries later when the store is unavailable', async () => {
     const [key] = storeTurn('a', timers.wallClock() - 60_000, 10);
     store.faults.isRefusing = true;
--- a/packages/gateway/tests/upstreams/crashRecord.test.ts
+++ b/packages/gateway/tests/upstreams/crashRecord.test.ts
@@ -1,7 +1,7 @@
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
-import { CrashRecord } from '../../src/upstreams/crashRecord.js';
+import { CRASH_TABLE, CrashRecord } from '../../src/upstreams/crashRecord.js';
 import { MemoryTable } from '../support/memoryTable.js';
 import { sampleReplica, sampleTurn } from '../support/samples.js';
 
@@ -50,6 +50,23 @@
     }
   });
 
+  it.each(['no crash', '{}', 'null', '{"at":"now","body":1}'])(
+    'counts further crashes and reads no snapshot again after a row that it cannot read: %s',
+    async value => {
+      store.put({ key: 'unreadable', partition: '', table: CRASH_TABLE }, value);
+      await timers.advance(3_000);
+      for (const replica of ['r1', 'r2', 'r3']) {
+        instances[0]!.record(poison, sampleReplica(replica));
+      }
+      await timers.advance(3_500);
+      expect(instances[2]!.check(poison)?.ran).toBe('no');
+      const callsBefore = store.calls;
+      await timers.advance(10_000);
+      // Each of the three instances follows the feed by polls of two seconds.
+      expect(store.calls - callsBefore).toBeLessThanOrEqual(3 * 6);
+    },
+  );
+
   it('reads many crashes in batches', async () => {
     const callsBefore = store.calls;
     for (let crash = 0; crash < 30; crash++) {
