fix(gateway): ask another instance to relay when a build without relays is asked

What callers saw: with builds side by side, a request of an instance that reaches no replica was answered 502 although it never ran, and its replica was recorded as crashed by it: three of these and the request is refused everywhere for two minutes.

Cause: the HTTP server of a build without relays accepts `Expect: 100-continue` by itself and replies 400 once it has the message; the client took any reply without an outcome for a request that may have run.

A relaying instance always states the outcome. A reply of 400 or 404 without one comes from a build that does not serve the path, so the next instance is asked. From now on a path that is not served gets 404, and 400 says that a known message cannot be read.

Cost: none for a request that is relayed; one more instance is asked for one that was not.

--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -17,12 +17,13 @@
   parseRateReport,
   parseSettlement,
 } from './peerMessages.js';
-import { PEER_PATHS } from './peerPaths.js';
+import { PEER_PATHS, STATUS_UNKNOWN_PATH, STATUS_UNREADABLE } from './peerPaths.js';
 
 /** Time after which a connection without calls is closed, in milliseconds: a peer that is gone may never close it. */
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 /** Maximum size of a message, in bytes: far more than any of them has. */
 const MAXIMUM_MESSAGE_BYTES = 16_384;
+const knownPaths: ReadonlySet<string> = new Set(Object.values(PEER_PATHS));
 
 /**
  * Serves the other instances: JSON over HTTP/1.1, and relayed requests.
@@ -71,10 +72,14 @@
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readBoundedBody(request, MAXIMUM_MESSAGE_BYTES);
-    const reply = body.ok ? await this.answer(request.url ?? '', body.val.toString()) : undefined;
+    const path = request.url ?? '';
+    if (!knownPaths.has(path)) {
+      endWithStatus(response, STATUS_UNKNOWN_PATH);
+      return;
+    }
+    const reply = body.ok ? await this.answer(path, body.val.toString()) : undefined;
     if (reply === undefined) {
-      response.writeHead(400, { 'Content-Length': 0 });
-      response.end();
+      endWithStatus(response, STATUS_UNREADABLE);
       return;
     }
     const content = JSON.stringify(reply);
@@ -120,3 +125,8 @@
     }
   }
 }
+
+function endWithStatus(response: ServerResponse, status: number): void {
+  response.writeHead(status, { 'Content-Length': 0 });
+  response.end();
+}
--- a/packages/gateway/src/peers/relayClient.ts
+++ b/packages/gateway/src/peers/relayClient.ts
@@ -11,6 +11,7 @@
 
 import { buildResponse } from '../upstreams/replicaExchange.js';
 import { withoutHeaders } from '../util/headerList.js';
+import { isUnknownPath } from './peerPaths.js';
 import {
   encodeRelayedRequest,
   makeRelayPath,
@@ -149,6 +150,10 @@
   incoming: IncomingMessage,
 ): RelayOutcome {
   const header = incoming.headers[RELAY_OUTCOME_HEADER];
+  if (header === undefined && isUnknownPath(incoming.statusCode)) {
+    outgoing.destroy();
+    return { kind: 'unavailable', reason: 'its build relays no requests' };
+  }
   const outcome = readRelayOutcome(typeof header === 'string' ? header : '');
   if (outcome.kind === 'answered') {
     const response = buildResponse(outgoing, incoming);
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -186,16 +186,20 @@
   });
 
   it.each([
-    ['/acquire-credit', '{"name":"clerks"}'],
-    ['/acquire-credit', 'no message'],
-    ['/reserve-tokens', '{"budget":"much"}'],
-    ['/acquire-permit', '{"announced":{"ageMilliseconds":1},"replica":"r1@1"}'],
-    ['/acquire-permit', '{"announced":7,"maximumWaitMilliseconds":0,"replica":"r1@1"}'],
-    ['/report-rate', '{"announced":{"ageMilliseconds":1,"requestsPerSecond":-2},"replica":"r"}'],
-    ['/settle-tokens', '[]'],
-    ['/settle-tokens', 'x'.repeat(20_000)],
-    ['/unknown', '{}'],
-  ])('refuses a call of %s that it cannot read', async (path, body) => {
+    ['/acquire-credit', '{"name":"clerks"}', 400],
+    ['/acquire-credit', 'no message', 400],
+    ['/reserve-tokens', '{"budget":"much"}', 400],
+    ['/acquire-permit', '{"announced":{"ageMilliseconds":1},"replica":"r1@1"}', 400],
+    ['/acquire-permit', '{"announced":7,"maximumWaitMilliseconds":0,"replica":"r1@1"}', 400],
+    [
+      '/report-rate',
+      '{"announced":{"ageMilliseconds":1,"requestsPerSecond":-2},"replica":"r"}',
+      400,
+    ],
+    ['/settle-tokens', '[]', 400],
+    ['/settle-tokens', 'x'.repeat(20_000), 400],
+    ['/unknown', '{}', 404],
+  ])('refuses a call of %s that it cannot read', async (path, body, status) => {
     let calls = 0;
     const count = async (): Promise<never> => {
       calls++;
@@ -212,7 +216,7 @@
       body,
       method: 'POST',
     });
-    expect(response.status).toBe(400);
+    expect(response.status).toBe(status);
     expect(calls).toBe(0);
   });
 });
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 
 import { silentLogger, SystemTimerService } from '@zincring/core';
+import { createServer } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
 
 import type { RelayTarget } from '../../src/peers/relayServer.js';
@@ -16,6 +17,7 @@
 import { RelayServer } from '../../src/peers/relayServer.js';
 import { ReplicaAgent } from '../../src/upstreams/replicaAgent.js';
 import { exchangeWithReplica } from '../../src/upstreams/replicaExchange.js';
+import { getPort, listenOn } from '../../src/util/listen.js';
 import { readBoundedBody } from '../../src/util/readBoundedBody.js';
 import { makeOwner } from '../support/fakePeer.js';
 import {
@@ -96,6 +98,21 @@
   return `127.0.0.1:${String(port)}`;
 }
 
+/** Starts an instance that accepts every message and then replies that it does not know the path; returns its address. */
+async function startBuildWithoutRelays(status: number): Promise<string> {
+  const server = createServer((request, response) => {
+    request.resume().once('end', () => {
+      response.writeHead(status, { 'Content-Length': 0 }).end();
+    });
+  });
+  await listenOn(server, { host: '127.0.0.1', port: 0 });
+  cleanups.push(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  return `127.0.0.1:${String(getPort(server))}`;
+}
+
 /** Makes a client that asks the instances in the given order. */
 function makeClient(addresses: readonly string[]): RelayClient {
   const client = new RelayClient({
@@ -199,6 +216,8 @@
     ],
     ['does not answer', async () => await startOther(() => undefined)],
     ['resets the connection', async () => await startOther(socket => socket.resetAndDestroy())],
+    ['is of a build without relays', async () => await startBuildWithoutRelays(400)],
+    ['serves no relays', async () => await startBuildWithoutRelays(404)],
     ['speaks something else', async () => await startOther(socket => socket.end('no\r\n\r\n'))],
   ])('goes to another instance, once, when the first one %s', async (_name, startFirst) => {
     const { entry, replica } = await startReplica(responds('done'));
