feat(gateway): engines take turns of programs in progress before program starts

All turns of a priority queued in the order of their arrival, so a program with most of its turns done waited behind starts of programs that could not end in time any more.

The rank that engines order their queues by now follows from the operator's priority first and then from the stage of the program: in progress, starting, past its deadline. The ranks are divided among the priorities that the configuration uses, so a lower priority never comes before a higher one.

Cost: nothing a request, nothing an instance, nothing for other instances; while builds are mixed, ranks priority 1 as this build ranks a start of priority 0.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -23,6 +23,8 @@
 import type { RequestFacts } from './requestFacts.js';
 
 import { AttemptLoop } from '../upstreams/attemptLoop.js';
+import { computeEngineUrgency } from '../upstreams/load/engineUrgency.js';
+import { findProgramStage } from '../programs/programStage.js';
 import { TurnRecorder } from '../programs/turnRecorder.js';
 import { RequestLifetime } from './requestLifetime.js';
 
@@ -59,6 +61,8 @@
   readonly service: GatewayService;
   readonly workspace: GatewayWorkspace | undefined;
   readonly maximumBodyBytes: number;
+  /** Lowest priority that the configuration uses. */
+  readonly lowestPriority: number;
 }
 
 /** A request with its history and its token reservation. */
@@ -72,10 +76,6 @@
 const MAXIMUM_REFRESH_WAIT_MILLISECONDS = 150;
 /** Retry-After of an instance without a current configuration, in seconds: short, since another instance may have one. */
 const STALE_CONFIGURATION_RETRY_SECONDS = 0.03;
-/** Urgency that engines receive for requests with priority 0, the operator's highest priority. */
-const HIGHEST_PRIORITY_URGENCY = 1;
-/** Rank of the least urgent requests at engines; 0 is the most urgent rank. */
-const LEAST_URGENT_RANK = 9;
 
 /**
  * Handles a request from its headers to its response: route, key, rate, history and token budget,
@@ -235,11 +235,11 @@
 
   private toRunnableRequest(
     incoming: IncomingRequest,
-    { route, service, workspace }: Admission,
+    admission: Admission,
     body: Buffer,
     lifetime: RequestLifetime,
   ): RunnableRequest {
-    const priority = workspace?.priority ?? route.priority;
+    const { lowestPriority, route, service, workspace } = admission;
     return {
       body,
       deadline: lifetime.deadline,
@@ -253,7 +253,11 @@
       urgency:
         service.engine === undefined
           ? undefined
-          : Math.min(LEAST_URGENT_RANK, HIGHEST_PRIORITY_URGENCY + priority),
+          : computeEngineUrgency({
+              lowestPriority,
+              priority: findPriority(admission),
+              stage: findProgramStage(incoming.facts),
+            }),
       workspace: workspace?.name,
     };
   }
@@ -369,6 +373,10 @@
   }
 }
 
+function findPriority({ route, workspace }: Admission): number {
+  return workspace?.priority ?? route.priority;
+}
+
 /** Releases the tokens reserved for a turn that will not be sent. */
 function releaseReservation(prepared: Result<PreparedTurn, ZincringError>): void {
   if (prepared.ok) {
@@ -404,6 +412,7 @@
     );
   }
   return Ok({
+    lowestPriority: index.lowestPriority,
     maximumBodyBytes: index.configuration.callerLimits.maximumBodyBytes,
     route,
     service,
--- a/packages/gateway/src/configuration/configurationIndex.ts
+++ b/packages/gateway/src/configuration/configurationIndex.ts
@@ -14,6 +14,8 @@
  * const route = new ConfigurationIndex(configuration).findRoute('agents.example', '/summaries/7');
  */
 export class ConfigurationIndex {
+  /** Lowest priority of streams and workspaces, which is the greatest number; 0 is the highest. */
+  public readonly lowestPriority: number;
   /** Routes by host, those with longer path prefixes first. */
   private readonly routesByHost = new Map<string, GatewayRoute[]>();
   private readonly workspacesByKey = new Map<string, GatewayWorkspace>();
@@ -33,6 +35,11 @@
         this.workspacesByKey.set(key, workspace);
       }
     }
+    this.lowestPriority = Math.max(
+      0,
+      ...configuration.routes.filter(({ kind }) => kind === 'streaming').map(each => each.priority),
+      ...configuration.workspaces.flatMap(({ priority }) => priority ?? []),
+    );
     for (const service of configuration.services) {
       this.servicesByName.set(service.name, service);
     }
