feat(gateway): refuse program starts at once while the engines are busy

At 195 instances with a few requests a second each, no instance sees the load of the engines: it knows its own two or three turns.

Each reply to a call between instances now carries the number of turns that the replying instance has in flight at engines. Owners of buckets and programs are chosen by hashing, so these are random samples of all instances; their mean times the number of instances estimates the turns of the fleet. Above 1.2 turns in flight for each slot (1.5 for the highest priority) the first turn of a program is refused with 503 before anything has run, with the time in which the excess is worked off, spread by half.

Cost: 17 to 40 bytes a reply between instances, no message, no call to the store; an addition for each service a reply.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -13,6 +13,7 @@
 import type { TurnDraft, TurnStore } from '../programs/turnStore.js';
 import type { ZoneOutageDetector } from '../lifecycle/zoneOutageDetector.js';
 import type { WorkspaceRates } from '../limits/workspaceRates.js';
+import type { ProgramAdmission } from '../upstreams/load/programAdmission.js';
 import type {
   AttemptLoopDependencies,
   RunnableRequest,
@@ -51,6 +52,7 @@
   readonly rates: WorkspaceRates;
   readonly metrics: GatewayMetrics;
   readonly budgets: TurnBudgets;
+  readonly programAdmission: ProgramAdmission;
   readonly turnStore: TurnStore;
   readonly zoneOutageDetector: ZoneOutageDetector;
 }
@@ -155,6 +157,13 @@
     lifetime: RequestLifetime,
   ): Promise<RunOutcome> {
     const request = this.toRunnableRequest(incoming, admission, body, lifetime);
+    const refusal = this.dependencies.programAdmission.check({
+      ...request,
+      priority: findPriority(admission),
+    });
+    if (refusal !== undefined) {
+      return { error: refusal, kind: 'failed' };
+    }
     const pendingRateAdmission = this.dependencies.rates.admit(
       admission.workspace,
       lifetime.signal,
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -35,6 +35,8 @@
 import { MetricsServer } from '../observation/metricsServer.js';
 import { StoreCallReporter } from '../observation/storeCallReporter.js';
 import { CrashRecord, sweptCrashes } from '../upstreams/crashRecord.js';
+import { EngineLoads } from '../upstreams/load/engineLoads.js';
+import { ProgramAdmission } from '../upstreams/load/programAdmission.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaNetwork } from '../upstreams/replicaNetwork.js';
 import { StreamOrigins, sweptStreams } from '../upstreams/streamOrigins.js';
@@ -106,6 +108,7 @@
   private readonly budgets: TurnBudgets;
   private readonly credits: StoreCreditSource;
   private readonly tokenAccounts: StoreTokenAccounts;
+  private readonly engineLoads: EngineLoads;
   private readonly peers: PeerNetwork;
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
   private readonly holder: string;
@@ -137,6 +140,7 @@
     const ownership = { holder: this.holder, logger, random: dependencies.random, table, timers };
     this.credits = new StoreCreditSource(ownership);
     this.tokenAccounts = new StoreTokenAccounts(ownership);
+    this.engineLoads = new EngineLoads({ countPeers: () => this.peers.peerCount, timers });
     this.peers = this.makePeers();
     this.replicaNetwork = this.makeReplicaNetwork();
     this.budgets = this.makeBudgets();
@@ -292,6 +296,7 @@
         await owned.settleOwned(reservation, deliveredTokens),
     };
     return new PeerNetwork({
+      engineLoads: this.engineLoads,
       instance: this.options.instance,
       logger,
       metrics: this.metrics,
@@ -342,6 +347,12 @@
     return new RequestPipeline({
       budgets,
       configuration: this.configuration,
+      engineLoads: this.engineLoads,
+      programAdmission: new ProgramAdmission({
+        estimateTurns: service => this.engineLoads.estimateTurns(service),
+        findReplicas: service => this.replicas.findReplicas(service),
+        random,
+      }),
       crashes: this.crashes,
       turnStore: new TurnStore({ logger, random, rowBytes: this.options.rowBytes, table, timers }),
       logger,
--- a/packages/gateway/src/peers/peerClients.ts
+++ b/packages/gateway/src/peers/peerClients.ts
@@ -6,8 +6,10 @@
 import type { OwnedCreditReply } from '../limits/ownedCredit.js';
 import type { OwnedTokensReply } from '../programs/tokenAccounts.js';
 import type { PermitReply } from '../upstreams/permits/permitOwner.js';
+import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 
+import { parseEngineTurns } from './peerMessages.js';
 import { PEER_PATHS } from './peerPaths.js';
 
 /** Timeout of a call to another instance, in milliseconds: longer than an owner waits for the store, shorter than callers notice. */
@@ -24,7 +26,11 @@
 export class PeerClients {
   private readonly clients = new Map<string, HttpClient>();
 
-  public constructor(private readonly logger: Logger) {}
+  public constructor(
+    private readonly logger: Logger,
+    /** Called with the turns that a responding instance has in flight at engines. */
+    private readonly onEngineTurns: (counts: EngineTurnCounts) => void = () => undefined,
+  ) {}
 
   /** Returns the client of the instance at an address, such as `10.1.0.11:7780`. */
   public at(address: string): GatewayPeer {
@@ -91,13 +97,22 @@
       return undefined;
     }
     try {
-      return JSON.parse(response.val.body.toString()) as Reply;
+      return this.readReply(response.val.body.toString()) as Reply;
     } catch (failure) {
       this.logFailure(address, failureText(failure));
       return undefined;
     }
   }
 
+  private readReply(text: string): unknown {
+    const { engineTurns, ...reply } = JSON.parse(text) as Record<string, unknown>;
+    const counts = parseEngineTurns(engineTurns);
+    if (counts !== undefined) {
+      this.onEngineTurns(counts);
+    }
+    return reply;
+  }
+
   private findOrAddClient(address: string): HttpClient {
     const known = this.clients.get(address);
     if (known !== undefined) {
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -2,6 +2,7 @@
 import type { TurnDemand } from '../programs/tokenAccounts.js';
 import type { AnnouncedRate } from '../upstreams/permits/announcedRate.js';
 import type { PermitRequest, RateReport } from '../upstreams/permits/permitOwner.js';
+import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
 import type { ReplicaRunId } from '../upstreams/replica.js';
 
 /** Settlement of a reservation, as another instance sends it. */
@@ -89,6 +90,23 @@
     : undefined;
 }
 
+/**
+ * Reads the turns that an instance has in flight at engines; `undefined` if the value is none, as in
+ * replies of builds up to 1a7a5bb.
+ *
+ * @example
+ * parseEngineTurns({ 'minutes-llm': 3 });
+ */
+export function parseEngineTurns(value: unknown): EngineTurnCounts | undefined {
+  if (typeof value !== 'object' || value === null) {
+    return undefined;
+  }
+  const counts = Object.entries(value).filter((entry): entry is [string, number] =>
+    isNumber(entry[1]),
+  );
+  return Object.fromEntries(counts);
+}
+
 function readAnnouncedRate(fields: JsonFields): AnnouncedRate | undefined {
   const { ageMilliseconds, requestsPerSecond } = fields;
   const isRate =
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -5,6 +5,7 @@
 
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
+import type { EngineLoads } from '../upstreams/load/engineLoads.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { RelayTarget } from './relayServer.js';
 
@@ -28,6 +29,7 @@
   /** Replicas that this instance relays requests of others to. */
   readonly relayTarget: RelayTarget;
   readonly metrics: GatewayMetrics;
+  readonly engineLoads: EngineLoads;
 }
 
 /** Interval at which a stopping instance looks whether it still relays requests, in milliseconds. */
@@ -52,9 +54,12 @@
   private readonly server: PeerServer;
 
   public constructor(dependencies: PeerNetworkDependencies) {
-    const { instance, logger, metrics, random, relayTarget, self, table, timers } = dependencies;
+    const { engineLoads, instance, logger, metrics, random, relayTarget, self, table, timers } =
+      dependencies;
     this.timers = timers;
-    this.clients = new PeerClients(logger);
+    this.clients = new PeerClients(logger, counts => {
+      engineLoads.recordPeer(counts);
+    });
     this.directory = new PeerDirectory({
       connect: address => this.clients.at(address),
       instance,
@@ -68,11 +73,16 @@
     });
     this.owners = new OwnerSelector(instance, this.directory, timers, logger);
     this.relayServer = new RelayServer(relayTarget, logger);
-    this.server = new PeerServer(self, logger, this.relayServer);
+    this.server = new PeerServer(self, logger, this.relayServer, engineLoads);
     const candidates = new RelayCandidates(() => this.directory.addresses, timers, random);
     this.relay = new RelayClient({ candidates, logger, metrics, timers });
   }
 
+  /** Number of other registered instances. */
+  public get peerCount(): number {
+    return this.directory.owners.length;
+  }
+
   /** Port for other instances. */
   public get port(): number {
     return this.server.port;
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:http';
 
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
+import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { RelayServer } from './relayServer.js';
 
@@ -19,6 +20,12 @@
 } from './peerMessages.js';
 import { PEER_PATHS, STATUS_UNKNOWN_PATH, STATUS_UNREADABLE } from './peerPaths.js';
 
+/** Turns of this instance in flight at engines, which each reply carries. */
+export interface EngineLoadSource {
+  readonly ownCounts: EngineTurnCounts;
+}
+
+const idleEngines: EngineLoadSource = { ownCounts: {} };
 /** Time after which a connection without calls is closed, in milliseconds: a peer that is gone may never close it. */
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 /** Maximum size of a message, in bytes: far more than any of them has. */
@@ -38,6 +45,7 @@
     private readonly self: GatewayPeer,
     private readonly logger: Logger,
     relay: RelayServer,
+    private readonly engineLoads: EngineLoadSource = idleEngines,
   ) {
     this.server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
       this.handle(request, response).catch((failure: unknown) => {
@@ -82,7 +90,7 @@
       endWithStatus(response, STATUS_UNREADABLE);
       return;
     }
-    const content = JSON.stringify(reply);
+    const content = JSON.stringify({ ...reply, engineTurns: this.engineLoads.ownCounts });
     response.writeHead(200, {
       'Content-Length': Buffer.byteLength(content),
       'Content-Type': 'application/json',
@@ -91,7 +99,7 @@
   }
 
   /** Answers a message; `undefined` if it cannot be read. */
-  private async answer(path: string, text: string): Promise<unknown> {
+  private async answer(path: string, text: string): Promise<object | undefined> {
     switch (path) {
       case PEER_PATHS.acquireCredit: {
         const bucket = parseBucket(text);
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -10,6 +10,7 @@
 import type { Announcements } from './announcements.js';
 import type { AdmittedReplica } from './chooseAdmittedReplica.js';
 import type { CrashRecord } from './crashRecord.js';
+import type { EngineLoads } from './load/engineLoads.js';
 import type { ReplicaPermits } from './permits/replicaPermits.js';
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
@@ -81,6 +82,7 @@
   readonly crashes: CrashRecord;
   readonly streamOrigins: StreamOrigins;
   readonly metrics: GatewayMetrics;
+  readonly engineLoads: EngineLoads;
 }
 
 /** Number of refusals by replicas after which the caller is asked to retry later: most replicas of a small service. */
@@ -228,6 +230,8 @@
 
   private async attempt(entry: ReplicaEntry): Promise<AttemptResult> {
     const load = this.dependencies.pool.loads.findOrAddState(entry);
+    const { engine, name } = this.request.service;
+    const endTurn = engine === undefined ? undefined : this.dependencies.engineLoads.begin(name);
     load.inFlight++;
     this.possibleRuns++;
     try {
@@ -247,6 +251,7 @@
       return result;
     } finally {
       load.inFlight--;
+      endTurn?.();
     }
   }
 
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -136,6 +136,42 @@
     expect(received).toEqual([report]);
   });
 
+  it('carries the turns that the responding instance has in flight, beside any reply', async () => {
+    const reply = { isOverRate: false, kind: 'granted' } as const;
+    const { peer } = makeOwner('self', { acquireOwned: async () => await Promise.resolve(reply) });
+    const loads = { ownCounts: { engines: 3 } };
+    const server = new PeerServer(peer, silentLogger, makeRelayServer(), loads);
+    await server.listen({ host: '127.0.0.1', port: 0 });
+    const received: unknown[] = [];
+    const clients = new PeerClients(silentLogger, counts => received.push(counts));
+    cleanups.push(() => {
+      server.close();
+      clients.close();
+    });
+    const remote = clients.at(`127.0.0.1:${String(server.port)}`);
+    expect(await remote.acquireOwned(bucket)).toEqual(reply);
+    expect(received).toEqual([{ engines: 3 }]);
+  });
+
+  it.each([
+    ['of a build that does not count turns', '{"kind":"pending"}', []],
+    ['with something else', '{"kind":"pending","engineTurns":7}', []],
+    ['with a count that is none', '{"kind":"pending","engineTurns":{"a":"b","c":1}}', [{ c: 1 }]],
+  ])('reads a reply %s', async (_name, text, expected) => {
+    const port = await startOther(socket => {
+      const head = `HTTP/1.1 200 OK\r\nContent-Length: ${String(text.length)}\r\n\r\n`;
+      socket.once('data', () => socket.write(`${head}${text}`));
+    });
+    const received: unknown[] = [];
+    const clients = new PeerClients(silentLogger, counts => received.push(counts));
+    cleanups.push(() => {
+      clients.close();
+    });
+    const remote = clients.at(`127.0.0.1:${String(port)}`);
+    expect(await remote.acquireOwned(bucket)).toEqual({ kind: 'pending' });
+    expect(received).toEqual(expected);
+  });
+
   it('carries a settlement', async () => {
     const received: unknown[] = [];
     const server = await startServer({
