fix(gateway): tell the start of a program from its account, not from its prompt

The account of the program knows: a reservation says whether anything of the program was spent or is reserved elsewhere. While programs may not start, a turn is prepared before its rate is charged; if its reservation starts the program, it is released and the turn refused. A turn that delivered nothing no longer ends the start, so that each attempt to start is treated alike. The rank of a turn is computed with its reservation.

Cost: nothing while programs may start; while they may not, the rate is asked for after the reservation instead of beside it (one round trip between instances).

--- /dev/null
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -0,0 +1,92 @@
+import type { Result, ServiceName } from '@zincring/core';
+
+import { Err, hash32, Ok, ZincringError } from '@zincring/core';
+
+import type { ConfigurationIndex } from '../configuration/configurationIndex.js';
+import type {
+  GatewayRoute,
+  GatewayService,
+  GatewayWorkspace,
+} from '../configuration/gatewayConfiguration.js';
+import type { RequestFacts } from './requestFacts.js';
+
+/** Properties of a request that its admission follows from. */
+export interface AdmittedRequest {
+  readonly facts: RequestFacts;
+  readonly host: string;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+}
+
+/** Route, service and workspace of an admitted request. */
+export interface Admission {
+  readonly route: GatewayRoute;
+  readonly service: GatewayService;
+  readonly workspace: GatewayWorkspace | undefined;
+  readonly maximumBodyBytes: number;
+  /** Lowest priority that the configuration uses. */
+  readonly lowestPriority: number;
+}
+
+/** Number of values of a 32-bit hash. */
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Finds the route, the service and the workspace of a request, or why the configuration refuses it.
+ *
+ * @example
+ * const admission = admitByConfiguration(index, incoming);
+ */
+export function admitByConfiguration(
+  index: ConfigurationIndex,
+  { facts, host, path }: AdmittedRequest,
+): Result<Admission, ZincringError> {
+  const route = index.findRoute(host, path);
+  if (route === undefined) {
+    return Err(new ZincringError('not-found'));
+  }
+  const workspace = facts.key === undefined ? undefined : index.findWorkspace(facts.key);
+  if (!route.isOpen && index.configuration.workspaces.length > 0 && workspace === undefined) {
+    return Err(new ZincringError(facts.key === undefined ? 'key-missing' : 'key-rejected'));
+  }
+  if (facts.requestId === undefined) {
+    return Err(new ZincringError('bad-request', { detail: 'the request has no id' }));
+  }
+  const service = index.findService(pickService(route, facts));
+  if (service === undefined) {
+    return Err(
+      new ZincringError('upstream-unavailable', { detail: 'the service is not described' }),
+    );
+  }
+  return Ok({
+    lowestPriority: index.lowestPriority,
+    maximumBodyBytes: index.configuration.callerLimits.maximumBodyBytes,
+    route,
+    service,
+    workspace: route.isOpen ? undefined : workspace,
+  });
+}
+
+/** Distributes requests over the services of a route by weight; all requests of a session use one service. */
+function pickService(route: GatewayRoute, facts: RequestFacts): ServiceName {
+  const totalWeight = route.services.reduce((sum, { weight }) => sum + weight, 0);
+  const point = (hash32(facts.sessionId ?? facts.requestId ?? '') / HASH_RANGE) * totalWeight;
+  let cumulativeWeight = 0;
+  for (const { service, weight } of route.services) {
+    cumulativeWeight += weight;
+    if (point < cumulativeWeight) {
+      return service;
+    }
+  }
+  return route.services.at(-1)?.service ?? ('' as ServiceName);
+}
+
+/**
+ * Returns the priority that the operator gave to a request: that of its workspace, or else of its route.
+ *
+ * @example
+ * findPriority(admission); // 0 is the highest
+ */
+export function findPriority({ route, workspace }: Admission): number {
+  return workspace?.priority ?? route.priority;
+}
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -1,14 +1,8 @@
-import type { Logger, Result, ServiceName, TimerService } from '@zincring/core';
+import type { Logger, Result, TimerService } from '@zincring/core';
 
-import { Err, hash32, Ok, ZincringError } from '@zincring/core';
+import { Err, ZincringError } from '@zincring/core';
 
 import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
-import type { ConfigurationIndex } from '../configuration/configurationIndex.js';
-import type {
-  GatewayRoute,
-  GatewayService,
-  GatewayWorkspace,
-} from '../configuration/gatewayConfiguration.js';
 import type { BudgetReservation, TurnBudgets } from '../programs/turnBudgets.js';
 import type { TurnDraft, TurnStore } from '../programs/turnStore.js';
 import type { ZoneOutageDetector } from '../lifecycle/zoneOutageDetector.js';
@@ -20,6 +14,7 @@
   RunOutcome,
 } from '../upstreams/attemptLoop.js';
 import type { GatewayMetrics, RequestEnd } from '../observation/gatewayMetrics.js';
+import type { Admission } from './admitByConfiguration.js';
 import type { ResponseSink } from './responseSink.js';
 import type { RequestFacts } from './requestFacts.js';
 
@@ -27,6 +22,7 @@
 import { computeEngineUrgency } from '../upstreams/load/engineUrgency.js';
 import { findProgramStage } from '../programs/programStage.js';
 import { TurnRecorder } from '../programs/turnRecorder.js';
+import { admitByConfiguration, findPriority } from './admitByConfiguration.js';
 import { RequestLifetime } from './requestLifetime.js';
 
 /** A request whose headers have been received. */
@@ -57,16 +53,6 @@
   readonly zoneOutageDetector: ZoneOutageDetector;
 }
 
-/** Route, service and workspace of an admitted request. */
-interface Admission {
-  readonly route: GatewayRoute;
-  readonly service: GatewayService;
-  readonly workspace: GatewayWorkspace | undefined;
-  readonly maximumBodyBytes: number;
-  /** Lowest priority that the configuration uses. */
-  readonly lowestPriority: number;
-}
-
 /** A request with its history and its token reservation. */
 interface PreparedTurn {
   readonly request: RunnableRequest;
@@ -157,13 +143,30 @@
     lifetime: RequestLifetime,
   ): Promise<RunOutcome> {
     const request = this.toRunnableRequest(incoming, admission, body, lifetime);
-    const refusal = this.dependencies.programAdmission.check({
-      ...request,
+    const startRefusal = this.dependencies.programAdmission.checkStart({
       priority: findPriority(admission),
+      service: request.service,
     });
-    if (refusal !== undefined) {
-      return { error: refusal, kind: 'failed' };
+    if (startRefusal === undefined) {
+      return await this.serveAdmitted(request, admission, sink, lifetime);
+    }
+    // Whether the turn starts a program is known with its reservation, so the rate is not charged before.
+    const prepared = await this.prepare(request, lifetime);
+    if (prepared.ok && prepared.val.reservation?.startsProgram === true) {
+      releaseReservation(prepared);
+      return { error: startRefusal, kind: 'failed' };
     }
+    return await this.serveAdmitted(request, admission, sink, lifetime, prepared);
+  }
+
+  /** Serves a request that may start now; it is prepared here unless it is already. */
+  private async serveAdmitted(
+    request: RunnableRequest,
+    admission: Admission,
+    sink: ResponseSink,
+    lifetime: RequestLifetime,
+    alreadyPrepared?: Result<PreparedTurn, ZincringError>,
+  ): Promise<RunOutcome> {
     const pendingRateAdmission = this.dependencies.rates.admit(
       admission.workspace,
       lifetime.signal,
@@ -172,15 +175,21 @@
     // Both steps mostly wait for the store, so they run concurrently. For a workspace over its rate, which may be
     // refused, the budget is reserved only after admission to save calls to the store.
     const preparesConcurrently = !this.dependencies.rates.isOverRate(admission.workspace);
-    const pendingTurn = preparesConcurrently ? this.prepare(request, lifetime) : undefined;
+    const pendingTurn =
+      alreadyPrepared === undefined && preparesConcurrently
+        ? this.prepare(request, lifetime)
+        : undefined;
     const rateAdmission = await pendingRateAdmission;
     if (rateAdmission.err) {
       void pendingTurn?.then(releaseReservation);
+      if (alreadyPrepared !== undefined) {
+        releaseReservation(alreadyPrepared);
+      }
       return { error: rateAdmission.val, kind: 'failed' };
     }
-    const prepared = await (pendingTurn ?? this.prepare(request, lifetime));
+    const prepared = alreadyPrepared ?? (await (pendingTurn ?? this.prepare(request, lifetime)));
     const outcome = prepared.ok
-      ? await this.serveTurn(prepared.val, sink, lifetime)
+      ? await this.serveTurn(prepared.val, admission, sink, lifetime)
       : ({ error: prepared.val, kind: 'failed' } as const);
     if (hasNotRun(outcome)) {
       rateAdmission.val.refund();
@@ -219,6 +228,7 @@
 
   private async serveTurn(
     { draft, request, reservation }: PreparedTurn,
+    admission: Admission,
     sink: ResponseSink,
     lifetime: RequestLifetime,
   ): Promise<RunOutcome> {
@@ -230,7 +240,7 @@
     this.dependencies.metrics.admissionSeconds.observe(lifetime.admissionMilliseconds / 1_000);
     const loop = new AttemptLoop(
       this.dependencies,
-      request,
+      { ...request, urgency: findUrgency(admission, request, reservation) },
       sink,
       request.route.kind === 'streaming' ? recorder : undefined,
       lifetime,
@@ -248,7 +258,7 @@
     body: Buffer,
     lifetime: RequestLifetime,
   ): RunnableRequest {
-    const { lowestPriority, route, service, workspace } = admission;
+    const { route, service, workspace } = admission;
     return {
       body,
       deadline: lifetime.deadline,
@@ -259,14 +269,7 @@
       route,
       service,
       softwareVersion: undefined,
-      urgency:
-        service.engine === undefined
-          ? undefined
-          : computeEngineUrgency({
-              lowestPriority,
-              priority: findPriority(admission),
-              stage: findProgramStage(incoming.facts),
-            }),
+      urgency: undefined,
       workspace: workspace?.name,
     };
   }
@@ -382,8 +385,19 @@
   }
 }
 
-function findPriority({ route, workspace }: Admission): number {
-  return workspace?.priority ?? route.priority;
+/** Rank of a turn in the queues of engines; none for calls of plain services. */
+function findUrgency(
+  admission: Admission,
+  { facts, service }: RunnableRequest,
+  reservation: BudgetReservation | undefined,
+): number | undefined {
+  return service.engine === undefined
+    ? undefined
+    : computeEngineUrgency({
+        lowestPriority: admission.lowestPriority,
+        priority: findPriority(admission),
+        stage: findProgramStage(facts, reservation?.startsProgram ?? false),
+      });
 }
 
 /** Releases the tokens reserved for a turn that will not be sent. */
@@ -398,50 +412,3 @@
     ? outcome.error.ran === 'no'
     : outcome.kind === 'aborted' && !outcome.mayHaveRun;
 }
-
-function admitByConfiguration(
-  index: ConfigurationIndex,
-  { facts, host, path }: IncomingRequest,
-): Result<Admission, ZincringError> {
-  const route = index.findRoute(host, path);
-  if (route === undefined) {
-    return Err(new ZincringError('not-found'));
-  }
-  const workspace = facts.key === undefined ? undefined : index.findWorkspace(facts.key);
-  if (!route.isOpen && index.configuration.workspaces.length > 0 && workspace === undefined) {
-    return Err(new ZincringError(facts.key === undefined ? 'key-missing' : 'key-rejected'));
-  }
-  if (facts.requestId === undefined) {
-    return Err(new ZincringError('bad-request', { detail: 'the request has no id' }));
-  }
-  const service = index.findService(pickService(route, facts));
-  if (service === undefined) {
-    return Err(
-      new ZincringError('upstream-unavailable', { detail: 'the service is not described' }),
-    );
-  }
-  return Ok({
-    lowestPriority: index.lowestPriority,
-    maximumBodyBytes: index.configuration.callerLimits.maximumBodyBytes,
-    route,
-    service,
-    workspace: route.isOpen ? undefined : workspace,
-  });
-}
-
-/** Distributes requests over the services of a route by weight; all requests of a session use one service. */
-function pickService(route: GatewayRoute, facts: RequestFacts): ServiceName {
-  const totalWeight = route.services.reduce((sum, { weight }) => sum + weight, 0);
-  const point = (hash32(facts.sessionId ?? facts.requestId ?? '') / HASH_RANGE) * totalWeight;
-  let cumulativeWeight = 0;
-  for (const { service, weight } of route.services) {
-    cumulativeWeight += weight;
-    if (point < cumulativeWeight) {
-      return service;
-    }
-  }
-  return route.services.at(-1)?.service ?? ('' as ServiceName);
-}
-
-/** Number of values of a 32-bit hash. */
-const HASH_RANGE = 2 ** 32;
--- a/packages/gateway/src/programs/programBudget.ts
+++ b/packages/gateway/src/programs/programBudget.ts
@@ -78,6 +78,7 @@
   /** Tokens delivered by ended turns that are not yet in the row. */
   private settledTokens = 0;
   private turnsInFlight = 0;
+  /** Turns that are in flight here or have delivered something. */
   private startedTurns = 0;
   private isFirstWriter = false;
   private waitingTurns: WaitingTurn[] = [];
@@ -102,7 +103,10 @@
     this.lastUsedAt = dependencies.timers.now();
   }
 
-  /** Whether the account was empty when this instance first wrote it, and exactly one turn has started here since. */
+  /**
+   * Whether nothing was spent or reserved when this instance first wrote the account, and all turns here but
+   * one that is in flight ended without delivering anything.
+   */
   public get hasOnlyFirstTurn(): boolean {
     return this.isFirstWriter && this.startedTurns === 1;
   }
@@ -153,6 +157,9 @@
   public settle(maximumTokens: number, deliveredTokens: number): void {
     this.inFlightTokens -= maximumTokens;
     this.turnsInFlight--;
+    if (deliveredTokens === 0) {
+      this.startedTurns--;
+    }
     this.settledTokens += deliveredTokens;
     this.advanceTokens += maximumTokens - deliveredTokens;
     this.usedAdvanceTokens -= maximumTokens - deliveredTokens;
@@ -293,7 +300,7 @@
     const account = decodeAccount(row.value);
     const ownReservation = account.holds[this.dependencies.holder];
     if (this.startedTurns === 0) {
-      this.isFirstWriter = account.expiresAt === 0;
+      this.isFirstWriter = isUnused(account, this.dependencies.holder);
     }
     // If a write whose answer was lost is in the row, the row already includes its settled tokens.
     const recordedTokens =
@@ -391,6 +398,11 @@
   readonly sentWrite: SentWrite;
 }
 
+/** Whether no turn of the program has delivered anything or is in flight at other holders. */
+function isUnused({ holds, spent }: BudgetAccount, holder: string): boolean {
+  return spent === 0 && Object.keys(holds).every(name => name === holder);
+}
+
 function decodeAccount(value: Buffer | undefined): BudgetAccount {
   return value === undefined ? emptyAccount : (JSON.parse(value.toString()) as BudgetAccount);
 }
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -7,7 +7,6 @@
 import type { TokenAccounts, TokenDecision, TurnDemand } from './tokenAccounts.js';
 
 import { readRow } from '../store/editRow.js';
-import { hasEarlierTurns } from './programStage.js';
 import { makeBudgetAddress } from './storeTokenAccounts.js';
 
 /** Tokens reserved for one turn. */
@@ -32,6 +31,8 @@
 
 /** Minimum retention of an account after its last turn, in milliseconds: a stopped program may continue. */
 const MINIMUM_RETENTION_MILLISECONDS = 60_000;
+/** Parts in the prompt of a program's first turn: a prefix shared by many programs, and the program's own input. */
+const PROMPT_PARTS_OF_FIRST_TURN = 2;
 
 /**
  * Enforces the token budgets of programs across all instances. Before a turn is sent, the maximum
@@ -80,11 +81,7 @@
   /** Whether a request is the first turn of its program at any instance. */
   public async startsProgram(request: RunnableRequest): Promise<boolean> {
     const { facts, route } = request;
-    if (
-      route.kind !== 'streaming' ||
-      facts.programId === undefined ||
-      hasEarlierTurns(request.facts)
-    ) {
+    if (route.kind !== 'streaming' || facts.programId === undefined || hasEarlierTurns(request)) {
       return false;
     }
     const read = await readRow(this.dependencies.table, makeBudgetAddress(makeProgramKey(request)));
@@ -104,7 +101,7 @@
     return {
       budget,
       expiresAt: this.dependencies.timers.wallClock() + retentionMilliseconds,
-      hasEarlierTurns: hasEarlierTurns(request.facts),
+      hasEarlierTurns: hasEarlierTurns(request),
       maximumTokens: facts.maximumOutputTokens ?? budget,
       program: makeProgramKey(request),
       reservation: `${this.dependencies.holder}.${String(this.createdReservations++)}`,
@@ -130,6 +127,10 @@
   }
 }
 
+function hasEarlierTurns({ facts }: RunnableRequest): boolean {
+  return facts.promptParts.length > PROMPT_PARTS_OF_FIRST_TURN;
+}
+
 function makeProgramKey({ facts, workspace }: RunnableRequest): string {
   return `${workspace ?? ''}/${facts.programId ?? ''}`;
 }
--- a/packages/gateway/src/upstreams/load/programAdmission.ts
+++ b/packages/gateway/src/upstreams/load/programAdmission.ts
@@ -2,12 +2,9 @@
 
 import { ZincringError } from '@zincring/core';
 
-import type { RequestFacts } from '../../callers/requestFacts.js';
 import type { GatewayService } from '../../configuration/gatewayConfiguration.js';
 import type { ReplicaEntry } from '../replica.js';
 
-import { findProgramStage } from '../../programs/programStage.js';
-
 /** Dependencies of {@link ProgramAdmission}. */
 export interface ProgramAdmissionDependencies {
   /** Returns the replicas that serve a service. */
@@ -18,9 +15,8 @@
   readonly random: () => number;
 }
 
-/** A request that may start a program. */
-export interface ProgramRequest {
-  readonly facts: RequestFacts;
+/** A turn that may start a program. */
+export interface ProgramTurn {
   readonly service: GatewayService;
   /** Priority that the operator gave to the request; 0 is the highest. */
   readonly priority: number;
@@ -41,23 +37,19 @@
 const MAXIMUM_RETRY_MILLISECONDS = 800;
 
 /**
- * Decides whether a program may start. Under a burst of more programs than the engines can serve, those
+ * Decides whether programs may start. Under a burst of more programs than the engines can serve, those
  * in progress are completed and new ones are refused at once, before anything has run, instead of all of
  * them ending late. While the load is not known, programs start.
  *
  * @example
- * admission.check(request)?.retryAfterSeconds; // 0.42
+ * admission.checkStart({ priority: 1, service })?.retryAfterSeconds; // 0.42
  */
 export class ProgramAdmission {
   public constructor(private readonly dependencies: ProgramAdmissionDependencies) {}
 
-  /** Returns the refusal of a program start, or `undefined` if the request is admitted. */
-  public check({ facts, priority, service }: ProgramRequest): ZincringError | undefined {
-    if (
-      service.engine === undefined ||
-      facts.programId === undefined ||
-      findProgramStage(facts) !== 'starting'
-    ) {
+  /** Returns the refusal of a turn if it starts a program, or `undefined` if programs may start. */
+  public checkStart({ priority, service }: ProgramTurn): ZincringError | undefined {
+    if (service.engine === undefined) {
       return undefined;
     }
     const excess = this.computeLoad(service.name) - chooseLimit(priority);
