feat(gateway): send sub-agents to the engine that has the prompt of their parent

The home of a conversation was hashed from its session; a sub-agent has a session of its own, so it went to another engine and its parent's whole prompt, 14,000 tokens and more, was computed there again: 100 ms and more at 147 tokens a ms, for all that run beside it too.

The conversation is now the part of the prompt after the shared one, which sub-agents inherit. It is hashed in place of the session, so all instances agree without a message. A sub-agent that had to go elsewhere does not take its parent along.

Cost: none a request.

--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -3,7 +3,7 @@
 import { LRUCache } from 'lru-cache';
 
 import type { GatewayService } from '../configuration/gatewayConfiguration.js';
-import type { RequestFacts, SessionId } from '../callers/requestFacts.js';
+import type { RequestFacts } from '../callers/requestFacts.js';
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ReplicaDirectory } from './replicaDirectory.js';
 import type { ReplicaLoads } from './replicaLoads.js';
@@ -11,8 +11,10 @@
 
 import { chooseEngine, choosePlainReplica } from './replicaPlacement.js';
 
-/** Maximum number of sessions whose replica is remembered: an instance's share of several minutes of sessions. */
-const MAXIMUM_REMEMBERED_SESSIONS = 20_000;
+/** Maximum number of conversations whose replica is remembered: an instance's share of several minutes of them. */
+const MAXIMUM_REMEMBERED_CONVERSATIONS = 20_000;
+/** Parts in the prompt of a conversation that is no sub-agent's: one that many share, and its own. */
+const PARTS_OF_MAIN_LINE = 2;
 
 /** Maximum share of the replicas of a service that are avoided at the same time. */
 const MAXIMUM_AVOIDED_SHARE = 0.5;
@@ -30,8 +32,8 @@
 
 /** Chooses among the registered replicas by the load that this instance puts on them. */
 export class ReplicaPool {
-  private readonly previousReplicas = new LRUCache<SessionId, UpstreamId>({
-    max: MAXIMUM_REMEMBERED_SESSIONS,
+  private readonly previousReplicas = new LRUCache<string, UpstreamId>({
+    max: MAXIMUM_REMEMBERED_CONVERSATIONS,
   });
 
   public constructor(
@@ -45,11 +47,12 @@
   public choose(poolRequest: PoolRequest): ReplicaEntry | undefined {
     const { facts, isSticky, service } = poolRequest;
     const candidates = this.findCandidates(poolRequest);
+    const conversation = findConversation(facts);
     const request = {
-      affinity: service.engine === undefined ? chooseAffinity(facts, isSticky) : facts.sessionId,
+      affinity: service.engine === undefined ? chooseAffinity(facts, isSticky) : conversation,
       availabilityZone: this.availabilityZone,
       previousReplica:
-        facts.sessionId === undefined ? undefined : this.previousReplicas.get(facts.sessionId),
+        conversation === undefined ? undefined : this.previousReplicas.get(conversation),
       promptParts: facts.promptParts,
     };
     return service.engine === undefined
@@ -57,10 +60,16 @@
       : chooseEngine(candidates, request);
   }
 
-  /** Remembers the replica that runs a turn of a session, since its prefix cache contains the prompt. */
+  /** Remembers the replica that runs a turn of a conversation, since its prefix cache contains the prompt. */
   public recordReplica(facts: RequestFacts, entry: ReplicaEntry): void {
-    if (facts.sessionId !== undefined && facts.promptParts.length > 0) {
-      this.previousReplicas.set(facts.sessionId, entry.id);
+    const conversation = findConversation(facts);
+    if (conversation === undefined || facts.promptParts.length === 0) {
+      return;
+    }
+    // A sub-agent that was sent elsewhere has only a part of the conversation there.
+    const isMainLine = facts.promptParts.length <= PARTS_OF_MAIN_LINE;
+    if (isMainLine || !this.previousReplicas.has(conversation)) {
+      this.previousReplicas.set(conversation, entry.id);
     }
   }
 
@@ -95,6 +104,14 @@
   }
 }
 
+/**
+ * Finds the conversation that a turn belongs to: the part of the prompt after the one that many share.
+ * The prompts of sub-agents begin with that of their parent, so they belong to its conversation.
+ */
+function findConversation({ promptParts, sessionId }: RequestFacts): string | undefined {
+  return promptParts[1]?.id ?? sessionId;
+}
+
 function chooseAffinity(facts: RequestFacts, isSticky: boolean): string | undefined {
   return isSticky ? facts.affinityKey : undefined;
 }
