fix(gateway): rows of rates and budgets that cannot be read fail, and hold nothing up

An unreadable row of `budgets` left its program with a write that never ended: each later turn waited for its whole time, 503, also after the row was repaired, and the program was never forgotten. One of `rates` did so to each request of a workspace, for 0.8 s each. Both reported an unhandled rejection.

Cause: `editRow` passed on what the reader of a row threw, past the code that ends the write. It is a failure of the call now, logged by its caller; the readers also refuse JSON that is no bucket or account, since a guess could exceed the rate or the budget.

Cost: a type check a read of such a row.

--- a/packages/gateway/src/limits/storeCreditSource.ts
+++ b/packages/gateway/src/limits/storeCreditSource.ts
@@ -333,6 +333,14 @@
   };
 }
 
+/** Reads a stored bucket; throws if the row holds none, since a guess could exceed the rate. */
 function parseBucket(value: Buffer | undefined): WorkspaceBucket | undefined {
-  return value === undefined ? undefined : (JSON.parse(value.toString()) as WorkspaceBucket);
+  if (value === undefined) {
+    return undefined;
+  }
+  const bucket = JSON.parse(value.toString()) as Partial<WorkspaceBucket>;
+  if (typeof bucket.tokens !== 'number' || bucket.held === undefined) {
+    throw new TypeError('the row holds no bucket');
+  }
+  return bucket as WorkspaceBucket;
 }
--- a/packages/gateway/src/programs/programBudget.ts
+++ b/packages/gateway/src/programs/programBudget.ts
@@ -403,8 +403,16 @@
   return spent === 0 && Object.keys(holds).every(name => name === holder);
 }
 
+/** Reads a stored account; throws if the row holds none, since a guess could exceed the budget. */
 function decodeAccount(value: Buffer | undefined): BudgetAccount {
-  return value === undefined ? emptyAccount : (JSON.parse(value.toString()) as BudgetAccount);
+  if (value === undefined) {
+    return emptyAccount;
+  }
+  const account = JSON.parse(value.toString()) as Partial<BudgetAccount>;
+  if (typeof account.spent !== 'number' || account.holds === undefined) {
+    throw new TypeError('the row holds no account');
+  }
+  return account as BudgetAccount;
 }
 
 function encodeAccount(account: BudgetAccount): Buffer {
--- a/packages/gateway/src/store/editRow.ts
+++ b/packages/gateway/src/store/editRow.ts
@@ -1,7 +1,8 @@
 import type { Result, TimerService } from '@zincring/core';
-import type { PartitionedTable, PlatformError, RowAddress } from '@zincring/platform';
+import type { PartitionedTable, RowAddress } from '@zincring/platform';
 
-import { Err, Ok, sleep } from '@zincring/core';
+import { Err, failureText, Ok, sleep } from '@zincring/core';
+import { PlatformError } from '@zincring/platform';
 
 import { computeBackoffMilliseconds } from './backoff.js';
 
@@ -74,8 +75,7 @@
   let isConfirmed = false;
   let storeTime: number | undefined;
   let failures = 0;
-  let conflicts = 0;
-  let needsRead = options.readsFirst;
+  let [conflicts, needsRead] = [0, options.readsFirst];
   for (;;) {
     if (needsRead) {
       const read = await readRow(table, address);
@@ -90,7 +90,11 @@
         continue;
       }
     }
-    const rowEdit = edit(row, storeTime);
+    const decided = decideEdit(edit, row, storeTime);
+    if (decided.err) {
+      return decided;
+    }
+    const { val: rowEdit } = decided;
     if (rowEdit.kind === 'leave') {
       return Ok({ result: rowEdit.result, isConfirmed, row, storeTime });
     }
@@ -100,9 +104,14 @@
       writes: [{ ...address, value: rowEdit.value }],
     });
     if (outcome.ok && outcome.val.status === 'committed') {
-      const writtenRow = { value: rowEdit.value, version: outcome.val.version };
-      storeTime = outcome.val.storeTime;
-      return Ok({ result: rowEdit.result, isConfirmed: true, row: writtenRow, storeTime });
+      const { storeTime: committedAt, version } = outcome.val;
+      const written = { value: rowEdit.value, version };
+      return Ok({
+        result: rowEdit.result,
+        isConfirmed: true,
+        row: written,
+        storeTime: committedAt,
+      });
     }
     if (outcome.err) {
       if (isFinalFailure(outcome.val, ++failures, options)) {
@@ -113,15 +122,26 @@
     }
     if (outcome.val.status === 'conflict') {
       row = outcome.val.rows.find(candidate => candidate.key === address.key) ?? absentRow;
-      storeTime = outcome.val.storeTime;
+      ({ storeTime } = outcome.val);
       isConfirmed = true;
-      const maximumBackoffMilliseconds =
-        CONFLICT_BACKOFF_MILLISECONDS * 2 ** Math.min(conflicts++, MAXIMUM_CONFLICT_DOUBLINGS);
-      await sleep(timers, options.random() * maximumBackoffMilliseconds, options.signal);
+      await sleep(timers, computeConflictBackoffMilliseconds(conflicts++, options), options.signal);
     }
   }
 }
 
+/** Runs an edit; a row that it cannot read is a failure of this row, as if the store did not have it ready. */
+function decideEdit<EditResult>(
+  edit: (row: KnownRow, storeTime: number | undefined) => RowEdit<EditResult>,
+  row: KnownRow,
+  storeTime: number | undefined,
+): Result<RowEdit<EditResult>, PlatformError> {
+  try {
+    return Ok(edit(row, storeTime));
+  } catch (failure) {
+    return Err(new PlatformError('unavailable', `the row cannot be read: ${failureText(failure)}`));
+  }
+}
+
 /**
  * Reads one row.
  *
@@ -149,6 +169,11 @@
   return failures > retriedFailures || signal.aborted;
 }
 
+function computeConflictBackoffMilliseconds(conflicts: number, { random }: EditOptions): number {
+  const doublings = Math.min(conflicts, MAXIMUM_CONFLICT_DOUBLINGS);
+  return random() * CONFLICT_BACKOFF_MILLISECONDS * 2 ** doublings;
+}
+
 function computeFailureBackoffMilliseconds(failures: number, { random }: EditOptions): number {
   return computeBackoffMilliseconds(failures, {
     initialMilliseconds: INITIAL_BACKOFF_MILLISECONDS,
