--- a/packages/gateway/src/store/editRow.ts
+++ b/packages/gateway/src/store/editRow.ts
@@ -75,26 +75,21 @@
   let isConfirmed = false;
   let storeTime: number | undefined;
   let failures = 0;
-  let [conflicts, needsRead] = [0, options.readsFirst];
-  for (;;) {
-    if (needsRead) {
-      const read = await readRow(table, address);
-      if (read.ok) {
-        ({ row, storeTime } = read.val);
-        isConfirmed = true;
-        needsRead = false;
-      } else if (isFinalFailure(read.val, ++failures, options)) {
-        return read;
-      } else {
-        await sleep(timers, computeFailureBackoffMilliseconds(failures, options), options.signal);
-        continue;
-      }
+  let conflicts = 0;
+  if (options.readsFirst) {
+    const read = await readWithRetries(table, timers, address, options);
+    if (read.err) {
+      return read;
     }
+    ({ failures, row, storeTime } = read.val);
+    isConfirmed = true;
+  }
+  for (;;) {
     const decided = decideEdit(edit, row, storeTime);
     if (decided.err) {
       return decided;
     }
-    const { val: rowEdit } = decided;
+    const rowEdit = decided.val;
     if (rowEdit.kind === 'leave') {
       return Ok({ result: rowEdit.result, isConfirmed, row, storeTime });
     }
@@ -104,14 +99,9 @@
       writes: [{ ...address, value: rowEdit.value }],
     });
     if (outcome.ok && outcome.val.status === 'committed') {
-      const { storeTime: committedAt, version } = outcome.val;
-      const written = { value: rowEdit.value, version };
-      return Ok({
-        result: rowEdit.result,
-        isConfirmed: true,
-        row: written,
-        storeTime: committedAt,
-      });
+      const writtenRow = { value: rowEdit.value, version: outcome.val.version };
+      storeTime = outcome.val.storeTime;
+      return Ok({ result: rowEdit.result, isConfirmed: true, row: writtenRow, storeTime });
     }
     if (outcome.err) {
       if (isFinalFailure(outcome.val, ++failures, options)) {
@@ -122,13 +112,37 @@
     }
     if (outcome.val.status === 'conflict') {
       row = outcome.val.rows.find(candidate => candidate.key === address.key) ?? absentRow;
-      ({ storeTime } = outcome.val);
+      storeTime = outcome.val.storeTime;
       isConfirmed = true;
       await sleep(timers, computeConflictBackoffMilliseconds(conflicts++, options), options.signal);
     }
   }
 }
 
+/** Reads the row before an edit; its failures count with those of the writes. */
+async function readWithRetries(
+  table: PartitionedTable,
+  timers: TimerService,
+  address: RowAddress,
+  options: EditOptions,
+): Promise<
+  Result<
+    { readonly failures: number; readonly row: KnownRow; readonly storeTime: number },
+    PlatformError
+  >
+> {
+  for (let failures = 0; ;) {
+    const read = await readRow(table, address);
+    if (read.ok) {
+      return Ok({ ...read.val, failures });
+    }
+    if (isFinalFailure(read.val, ++failures, options)) {
+      return read;
+    }
+    await sleep(timers, computeFailureBackoffMilliseconds(failures, options), options.signal);
+  }
+}
+
 /** Runs an edit; a row that it cannot read is a failure of this row, as if the store did not have it ready. */
 function decideEdit<EditResult>(
   edit: (row: KnownRow, storeTime: number | undefined) => RowEdit<EditResult>,
