fix(gateway): know after a start at which version a stream without a record began

Cause: a stream that begins while one version is alone has no record, and an instance asked to go on with it took the version that it had itself seen alone. One that had just started had seen only what serves now. The same guess was wrong for a stream whose record was lost with its instance, once its version had left, and for a stream that its caller does not name.

Change: table `versions` keeps for each service which versions served since when, on the store's clock; written when an instance observes a change, read once after a start and when a stream is taken up whose life this instance did not observe. A stream without a record began at the version that was alone at the start of its possible life, if no other one was alone since; otherwise it is refused (503). A stream begins unrecorded only while the store says that its version alone serves and did so for the window; so for a window after a change, and after the first start on an empty store, streams are recorded. Without a name, only a version that served alone throughout.

Lines of requests also have lastEventId, since callers may take streams up without naming them.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -369,6 +369,7 @@
       configurationVersion: configuration.current?.configuration.version,
       elapsed: Math.round(elapsedMilliseconds),
       event: `request-${end}`,
+      lastEventId: incoming.facts.lastEventId,
       program: incoming.facts.programId,
       request: incoming.facts.requestId,
       resumes: incoming.facts.resumedRequest,
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -41,6 +41,7 @@
 import { ReplicaNetwork } from '../upstreams/replicaNetwork.js';
 import { StreamOrigins, sweptStreams } from '../upstreams/streamOrigins.js';
 import { VersionHistory } from '../upstreams/versionHistory.js';
+import { VersionRecord } from '../upstreams/versionRecord.js';
 import { deriveGatewayTimes } from './gatewayOptions.js';
 import { ReadinessServer } from './readinessServer.js';
 import { ZoneOutageDetector } from './zoneOutageDetector.js';
@@ -73,7 +74,7 @@
 const REPLICA_REREGISTRATION_MILLISECONDS = 1_900;
 /** Minimum duration of an outage of the store after which entries of replicas may have expired, in milliseconds: longer than one heartbeat. */
 const MINIMUM_OUTAGE_MILLISECONDS = 2_500;
-/** Interval at which connections to removed replicas are closed and the versions of replicas are noted, in milliseconds. */
+/** Interval at which connections to removed replicas are closed, in milliseconds. */
 const REPLICA_SWEEP_INTERVAL_MILLISECONDS = 1_000;
 /** Time without an answer of the store after which callers should use another instance, in milliseconds: longer than one wait for changes. */
 const MAXIMUM_STORE_SILENCE_MILLISECONDS = 1_600;
@@ -96,6 +97,7 @@
   private readonly crashes: CrashRecord;
   private readonly replicaNetwork: ReplicaNetwork;
   private readonly versions: VersionHistory;
+  private readonly versionRecord: VersionRecord;
   private readonly server: GatewayServer;
   private readonly readiness: ReadinessServer;
   private readonly zoneOutageDetector = new ZoneOutageDetector();
@@ -134,7 +136,9 @@
     this.configuration = this.makeConfiguration();
     this.replicas = this.makeReplicas();
     this.versions = new VersionHistory(this.replicas, timers);
-    const { makeId } = dependencies;
+    const { makeId, random } = dependencies;
+    const versionDependencies = { logger, random, table, timers, versions: this.versions };
+    this.versionRecord = new VersionRecord(versionDependencies);
     this.crashes = new CrashRecord({ logger, makeId, table: table.essential, timers });
     this.holder = `${options.instance}/${makeId()}`;
     const ownership = { holder: this.holder, logger, random: dependencies.random, table, timers };
@@ -198,13 +202,13 @@
     this.configuration.start();
     this.replicas.start();
     this.crashes.start();
+    this.versionRecord.start();
     this.rowSweeper.start();
     this.storeCallReporter.start();
     this.replicaSweepTimer = this.dependencies.timers.every(
       REPLICA_SWEEP_INTERVAL_MILLISECONDS,
       () => {
         this.replicaNetwork.sweep();
-        this.versions.update();
       },
     );
     await this.server.listen(this.options.callers);
@@ -237,6 +241,7 @@
     this.configuration.stop();
     this.replicas.stop();
     this.crashes.stop();
+    this.versionRecord.stop();
     this.rowSweeper.stop();
     this.storeCallReporter.stop();
     this.peers.close();
@@ -342,7 +347,7 @@
   }
 
   private makePipeline(): RequestPipeline {
-    const { budgets, logger, replicaNetwork, table } = this;
+    const { budgets, logger, replicaNetwork, table, versionRecord, versions } = this;
     const { headerCodec, random, timers } = this.dependencies;
     return new RequestPipeline({
       budgets,
@@ -369,7 +374,7 @@
           timers,
         }),
       ),
-      streamOrigins: new StreamOrigins({ logger, table, timers, versions: this.versions }),
+      streamOrigins: new StreamOrigins({ logger, table, timers, versionRecord, versions }),
       zoneOutageDetector: this.zoneOutageDetector,
       timers,
       headerCodec,
--- a/packages/gateway/src/upstreams/decideResumedVersion.ts
+++ b/packages/gateway/src/upstreams/decideResumedVersion.ts
@@ -8,41 +8,48 @@
   readonly version: SoftwareVersion;
 }
 
-/** What the store says about the origin of a stream; `unknown` if it did not answer. */
+/**
+ * What the store says about the origin of a stream: `unnamed` if the caller did not say which stream
+ * it takes up, `unknown` if the store did not answer.
+ */
 export type OriginLookup =
   | { readonly kind: 'absent' }
   | { readonly kind: 'found'; readonly origin: StreamOrigin }
-  | { readonly kind: 'unknown' };
+  | { readonly kind: 'unknown' }
+  | { readonly kind: 'unnamed' };
 
-/** What this instance has observed of the versions of a service since the stream can have begun. */
+/** What is known of the versions of a service since the stream can have begun. */
 export interface ObservedVersions {
   /** Service to which the request is to be sent. */
   readonly service: ServiceName;
-  /** Version that was alone at some time, if it is the only such version. */
-  readonly single: SoftwareVersion | undefined;
-  /** Version that was alone all the time. */
+  /** Version at which a stream without a record began, if that is certain. */
+  readonly assumed: SoftwareVersion | undefined;
+  /** Version that this instance observed alone all the time. */
   readonly constant: SoftwareVersion | undefined;
+  /** Version that was alone all the time, as observed and as recorded. */
+  readonly sole: SoftwareVersion | undefined;
 }
 
 /**
- * Decides at which version a stream goes on; `undefined` if that is not certain. Instances record
- * the origin of a stream while they see several versions, so a stream without a record began while one
- * version was alone.
+ * Decides at which version a stream goes on; `undefined` if that is not certain. Instances record the
+ * origin of a stream unless each of them would assume its version.
  *
  * @example
- * decideResumedVersion({ kind: 'absent' }, { single: 'v1', service, constant: undefined }); // 'v1'
+ * decideResumedVersion({ kind: 'absent' }, { assumed: 'v1', constant: undefined, service, sole: undefined }); // 'v1'
  */
 export function decideResumedVersion(
   lookup: OriginLookup,
-  { single, service, constant }: ObservedVersions,
+  { assumed, constant, service, sole }: ObservedVersions,
 ): SoftwareVersion | undefined {
   switch (lookup.kind) {
     case 'absent':
-      return single;
+      return assumed;
     case 'found':
       return lookup.origin.service === service ? lookup.origin.version : undefined;
     case 'unknown':
       return constant;
+    case 'unnamed':
+      return sole;
     default:
       return lookup satisfies never;
   }
--- a/packages/gateway/src/upstreams/streamOrigins.ts
+++ b/packages/gateway/src/upstreams/streamOrigins.ts
@@ -11,6 +11,7 @@
 import type { ReplicaEntry, SoftwareVersion } from './replica.js';
 import type { OriginLookup, StreamOrigin } from './decideResumedVersion.js';
 import type { VersionHistory } from './versionHistory.js';
+import type { VersionRecord } from './versionRecord.js';
 
 import { readRow } from '../store/editRow.js';
 import { PartitionSet } from '../store/partitionSet.js';
@@ -20,6 +21,7 @@
 export interface StreamOriginsDependencies {
   readonly table: MonitoredTable;
   readonly versions: VersionHistory;
+  readonly versionRecord: Pick<VersionRecord, 'refresh'>;
   readonly timers: TimerService;
   readonly logger: Logger;
 }
@@ -47,7 +49,8 @@
 
 /**
  * Records in the store at which software version a stream began, so that any instance can go on
- * with it after the one that began it is gone. Nothing is recorded while a single version serves.
+ * with it after the one that began it is gone. Nothing is recorded while each instance, also one that
+ * has just started, assumes the same version for a stream without a record.
  *
  * @example
  * if (await origins.record(request, entry)) { forward(firstEvent); }
@@ -63,15 +66,17 @@
   public async record(request: RunnableRequest, entry: ReplicaEntry): Promise<boolean> {
     const { deadline, facts, route } = request;
     const { timers, versions } = this.dependencies;
+    if (facts.requestId === undefined || !route.isResumable) {
+      return true;
+    }
+    const window = computeWindowMilliseconds(route);
     if (
-      facts.requestId === undefined ||
-      !route.isResumable ||
-      !versions.hasSeveralVersions(entry.service)
+      versions.findRecordedSingleVersion(entry.service) === entry.softwareVersion &&
+      versions.findAssumedVersion(entry.service, window) === entry.softwareVersion
     ) {
       return true;
     }
     const write = this.write(facts.requestId, route, entry);
-    const window = computeWindowMilliseconds(route);
     if (
       entry.softwareVersion === this.findPreferredVersion(request) ||
       !versions.mayFindOtherVersion(entry.service, entry.softwareVersion, window)
@@ -83,14 +88,19 @@
   }
 
   /**
-   * Returns the version at which a stream should begin because no other one could be recorded:
-   * the one that instances assume without a record. `undefined` if any version will do.
+   * Returns the version at which a stream should begin because no other one could be recorded: for
+   * a stream without a record, each instance assumes this version or refuses. `undefined` if any
+   * version will do.
    */
   public findPreferredVersion({ route, service }: RunnableRequest): SoftwareVersion | undefined {
     const { table, versions } = this.dependencies;
-    return route.isResumable && table.isUnavailable && versions.hasSeveralVersions(service.name)
-      ? versions.findSingleVersion(service.name, computeWindowMilliseconds(route))
-      : undefined;
+    if (!route.isResumable || !table.isUnavailable) {
+      return undefined;
+    }
+    return (
+      versions.findRecordedSingleVersion(service.name) ??
+      versions.findAssumedVersion(service.name, computeWindowMilliseconds(route))
+    );
   }
 
   /**
@@ -107,12 +117,14 @@
       return Ok(undefined);
     }
     const { table, versions } = this.dependencies;
-    const lookup = await this.lookUp(facts.resumedRequest);
-    const windowMilliseconds = computeWindowMilliseconds(route);
+    const window = computeWindowMilliseconds(route);
+    const hasObserved = versions.findConstantVersion(service.name, window) !== undefined;
+    const lookup = await this.lookUp(facts.resumedRequest, !hasObserved);
     const version = decideResumedVersion(lookup, {
-      single: versions.findSingleVersion(service.name, windowMilliseconds),
+      assumed: versions.findAssumedVersion(service.name, window),
+      constant: versions.findConstantVersion(service.name, window),
       service: service.name,
-      constant: versions.findConstantVersion(service.name, windowMilliseconds),
+      sole: versions.findSoleVersion(service.name, window),
     });
     if (version !== undefined) {
       return Ok(version);
@@ -129,18 +141,21 @@
     );
   }
 
-  private async lookUp(id: RequestId | undefined): Promise<OriginLookup> {
-    if (id === undefined) {
-      return { kind: 'absent' };
+  /** Reads the row of a stream and, for a stream without one, which versions served while it can have begun. */
+  private async lookUp(id: RequestId | undefined, needsVersions: boolean): Promise<OriginLookup> {
+    const { table, versionRecord } = this.dependencies;
+    const read = id === undefined ? undefined : await readRow(table, makeAddress(id));
+    if (read?.err === true) {
+      return { kind: 'unknown' };
+    }
+    const value = read?.val.row.value;
+    if (value !== undefined) {
+      return { kind: 'found', origin: decodeOrigin(value) };
     }
-    const read = await readRow(this.dependencies.table, makeAddress(id));
-    if (read.err) {
+    if (needsVersions && !(await versionRecord.refresh())) {
       return { kind: 'unknown' };
     }
-    const { value } = read.val.row;
-    return value === undefined
-      ? { kind: 'absent' }
-      : { kind: 'found', origin: decodeOrigin(value) };
+    return { kind: id === undefined ? 'unnamed' : 'absent' };
   }
 
   private async write(
