feat(gateway): no requests to evacuated availability zones

The rows are in the table of the configuration, so its feed brings both and both are equally current: requests are gated by the same age.

Admission of programs counts only replicas that may be used.

--- a/packages/gateway/src/configuration/configurationFollower.ts
+++ b/packages/gateway/src/configuration/configurationFollower.ts
@@ -1,9 +1,16 @@
-import type { ConfigurationVersion, Logger, Result, TimerService } from '@zincring/core';
+import type {
+  AvailabilityZone,
+  ConfigurationVersion,
+  Logger,
+  Result,
+  TimerService,
+} from '@zincring/core';
 import type { PartitionedRow, PartitionedTable } from '@zincring/platform';
 
 import type { GatewayConfiguration } from './gatewayConfiguration.js';
 
 import { TableFollower } from '../store/tableFollower.js';
+import { EvacuatedZones } from '../upstreams/evacuation/evacuatedZones.js';
 import { ConfigurationIndex } from './configurationIndex.js';
 
 /** Location of the operator's configuration in the store, and its decoder. */
@@ -12,6 +19,8 @@
   readonly key: string;
   /** Decodes a stored configuration; the failure describes what is wrong with it. */
   decode(value: Buffer): Result<GatewayConfiguration, string>;
+  /** Returns the availability zone that the row of a key evacuates; `undefined` for other keys. */
+  findEvacuatedZone(key: string): AvailabilityZone | undefined;
 }
 
 /** Options of a {@link ConfigurationFollower}. */
@@ -28,13 +37,16 @@
 const INITIAL_BACKOFF_MILLISECONDS = 50;
 
 /**
- * Follows the operator's configuration. The version in force never decreases while the process runs.
+ * Follows the operator's configuration, and the availability zones that the operator evacuates. The version in force
+ * never decreases while the process runs.
  *
  * @example
  * const follower = new ConfigurationFollower(table, source, timers, logger, options);
  * follower.start();
  */
 export class ConfigurationFollower {
+  /** The availability zones that the operator evacuates: as current as the configuration, since both are read together. */
+  public readonly evacuatedZones: EvacuatedZones;
   private readonly follower: TableFollower;
   private readonly listeners: ((index: ConfigurationIndex) => void)[] = [];
   private index: ConfigurationIndex | undefined;
@@ -46,6 +58,7 @@
     private readonly logger: Logger,
     private readonly options: ConfigurationFollowerOptions,
   ) {
+    this.evacuatedZones = new EvacuatedZones(key => source.findEvacuatedZone(key), timers, logger);
     this.follower = new TableFollower(
       table,
       timers,
@@ -58,11 +71,13 @@
       },
       {
         onChanges: changes => {
+          this.evacuatedZones.applyChanges(changes);
           this.applyRows(
             changes.flatMap(change => (change.kind === 'written' ? [change.row] : [])),
           );
         },
-        onSnapshot: rows => {
+        onSnapshot: (rows, version) => {
+          this.evacuatedZones.applySnapshot(rows, version);
           this.applyRows(rows);
         },
       },
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -325,6 +325,7 @@
       getMaximumConnections: entry => this.getMaximumConnections(entry),
       headerCodec,
       isStopping: () => this.isStopping,
+      isZoneEvacuated: zone => this.configuration.evacuatedZones.isEvacuated(zone),
       logger: this.logger,
       metrics: this.metrics,
       owners: this.peers.owners,
@@ -348,6 +349,7 @@
 
   private makePipeline(): RequestPipeline {
     const { budgets, logger, replicaNetwork, table, versionRecord, versions } = this;
+    const { evacuatedZones } = this.configuration;
     const { headerCodec, random, timers } = this.dependencies;
     return new RequestPipeline({
       budgets,
@@ -355,7 +357,10 @@
       engineLoads: this.engineLoads,
       programAdmission: new ProgramAdmission({
         estimateTurns: service => this.engineLoads.estimateTurns(service),
-        findReplicas: service => this.replicas.findReplicas(service),
+        findReplicas: service =>
+          this.replicas
+            .findReplicas(service)
+            .filter(({ availabilityZone: zone }) => !evacuatedZones.isEvacuated(zone)),
         random,
       }),
       crashes: this.crashes,
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -20,6 +20,8 @@
   readonly peers: ListenAddress;
   /** Maximum time that a withdrawn key may still be accepted, in milliseconds; one of the operator's bounds. */
   readonly revocationMilliseconds: number;
+  /** Time after which the replicas of an evacuated availability zone must not receive new requests, in milliseconds; one of the operator's bounds. */
+  readonly evacuationMilliseconds: number;
   /** Maximum time that an outdated configuration may be in force during a failure of the store, in milliseconds; one of the operator's bounds. */
   readonly staleConfigurationMilliseconds: number;
   /** Time after which a draining replica must not receive new requests, in milliseconds; one of the operator's bounds. */
@@ -45,7 +47,7 @@
 }
 
 /**
- * Fraction of the revocation bound after which an instance without contact to the store refuses
+ * Fraction of the revocation bound, or of the shorter one for evacuations, after which an instance without contact to the store refuses
  * requests. The remainder is a margin for the feed, which may miss changes for one second.
  * Refusals are allowed from this age on.
  */
@@ -66,7 +68,8 @@
  * deriveGatewayTimes(options).freshMilliseconds; // 3000 for a bound of 5000
  */
 export function deriveGatewayTimes(options: GatewayOptions): GatewayTimes {
-  const freshMilliseconds = options.revocationMilliseconds * FRESH_SHARE;
+  const freshMilliseconds =
+    Math.min(options.revocationMilliseconds, options.evacuationMilliseconds) * FRESH_SHARE;
   return {
     configurationPollTimeoutMilliseconds: freshMilliseconds / POLLS_WHILE_FRESH,
     acceptingMilliseconds: options.graceMilliseconds * ACCEPTING_SHARE,
--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -14,8 +14,11 @@
 
 /** Receives the rows and changes that a {@link TableFollower} reads. */
 export interface TableListener {
-  /** Called with all rows as of one version: after the start, after a gap in the feed and on a refresh. */
-  onSnapshot(rows: readonly PartitionedRow[]): void;
+  /**
+   * Called with all rows as of one version: after the start, after a gap in the feed and on a refresh. A refresh may
+   * end after later changes were applied, so its version may be lower than theirs.
+   */
+  onSnapshot(rows: readonly PartitionedRow[], version: number): void;
   /** Called with later changes, in the order of their versions. */
   onChanges(changes: readonly RowChange[]): void;
 }
@@ -152,7 +155,7 @@
     }
     this.snapshotVersion = version;
     this.appliedVersion = Math.max(version, this.appliedVersion ?? 0);
-    this.listener.onSnapshot(rows);
+    this.listener.onSnapshot(rows, version);
     this.contact.confirm(sentAt);
     return true;
   }
--- a/packages/gateway/src/upstreams/directRelayTarget.ts
+++ b/packages/gateway/src/upstreams/directRelayTarget.ts
@@ -1,3 +1,5 @@
+import type { AvailabilityZone } from '@zincring/core';
+
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { RelayAcceptance, RelayTarget } from '../peers/relayServer.js';
 import type { Announcements } from './announcements.js';
@@ -15,14 +17,18 @@
   readonly loads: ReplicaLoads;
   readonly transport: ReplicaTransport;
   readonly isStopping: () => boolean;
+  readonly isZoneEvacuated: (zone: AvailabilityZone) => boolean;
 }
 
+/** Reason for which a replica of an evacuated availability zone gets no relayed request. */
+const EVACUATED_REASON = 'the availability zone of the replica is evacuated';
+
 /** Relays requests of other instances over the connections of this one, never through a third instance. */
 export class DirectRelayTarget implements RelayTarget {
   public constructor(private readonly dependencies: DirectRelayTargetDependencies) {}
 
   public accept(run: ReplicaRunId): RelayAcceptance {
-    const { directory, isStopping, loads, transport } = this.dependencies;
+    const { directory, isStopping, isZoneEvacuated, loads, transport } = this.dependencies;
     if (isStopping()) {
       return { kind: 'unavailable', reason: 'the instance is stopping' };
     }
@@ -36,11 +42,18 @@
     if (entry.isDraining || loads.isLeaving(entry)) {
       return { kind: 'not-sent', reason: 'the replica is leaving' };
     }
+    if (isZoneEvacuated(entry.availabilityZone)) {
+      return { kind: 'not-sent', reason: EVACUATED_REASON };
+    }
     return { entry, kind: 'accepted' };
   }
 
   public async exchange(entry: ReplicaEntry, request: ReplicaRequest): Promise<ExchangeOutcome> {
-    const { announcements, headerCodec, loads, transport } = this.dependencies;
+    const { announcements, headerCodec, isZoneEvacuated, loads, transport } = this.dependencies;
+    // The zone may have been evacuated while the body was on its way.
+    if (isZoneEvacuated(entry.availabilityZone)) {
+      return { isPathFault: false, kind: 'not-sent', reason: EVACUATED_REASON };
+    }
     const load = loads.findOrAddState(entry);
     load.inFlight++;
     const outcome = await transport.exchangeDirectly(entry, request);
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -30,6 +30,8 @@
   readonly timers: TimerService;
   readonly getMaximumConnections: (entry: ReplicaEntry) => number;
   readonly isStopping: () => boolean;
+  /** Whether the replicas of an availability zone must get no requests. */
+  readonly isZoneEvacuated: (zone: AvailabilityZone) => boolean;
 }
 
 /**
@@ -52,7 +54,14 @@
   public constructor(dependencies: ReplicaNetworkDependencies) {
     const { directory, logger, metrics, owners, random, timers } = dependencies;
     const loads = new ReplicaLoads(timers, dependencies.getMaximumConnections);
-    this.pool = new ReplicaPool(directory, loads, dependencies.availabilityZone, random);
+    const { availabilityZone, isZoneEvacuated } = dependencies;
+    this.pool = new ReplicaPool(
+      directory,
+      loads,
+      availabilityZone,
+      random,
+      entry => !isZoneEvacuated(entry.availabilityZone),
+    );
     this.ownedPermits = new OwnedPermits({ logger, ranking: owners, timers });
     this.permits = new ReplicaPermits({
       local: this.ownedPermits,
@@ -79,6 +88,7 @@
       directory,
       headerCodec,
       isStopping,
+      isZoneEvacuated,
       loads,
       transport,
     });
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -41,6 +41,8 @@
     public readonly loads: ReplicaLoads,
     private readonly availabilityZone: AvailabilityZone,
     private readonly random: () => number,
+    /** Whether requests may be sent to the availability zone of a replica. */
+    private readonly isPermitted: (entry: ReplicaEntry) => boolean,
   ) {}
 
   /** Chooses the replica for a request; `undefined` if none is left. */
@@ -85,7 +87,7 @@
   }: PoolRequest): readonly PlacementCandidate[] {
     const candidates = this.directory
       .findReplicas(service.name)
-      .filter(entry => !entry.isDraining && !this.loads.isLeaving(entry))
+      .filter(entry => !entry.isDraining && !this.loads.isLeaving(entry) && this.isPermitted(entry))
       .map(entry => ({
         entry,
         inFlight: this.loads.findOrAddState(entry).inFlight,
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -162,6 +162,7 @@
       availabilityZone: 'nelson' as AvailabilityZone,
       callers: { host: '127.0.0.1', port: 0 },
       drainMilliseconds: 2_000,
+      evacuationMilliseconds: 5_000,
       graceMilliseconds: 1_000,
       instance: `entry-${String(nextId++)}` as InstanceId,
       metrics: { host: '127.0.0.1', port: 0 },
--- a/packages/gateway/tests/support/samples.ts
+++ b/packages/gateway/tests/support/samples.ts
@@ -1,4 +1,5 @@
 import type {
+  AvailabilityZone,
   ConfigurationVersion,
   ProgramId,
   Result,
@@ -86,8 +87,19 @@
 
 export const configurationAddress = { key: 'rules', partition: '', table: 'operator' };
 
+const EVACUATION_PREFIX = 'evacuated/';
+
+/** Address of the row that evacuates an availability zone. */
+export function evacuationAddress(zone: string): typeof configurationAddress {
+  return { ...configurationAddress, key: `${EVACUATION_PREFIX}${zone}` };
+}
+
 export const sampleConfigurationSource: ConfigurationSource = {
   decode: value => parseJson<GatewayConfiguration>(value),
+  findEvacuatedZone: key =>
+    key.startsWith(EVACUATION_PREFIX)
+      ? (key.slice(EVACUATION_PREFIX.length) as AvailabilityZone)
+      : undefined,
   key: configurationAddress.key,
   table: configurationAddress.table,
 };
--- a/packages/gateway/tests/upstreams/replicaPool.test.ts
+++ b/packages/gateway/tests/upstreams/replicaPool.test.ts
@@ -55,7 +55,13 @@
     directory.start();
     await timers.advance(100);
     const loads = new ReplicaLoads(timers, () => 16);
-    return new ReplicaPool(directory, loads, 'nelson' as AvailabilityZone, () => 0.5);
+    return new ReplicaPool(
+      directory,
+      loads,
+      'nelson' as AvailabilityZone,
+      () => 0.5,
+      () => true,
+    );
   }
 
   function choose(pool: ReplicaPool, facts: RequestFacts): string | undefined {
