feat(gateway): replicas that are cold get a limited rate from all instances together

A replica bears only some requests a second until it is warm, and all instances find the idle replicas of a zone that returns at the same moment.

The owner of a replica grants permits for cold replicas as for announced rates, under a key and in a schedule of their own. Whether a replica is cold is decided from its entry when it is chosen: the entry's remaining time, counted down from when it was read, the header of a response, or the return of its zone a moment ago, since the end of an evacuation is known before the entries are. Warm replicas cost no message.

--- a/packages/gateway/src/callers/requestFacts.ts
+++ b/packages/gateway/src/callers/requestFacts.ts
@@ -73,6 +73,8 @@
    * requests per second; `undefined` if it announces none.
    */
   readonly requestsPerSecond: number | undefined;
+  /** Time for which the replica stays cold, in milliseconds; absent if the response does not say. */
+  readonly coldMilliseconds?: number | undefined;
   /** Whether the replica announces that it is about to leave. */
   readonly isLeaving: boolean;
 }
--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -54,11 +54,21 @@
   readonly tokensPerEvent: number;
 }
 
+/** What a replica bears while it is cold. */
+export interface WarmUpDescription {
+  /** Requests per second from all instances together that a cold replica tolerates. */
+  readonly requestsPerSecond: number;
+  /** Time for which a replica is cold after its start, in milliseconds. */
+  readonly milliseconds: number;
+}
+
 /** A service to which routes send requests. */
 export interface GatewayService {
   readonly name: ServiceName;
   /** Connections that each replica accepts from all callers together. */
   readonly maximumConnections: number;
+  /** How its replicas warm up after a start; `undefined` if they take any rate at once. */
+  readonly warmUp?: WarmUpDescription | undefined;
   /** Present when its replicas are model engines. */
   readonly engine: EngineDescription | undefined;
 }
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -321,17 +321,19 @@
     const { headerCodec, random, timers } = this.dependencies;
     return new ReplicaNetwork({
       availabilityZone: this.options.availabilityZone,
+      coldRateBound: this.options.coldRateBound,
       directory: this.replicas,
+      findWarmUp: service => this.configuration.current?.findService(service)?.warmUp,
       getMaximumConnections: entry => this.getMaximumConnections(entry),
       headerCodec,
       isStopping: () => this.isStopping,
-      isZoneEvacuated: zone => this.configuration.evacuatedZones.isEvacuated(zone),
       logger: this.logger,
       metrics: this.metrics,
       owners: this.peers.owners,
       random,
       relay: this.peers.relay,
       timers,
+      zones: this.configuration.evacuatedZones,
     });
   }
 
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -1,5 +1,7 @@
 import type { AvailabilityZone, InstanceId } from '@zincring/core';
 
+import type { ColdRateBound } from '../upstreams/permits/coldReplicas.js';
+
 /** IP address and port to listen on. */
 export interface ListenAddress {
   readonly host: string;
@@ -28,6 +30,8 @@
   readonly drainMilliseconds: number;
   /** Time between the request to stop and the forced termination, in milliseconds; one of the operator's bounds. */
   readonly graceMilliseconds: number;
+  /** Requests that a cold replica may get; one of the operator's bounds. */
+  readonly coldRateBound: ColdRateBound;
   /** Maximum size of one row of the store, in bytes. */
   readonly rowBytes: number;
 }
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -70,9 +70,13 @@
  */
 export function parsePermitRequest(text: string): PermitRequest | undefined {
   const report = parseRateReport(text);
-  const { maximumWaitMilliseconds } = parseFields(text);
+  const { burstMilliseconds, maximumWaitMilliseconds } = parseFields(text);
   return report !== undefined && isNumber(maximumWaitMilliseconds)
-    ? { ...report, maximumWaitMilliseconds }
+    ? {
+        ...report,
+        ...(isNumber(burstMilliseconds) ? { burstMilliseconds } : {}),
+        maximumWaitMilliseconds,
+      }
     : undefined;
 }
 
--- a/packages/gateway/src/upstreams/announcements.ts
+++ b/packages/gateway/src/upstreams/announcements.ts
@@ -1,12 +1,14 @@
 import type { Logger } from '@zincring/core';
 
 import type { ResponseFacts } from '../callers/requestFacts.js';
+import type { ColdReplicas } from './permits/coldReplicas.js';
 import type { ReplicaPermits } from './permits/replicaPermits.js';
 import type { ReplicaEntry } from './replica.js';
 import type { ReplicaLoads } from './replicaLoads.js';
 
 /** Dependencies of {@link Announcements}. */
 export interface AnnouncementsDependencies {
+  readonly coldReplicas: ColdReplicas;
   readonly loads: ReplicaLoads;
   readonly permits: ReplicaPermits;
   readonly logger: Logger;
@@ -28,12 +30,15 @@
   public record(
     entry: ReplicaEntry,
     status: number,
-    { isLeaving, requestsPerSecond }: ResponseFacts,
+    { coldMilliseconds, isLeaving, requestsPerSecond }: ResponseFacts,
   ): void {
     if (status === STATUS_MISDIRECTED) {
       return;
     }
-    const { loads, logger, permits } = this.dependencies;
+    const { coldReplicas, loads, logger, permits } = this.dependencies;
+    if (coldMilliseconds !== undefined) {
+      coldReplicas.record(entry, coldMilliseconds);
+    }
     permits.record(entry, requestsPerSecond);
     if (isLeaving && !loads.isLeaving(entry)) {
       loads.recordLeaving(entry);
--- a/packages/gateway/src/upstreams/permits/ownedPermits.ts
+++ b/packages/gateway/src/upstreams/permits/ownedPermits.ts
@@ -79,7 +79,8 @@
       return { announced, delayMilliseconds: 0, kind: 'granted' };
     }
     owned.schedule.changeRate(requestsPerSecond * this.computeShare(request.replica, owned), now);
-    return { ...owned.schedule.take(now, request.maximumWaitMilliseconds), announced };
+    const { burstMilliseconds, maximumWaitMilliseconds } = request;
+    return { ...owned.schedule.take(now, maximumWaitMilliseconds, burstMilliseconds), announced };
   }
 
   private observe({ announced, replica }: RateReport): OwnedReplica {
--- a/packages/gateway/src/upstreams/permits/permitOwner.ts
+++ b/packages/gateway/src/upstreams/permits/permitOwner.ts
@@ -8,10 +8,12 @@
   readonly announced: AnnouncedRate;
   /** Time for which the instance would wait for the permit, in milliseconds. */
   readonly maximumWaitMilliseconds: number;
+  /** Unused time that permits may make up for at once, in milliseconds; that of the owner if absent. */
+  readonly burstMilliseconds?: number | undefined;
 }
 
 /** What an instance observed without asking for a permit. */
-export type RateReport = Omit<PermitRequest, 'maximumWaitMilliseconds'>;
+export type RateReport = Omit<PermitRequest, 'burstMilliseconds' | 'maximumWaitMilliseconds'>;
 
 /** Reply to a {@link PermitRequest}. */
 export type PermitReply =
--- a/packages/gateway/src/upstreams/permits/permitSchedule.ts
+++ b/packages/gateway/src/upstreams/permits/permitSchedule.ts
@@ -44,9 +44,17 @@
     this.intervalMilliseconds = intervalMilliseconds;
   }
 
-  /** Takes the next permit if it is free within the maximum wait, in milliseconds. */
-  public take(now: number, maximumWaitMilliseconds: number): ScheduledPermit {
-    this.nextAt = Math.max(this.nextAt, now - BURST_MILLISECONDS);
+  /**
+   * Takes the next permit if it is free within the maximum wait, in milliseconds.
+   *
+   * @param burstMilliseconds unused time that permits may make up for at once, in milliseconds
+   */
+  public take(
+    now: number,
+    maximumWaitMilliseconds: number,
+    burstMilliseconds = BURST_MILLISECONDS,
+  ): ScheduledPermit {
+    this.nextAt = Math.max(this.nextAt, now - burstMilliseconds);
     const delayMilliseconds = Math.max(0, this.nextAt - now);
     if (delayMilliseconds > maximumWaitMilliseconds) {
       return { kind: 'denied', retryAfterMilliseconds: delayMilliseconds };
--- a/packages/gateway/src/upstreams/replica.ts
+++ b/packages/gateway/src/upstreams/replica.ts
@@ -20,4 +20,6 @@
   readonly isDraining: boolean;
   /** Remaining time until the replica has warmed up after its start, in milliseconds; it is slower until then. */
   readonly coldMilliseconds: number;
+  /** End of this time on the monotonic clock of this instance, in milliseconds; `undefined` if the entry said that the replica is warm. */
+  readonly coldUntil?: number | undefined;
 }
--- a/packages/gateway/src/upstreams/replicaDirectory.ts
+++ b/packages/gateway/src/upstreams/replicaDirectory.ts
@@ -150,7 +150,7 @@
     }
     this.missingUntil.delete(id);
     const known = this.entries.get(id);
-    const entry = decoded.val;
+    const entry = this.withColdEnd(decoded.val);
     this.entries.set(id, entry);
     if (known === undefined || describeRegistration(known) !== describeRegistration(entry)) {
       this.logger.info(
@@ -166,6 +166,13 @@
     }
   }
 
+  /** The remaining time counts from when it is read, so an entry that arrives late makes it longer, never shorter. */
+  private withColdEnd(entry: ReplicaEntry): ReplicaEntry {
+    return entry.coldMilliseconds > 0
+      ? { ...entry, coldUntil: this.timers.now() + entry.coldMilliseconds }
+      : entry;
+  }
+
   private remove(id: UpstreamId): void {
     if (!this.entries.has(id) || this.missingUntil.has(id)) {
       return;
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -1,14 +1,17 @@
-import type { AvailabilityZone, Logger, TimerService } from '@zincring/core';
+import type { AvailabilityZone, Logger, ServiceName, TimerService } from '@zincring/core';
 
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { OwnerSelector } from '../peers/ownerSelector.js';
 import type { ReplicaEntry } from './replica.js';
 import type { ReplicaDirectory } from './replicaDirectory.js';
+import type { ColdRateBound, ReturnedZones } from './permits/coldReplicas.js';
+import type { WarmUpDescription } from '../configuration/gatewayConfiguration.js';
 import type { ReplicaRelay } from './replicaTransport.js';
 
 import { Announcements } from './announcements.js';
 import { DirectRelayTarget } from './directRelayTarget.js';
+import { ColdReplicas } from './permits/coldReplicas.js';
 import { OwnedPermits } from './permits/ownedPermits.js';
 import { ReplicaPermits } from './permits/replicaPermits.js';
 import { probeConnection } from './reachability/probeConnection.js';
@@ -17,6 +20,12 @@
 import { ReplicaPool } from './replicaPool.js';
 import { ReplicaTransport } from './replicaTransport.js';
 
+/** What the operator asks of availability zones. */
+export interface Zones extends ReturnedZones {
+  /** Whether the replicas of an availability zone must get no requests. */
+  isEvacuated(zone: AvailabilityZone): boolean;
+}
+
 /** Dependencies of a {@link ReplicaNetwork}. */
 export interface ReplicaNetworkDependencies {
   readonly availabilityZone: AvailabilityZone;
@@ -30,8 +39,10 @@
   readonly timers: TimerService;
   readonly getMaximumConnections: (entry: ReplicaEntry) => number;
   readonly isStopping: () => boolean;
-  /** Whether the replicas of an availability zone must get no requests. */
-  readonly isZoneEvacuated: (zone: AvailabilityZone) => boolean;
+  readonly zones: Zones;
+  readonly coldRateBound: ColdRateBound;
+  /** Returns how the replicas of a service warm up; `undefined` if they take any rate at once. */
+  readonly findWarmUp: (service: ServiceName) => WarmUpDescription | undefined;
 }
 
 /**
@@ -54,7 +65,8 @@
   public constructor(dependencies: ReplicaNetworkDependencies) {
     const { directory, logger, metrics, owners, random, timers } = dependencies;
     const loads = new ReplicaLoads(timers, dependencies.getMaximumConnections);
-    const { availabilityZone, isZoneEvacuated } = dependencies;
+    const { availabilityZone, coldRateBound, findWarmUp, zones } = dependencies;
+    const isZoneEvacuated = (zone: AvailabilityZone): boolean => zones.isEvacuated(zone);
     this.pool = new ReplicaPool(
       directory,
       loads,
@@ -63,14 +75,22 @@
       entry => !isZoneEvacuated(entry.availabilityZone),
     );
     this.ownedPermits = new OwnedPermits({ logger, ranking: owners, timers });
+    const coldReplicas = new ColdReplicas({
+      bound: coldRateBound,
+      findWarmUp,
+      logger,
+      timers,
+      zones,
+    });
     this.permits = new ReplicaPermits({
+      coldReplicas,
       local: this.ownedPermits,
       logger,
       metrics,
       owners,
       timers,
     });
-    this.announcements = new Announcements({ loads, logger, permits: this.permits });
+    this.announcements = new Announcements({ coldReplicas, loads, logger, permits: this.permits });
     this.reachability = new ReplicaReachability({
       listReplicas: () => directory.listAll(),
       logger,
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -123,6 +123,19 @@
     expect(received).toEqual([permitRequest]);
   });
 
+  it('carries the burst that a request for a permit allows', async () => {
+    const received: unknown[] = [];
+    const server = await startServer({
+      acquirePermit: async request => {
+        received.push(request);
+        return await Promise.resolve({ kind: 'unreachable' });
+      },
+    });
+    const request = { ...permitRequest, burstMilliseconds: 50 };
+    await connect(server.port).acquirePermit(request);
+    expect(received).toEqual([request]);
+  });
+
   it('carries the report that a replica accepts any rate', async () => {
     const received: unknown[] = [];
     const server = await startServer({
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -161,6 +161,7 @@
     {
       availabilityZone: 'nelson' as AvailabilityZone,
       callers: { host: '127.0.0.1', port: 0 },
+      coldRateBound: { factor: 1.5, slack: 5 },
       drainMilliseconds: 2_000,
       evacuationMilliseconds: 5_000,
       graceMilliseconds: 1_000,
--- a/packages/gateway/tests/support/permitFleet.ts
+++ b/packages/gateway/tests/support/permitFleet.ts
@@ -2,12 +2,15 @@
 
 import { silentLogger } from '@zincring/core';
 
+import type { WarmUpDescription } from '../../src/configuration/gatewayConfiguration.js';
 import type { GatewayPeer } from '../../src/peers/gatewayPeer.js';
 import type { Owner, OwnerDirectory } from '../../src/peers/ownerSelector.js';
+import type { ColdRateBound } from '../../src/upstreams/permits/coldReplicas.js';
 import type { ReplicaEntry } from '../../src/upstreams/replica.js';
 
 import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
 import { OwnerSelector } from '../../src/peers/ownerSelector.js';
+import { ColdReplicas } from '../../src/upstreams/permits/coldReplicas.js';
 import { OwnedPermits } from '../../src/upstreams/permits/ownedPermits.js';
 import { ReplicaPermits } from '../../src/upstreams/permits/replicaPermits.js';
 import { makeOwner } from './fakePeer.js';
@@ -38,6 +41,10 @@
   requestsPerSecond: number | undefined;
 }
 
+/** How the replicas of all services warm up, and the operator's bound for it. */
+export const warmUp: WarmUpDescription = { milliseconds: 3_000, requestsPerSecond: 20 };
+export const coldRateBound: ColdRateBound = { factor: 1.5, slack: 5 };
+
 interface Parts extends PermitInstance {
   readonly directory: OwnerDirectory & {
     changedAt: number;
@@ -135,7 +142,15 @@
     };
     const owners = new OwnerSelector(name as InstanceId, directory, timers, silentLogger);
     const ownedPermits = new OwnedPermits({ logger: silentLogger, ranking: owners, timers });
+    const coldReplicas = new ColdReplicas({
+      bound: coldRateBound,
+      findWarmUp: () => warmUp,
+      logger: silentLogger,
+      timers,
+      zones: { millisecondsSinceReturn: () => undefined },
+    });
     const permits = new ReplicaPermits({
+      coldReplicas,
       local: ownedPermits,
       logger: silentLogger,
       metrics: new GatewayMetrics(),
--- a/packages/gateway/tests/upstreams/replicaDirectory.test.ts
+++ b/packages/gateway/tests/upstreams/replicaDirectory.test.ts
@@ -49,6 +49,21 @@
     expect(findUsableReplicas()).toEqual(['r1', 'r2']);
   });
 
+  it('counts down the time for which an entry says that its replica is cold', async () => {
+    const findColdEnd = (): number | undefined =>
+      directory.findReplicas(engineService.name)[0]?.coldUntil;
+    expect(findColdEnd()).toBeUndefined();
+    store.put(makeAddress('r1'), sampleReplica('r1', { coldMilliseconds: 2_500 }));
+    await timers.advance(DRAIN_MILLISECONDS / 2);
+    const remaining = findColdEnd()! - timers.now();
+    expect(remaining).toBeGreaterThan(2_500 - DRAIN_MILLISECONDS / 2);
+    await timers.advance(500);
+    expect(findColdEnd()! - timers.now()).toBe(remaining - 500);
+    store.put(makeAddress('r1'), sampleReplica('r1'));
+    await timers.advance(DRAIN_MILLISECONDS / 2);
+    expect(findColdEnd()).toBeUndefined();
+  });
+
   it.each([
     ['drains', () => sampleReplica('r1', { isDraining: true })],
     ['is replaced by an entry of another writer', () => 'not an entry'],
