test(gateway): exchanges for each kind of request at 13 and 75 instances

Messages between instances and calls to the store, by table, for a tool call, a first and a later turn, a turn with a tight budget and a kept one. The bounds are one exchange with the owner of each thing that a request needs and what the store must keep; with a tight budget that is a reservation and a settlement a turn.

--- a/packages/gateway/tests/support/programLoad.ts
+++ b/packages/gateway/tests/support/programLoad.ts
@@ -3,8 +3,9 @@
 import { silentLogger, sleep } from '@zincring/core';
 
 import type { GatewayWorkspace } from '../../src/configuration/gatewayConfiguration.js';
-import type { PromptPart, PromptPartId } from '../../src/callers/requestFacts.js';
+import type { PromptPart, PromptPartId, TurnId } from '../../src/callers/requestFacts.js';
 import type { GatewayPeer } from '../../src/peers/gatewayPeer.js';
+import type { StoreCallListener } from '../../src/store/monitoredTable.js';
 import type { MemoryTable } from './memoryTable.js';
 
 import { DelegatedCreditSource } from '../../src/limits/delegatedCreditSource.js';
@@ -15,15 +16,17 @@
 import { OwnedTokenAccounts } from '../../src/programs/ownedTokenAccounts.js';
 import { StoreTokenAccounts } from '../../src/programs/storeTokenAccounts.js';
 import { TurnBudgets } from '../../src/programs/turnBudgets.js';
+import { TurnStore } from '../../src/programs/turnStore.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { makeOwner, makeOwnerDirectory } from './fakePeer.js';
 import { makeRandom } from './makeRandom.js';
-import { sampleTurn, sampleWorkspace } from './samples.js';
+import { sampleRoute, sampleTurn, sampleWorkspace } from './samples.js';
 
 /** The parts of an instance that call the store before each turn. */
 interface LoadedInstance {
   readonly rates: WorkspaceRates;
   readonly budgets: TurnBudgets;
+  readonly turns: TurnStore;
 }
 
 /** What the callers of one second got. */
@@ -38,6 +41,20 @@
   readonly seconds: number;
   /** Programs that begin per second, by second. */
   readonly programsPerSecond: (second: number) => number;
+  /** Turns of each program and tool calls after each turn; they vary by default. */
+  readonly shape?: ProgramShape;
+  /** Called with the name of each exchange between instances, and of each call to the store with its table. */
+  readonly onExchange?: (name: string) => void;
+}
+
+/** Requests of a program. */
+export interface ProgramShape {
+  readonly turns: number;
+  readonly toolsPerTurn: number;
+  /** Whether the instances keep the turns. */
+  readonly storesTurns: boolean;
+  /** Budget of the program in turns at their maximum. */
+  readonly budgetTurns: number;
 }
 
 /** Instances that the requests of one program reach. */
@@ -52,6 +69,7 @@
 const BUDGET_TURNS = 8;
 const GENERATED_SHARE = 0.4;
 const MAXIMUM_TOKENS = 575;
+const ROW_BYTES = 65_536;
 /** Rates of the workspaces: a few large ones and many small ones. */
 const WORKSPACE_RATES = [200, 120, 60, ...Array.from({ length: 40 }, () => 16)];
 /** Decorrelates the random numbers of programs: consecutive seeds give similar ones. */
@@ -72,7 +90,7 @@
   store: MemoryTable,
   options: ProgramLoadOptions,
 ): Promise<readonly LoadSecond[]> {
-  const instances = makeInstances(timers, store, options.instances);
+  const instances = makeInstances(timers, store, options);
   const workspaces = WORKSPACE_RATES.map((ratePerSecond, index) =>
     sampleWorkspace({
       burst: ratePerSecond,
@@ -92,6 +110,7 @@
         instances,
         seconds,
         ++startedPrograms,
+        options.shape,
       );
       void program.run();
     }
@@ -104,14 +123,17 @@
 function makeInstances(
   timers: ManualTimerService,
   store: MemoryTable,
-  count: number,
+  { instances: count, onExchange = () => undefined }: ProgramLoadOptions,
 ): readonly LoadedInstance[] {
+  const recordCall: StoreCallListener = ({ kind, table }) => {
+    onExchange(`${table} ${kind}`);
+  };
   const parts = Array.from({ length: count }, (_unused, index) => {
     const dependencies = {
       holder: `run-${String(index)}`,
       logger: silentLogger,
       random: makeRandom(index + 1),
-      table: new MonitoredTable(store.client(), timers, undefined, makeRandom(index + 501)),
+      table: new MonitoredTable(store.client(), timers, recordCall, makeRandom(index + 501)),
       timers,
     };
     const instance = `entry-${String(index)}` as InstanceId;
@@ -122,14 +144,17 @@
     const peer: GatewayPeer = {
       ...unreachablePeer,
       acquireOwned: async bucket => {
+        onExchange('acquire credit');
         await sleep(timers, PEER_MILLISECONDS);
         return await credits.acquireOwned(bucket);
       },
       reserveOwned: async demand => {
+        onExchange('reserve tokens');
         await sleep(timers, PEER_MILLISECONDS);
         return await owned.reserveOwned(demand);
       },
       settleOwned: async (reservation, deliveredTokens) => {
+        onExchange('settle tokens');
         await sleep(timers, PEER_MILLISECONDS);
         return await owned.settleOwned(reservation, deliveredTokens);
       },
@@ -147,7 +172,11 @@
     const delegated = new DelegatedCreditSource({ local: credits, owners: selector, timers });
     const accounts = new DelegatedTokenAccounts({ ...dependencies, local, owners: selector });
     const budgets = new TurnBudgets({ ...dependencies, accounts });
-    return { budgets, rates: new WorkspaceRates(self.instance, delegated) };
+    return {
+      budgets,
+      rates: new WorkspaceRates(self.instance, delegated),
+      turns: new TurnStore({ ...dependencies, rowBytes: ROW_BYTES }),
+    };
   });
 }
 
@@ -174,6 +203,7 @@
     allInstances: readonly LoadedInstance[],
     private readonly seconds: readonly LoadSecond[],
     private readonly number: number,
+    private readonly shape: ProgramShape | undefined,
   ) {
     this.random = makeRandom(Math.imul(number, SEED_FACTOR) >>> 1);
     this.instances = Array.from(
@@ -183,13 +213,13 @@
   }
 
   public async run(): Promise<void> {
-    const turns = 3 + Math.floor(this.random() * 5);
+    const turns = this.shape?.turns ?? 3 + Math.floor(this.random() * 5);
     for (let turn = 0; turn < turns; turn++) {
       if (!(await this.runTurn(turn))) {
         return;
       }
       const instance = this.pickInstance();
-      const tools = Math.floor(this.random() * 4);
+      const tools = this.shape?.toolsPerTurn ?? Math.floor(this.random() * 4);
       const isServed = await Promise.all(
         Array.from({ length: tools }, async () => await this.runTool(instance)),
       );
@@ -201,25 +231,31 @@
   }
 
   private async runTurn(turn: number): Promise<boolean> {
-    const { budgets, rates } = this.pickInstance();
+    const { budgets, rates, turns } = this.pickInstance();
     const request = sampleTurn(
-      `${String(this.number)}-${String(turn)}`,
+      this.makeTurnId(turn),
       {
         maximumOutputTokens: MAXIMUM_TOKENS,
+        previousTurn: turn === 0 ? undefined : (this.makeTurnId(turn - 1) as TurnId),
         programId: `program-${String(this.number)}` as ProgramId,
         promptParts: turn === 0 ? firstTurnParts : laterTurnParts,
-        tokenBudget: MAXIMUM_TOKENS * BUDGET_TURNS,
+        tokenBudget: MAXIMUM_TOKENS * (this.shape?.budgetTurns ?? BUDGET_TURNS),
+      },
+      {
+        route: sampleRoute({ storesTurns: this.shape?.storesTurns === true }),
+        workspace: this.workspace.name,
       },
-      { workspace: this.workspace.name },
     );
-    const [admission, reserved] = await Promise.all([
+    const [admission, reserved, composed] = await Promise.all([
       rates.admit(this.workspace, this.signal, async () => await budgets.startsProgram(request)),
       budgets.reserve(request, this.signal),
+      turns.compose(request, this.signal),
     ]);
-    const isServed = admission.ok && reserved.ok;
+    const isServed = admission.ok && reserved.ok && composed.ok;
     this.count(isServed);
     if (isServed) {
       await sleep(this.timers, TURN_MILLISECONDS);
+      await composed.val.turn?.save(this.signal);
     }
     if (reserved.ok) {
       reserved.val?.settle(admission.ok ? MAXIMUM_TOKENS * GENERATED_SHARE : 0);
@@ -227,6 +263,10 @@
     return isServed;
   }
 
+  private makeTurnId(turn: number): string {
+    return `${String(this.number)}-${String(turn)}`;
+  }
+
   private async runTool({ rates }: LoadedInstance): Promise<boolean> {
     const startsProgram = async (): Promise<boolean> => await Promise.resolve(false);
     const admission = await rates.admit(this.workspace, this.signal, startsProgram);
