perf(gateway): write nothing for a resting program that holds no tokens

Cause: two seconds after the last turn of a program that has used most of its budget, its row was written only to remove the holder's name, though the last settlement had left no tokens held.

Change: an empty hold stays, unless the program has delivered nothing yet (then its absence shows that the program is new).

--- a/packages/gateway/src/programs/programBudget.ts
+++ b/packages/gateway/src/programs/programBudget.ts
@@ -341,7 +341,7 @@
       this.row,
       row => {
         const account = decodeAccount(row.value);
-        if (account.holds[this.dependencies.holder] === undefined) {
+        if (this.isSettledIn(account)) {
           return { result: undefined, kind: 'leave' };
         }
         const value = encodeAccount(
@@ -362,6 +362,16 @@
     }
   }
 
+  /**
+   * Whether an account holds no tokens for this object and lacks none that turns here delivered. An empty
+   * hold may stay once the program has delivered something: it only shows that the program is not new.
+   */
+  private isSettledIn({ holds, spent }: BudgetAccount): boolean {
+    const hold = holds[this.dependencies.holder];
+    const isUpToDate = this.settledTokens === 0 && this.unconfirmedWrites.size === 0;
+    return hold === undefined || (isUpToDate && hold.tokens === 0 && spent > 0);
+  }
+
   private async editRow<EditResult>(
     known: KnownRow,
     edit: (row: KnownRow) => RowEdit<EditResult>,
--- a/packages/gateway/tests/programs/turnBudgets.test.ts
+++ b/packages/gateway/tests/programs/turnBudgets.test.ts
@@ -183,4 +183,26 @@
     const other = sampleTurn('d', { programId: 'program-2' as ProgramId });
     expect((await finish(instance.reserve(other, signal))).ok).toBe(true);
   });
+
+  it('writes nothing more for a program that rests when no tokens are held for it', async () => {
+    const instance = makeInstance(1);
+    const facts = { tokenBudget: 4 * MAXIMUM_TOKENS };
+    for (const id of ['a', 'b', 'c']) {
+      const reserved = await finish(instance.reserve(sampleTurn(id, facts), signal));
+      expect(reserved.ok).toBe(true);
+      if (reserved.ok) {
+        reserved.val?.settle(550);
+      }
+      await timers.advance(100);
+    }
+    const transactions = 2 * 3;
+    expect(store.transactions).toBe(transactions);
+    await timers.advance(30_000);
+    expect(store.transactions).toBe(transactions);
+    const next = makeInstance(2);
+    expect((await finish(next.reserve(sampleTurn('d', facts), signal))).ok).toBe(true);
+    expect(isBudgetExhausted(await finish(next.reserve(sampleTurn('e', facts), signal)))).toBe(
+      true,
+    );
+  });
 });
