feat(gateway): requests with homes reach replicas there only

Where both name some, both bind. The entry keeps to them with each choice of a replica, a request for which none is left is refused at once with 503, and only instances in these regions are asked to relay it. Instances state their availability zone in their registration for that, an optional field; those of builds before do not, and are not asked for such requests.

--- a/packages/core/src/ids/identifiers.ts
+++ b/packages/core/src/ids/identifiers.ts
@@ -20,6 +20,8 @@
 export type ServiceName = Brand<string, 'ServiceName'>;
 /** Name of an availability zone. */
 export type AvailabilityZone = Brand<string, 'AvailabilityZone'>;
+/** Name of a region, which contains availability zones. */
+export type Region = Brand<string, 'Region'>;
 /** Hexadecimal SHA-256 of a caller's key. */
 export type KeyHash = Brand<string, 'KeyHash'>;
 /** Number of a configuration version; increases by one with every accepted change. */
--- a/packages/gateway/src/callers/admitByConfiguration.ts
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -1,4 +1,4 @@
-import type { Result, ServiceName } from '@zincring/core';
+import type { Region, Result, ServiceName } from '@zincring/core';
 
 import { Err, hash32, Ok, ZincringError } from '@zincring/core';
 
@@ -10,6 +10,8 @@
 } from '../configuration/gatewayConfiguration.js';
 import type { RequestFacts } from './requestFacts.js';
 
+import { combineHomes } from '../upstreams/homes/combineHomes.js';
+
 /** Properties of a request that its admission follows from. */
 export interface AdmittedRequest {
   readonly facts: RequestFacts;
@@ -24,6 +26,8 @@
   readonly service: GatewayService;
   readonly workspace: GatewayWorkspace | undefined;
   readonly maximumBodyBytes: number;
+  /** Regions whose replicas may get the request; `undefined` if all may. */
+  readonly allowedRegions: ReadonlySet<Region> | undefined;
   /** Lowest priority that the configuration uses. */
   readonly lowestPriority: number;
 }
@@ -59,6 +63,7 @@
     );
   }
   return Ok({
+    allowedRegions: combineHomes(route.homes, workspace?.homes),
     lowestPriority: index.lowestPriority,
     maximumBodyBytes: index.configuration.callerLimits.maximumBodyBytes,
     route,
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -258,8 +258,9 @@
     body: Buffer,
     lifetime: RequestLifetime,
   ): RunnableRequest {
-    const { route, service, workspace } = admission;
+    const { allowedRegions, route, service, workspace } = admission;
     return {
+      allowedRegions,
       body,
       deadline: lifetime.deadline,
       facts: incoming.facts,
--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -1,4 +1,10 @@
-import type { Brand, ConfigurationVersion, ServiceName, WorkspaceName } from '@zincring/core';
+import type {
+  Brand,
+  ConfigurationVersion,
+  Region,
+  ServiceName,
+  WorkspaceName,
+} from '@zincring/core';
 
 /** Name of a route, as given by the operator. */
 export type RouteName = Brand<string, 'RouteName'>;
@@ -42,6 +48,8 @@
   readonly storesTurns: boolean;
   /** Time for which turns are stored, in milliseconds. */
   readonly retentionMilliseconds: number;
+  /** Homes: regions whose replicas may get its requests; any if empty or absent. */
+  readonly homes?: readonly Region[] | undefined;
 }
 
 /** Capacity of each model engine of a service. */
@@ -83,6 +91,8 @@
   readonly ratePerSecond: number;
   /** Requests that may arrive at the same time. */
   readonly burst: number;
+  /** Homes: regions whose replicas may get its requests; any if empty or absent. */
+  readonly homes?: readonly Region[] | undefined;
 }
 
 /** Limits on the requests and connections of callers. */
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -301,6 +301,8 @@
         await owned.settleOwned(reservation, deliveredTokens),
     };
     return new PeerNetwork({
+      availabilityZone: this.options.availabilityZone,
+      regions: this.options.regions,
       engineLoads: this.engineLoads,
       instance: this.options.instance,
       logger,
@@ -331,6 +333,7 @@
       metrics: this.metrics,
       owners: this.peers.owners,
       random,
+      regions: this.options.regions,
       relay: this.peers.relay,
       timers,
       zones: this.configuration.evacuatedZones,
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZone, InstanceId } from '@zincring/core';
+import type { AvailabilityZone, InstanceId, Region } from '@zincring/core';
 
 import type { ColdRateBound } from '../upstreams/permits/coldReplicas.js';
 
@@ -12,6 +12,8 @@
 export interface GatewayOptions {
   readonly instance: InstanceId;
   readonly availabilityZone: AvailabilityZone;
+  /** Region of each availability zone. */
+  readonly regions: ReadonlyMap<AvailabilityZone, Region>;
   /** Address for callers. */
   readonly callers: ListenAddress;
   /** Address for the readiness checks of the load balancer. */
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -43,6 +43,11 @@
     name: 'zincring_permits_total',
     registers: [this.registry],
   });
+  public readonly homeRefusals = new Counter({
+    help: 'Requests with homes for which no replica was left.',
+    name: 'zincring_home_refusals_total',
+    registers: [this.registry],
+  });
   public readonly relays = new Counter({
     help: 'Attempts at replicas through another instance by outcome.',
     labelNames: ['outcome'] as const,
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -1,4 +1,10 @@
-import type { InstanceId, Logger, TimerService, TimerSubscription } from '@zincring/core';
+import type {
+  AvailabilityZone,
+  InstanceId,
+  Logger,
+  TimerService,
+  TimerSubscription,
+} from '@zincring/core';
 import type { PartitionedTable, RowAddress, RowChange } from '@zincring/platform';
 
 import type { ClockReading } from '../configuration/contactAge.js';
@@ -11,6 +17,7 @@
 
 /** Dependencies of a {@link PeerDirectory}. */
 export interface PeerDirectoryDependencies {
+  readonly availabilityZone: AvailabilityZone;
   readonly instance: InstanceId;
   readonly table: PartitionedTable;
   readonly timers: TimerService;
@@ -25,6 +32,8 @@
 
 /** Registration of an instance, as it is stored. */
 interface PeerRegistration {
+  /** Absent in rows of builds up to 09ca40e. */
+  readonly availabilityZone?: AvailabilityZone | undefined;
   /** IP address and port for other instances. */
   readonly address: string;
   /** Time from which the instance counts as gone, on the wall clock, in milliseconds. */
@@ -72,8 +81,7 @@
 export class PeerDirectory implements OwnerDirectory {
   public owners: readonly Owner[] = [];
   public changedAt: number;
-  /** Addresses of all other registered instances. */
-  public addresses: readonly string[] = [];
+  private registered: readonly RegisteredPeer[] = [];
   private readonly peers = new Map<string, RegisteredPeer>();
   private readonly follower: TableFollower;
   private renewalTimer: TimerSubscription | undefined;
@@ -127,6 +135,15 @@
     return this.follower.contactMilliseconds();
   }
 
+  /** Returns the addresses of the other registered instances whose availability zone, if it is known, fulfils a condition. */
+  public addressesWhere(
+    condition: (zone: AvailabilityZone | undefined) => boolean,
+  ): readonly string[] {
+    return this.registered.flatMap(({ address, availabilityZone }) =>
+      condition(availabilityZone) ? [address] : [],
+    );
+  }
+
   /** Registers this instance at its address and starts to follow the others. */
   public start(address: string): void {
     this.follower.start();
@@ -163,6 +180,7 @@
     const sentAt = readClocks(this.dependencies.timers);
     const registration: PeerRegistration = {
       address,
+      availabilityZone: this.dependencies.availabilityZone,
       expiresAt: this.dependencies.timers.wallClock() + REGISTRATION_MILLISECONDS,
     };
     const outcome = await this.dependencies.table.transact({
@@ -221,8 +239,8 @@
     }
     this.owners = owners;
     this.changedAt = this.dependencies.timers.now();
-    this.addresses = registered.map(({ address }) => address);
-    this.dependencies.retain(new Set(this.addresses));
+    this.registered = registered;
+    this.dependencies.retain(new Set(registered.map(({ address }) => address)));
     this.dependencies.logger.info(
       { event: 'peers-changed', peers: owners.length },
       'the registered instances changed',
@@ -239,9 +257,11 @@
 
 function parseRegistration(value: Buffer): PeerRegistration | undefined {
   try {
-    const { address, expiresAt } = JSON.parse(value.toString()) as Partial<PeerRegistration>;
+    const { address, availabilityZone, expiresAt } = JSON.parse(
+      value.toString(),
+    ) as Partial<PeerRegistration>;
     return typeof address === 'string' && typeof expiresAt === 'number'
-      ? { address, expiresAt }
+      ? { address, availabilityZone, expiresAt }
       : undefined;
   } catch {
     return undefined;
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -1,4 +1,4 @@
-import type { InstanceId, Logger, TimerService } from '@zincring/core';
+import type { AvailabilityZone, InstanceId, Logger, Region, TimerService } from '@zincring/core';
 import type { PartitionedTable } from '@zincring/platform';
 
 import { sleep } from '@zincring/core';
@@ -9,6 +9,7 @@
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { RelayTarget } from './relayServer.js';
 
+import { isAtHome } from '../upstreams/homes/combineHomes.js';
 import { OwnerSelector } from './ownerSelector.js';
 import { PeerClients } from './peerClients.js';
 import { PeerDirectory } from './peerDirectory.js';
@@ -19,6 +20,9 @@
 
 /** Dependencies of a {@link PeerNetwork}. */
 export interface PeerNetworkDependencies {
+  readonly availabilityZone: AvailabilityZone;
+  /** Region of each availability zone. */
+  readonly regions: ReadonlyMap<AvailabilityZone, Region>;
   readonly instance: InstanceId;
   readonly table: PartitionedTable;
   readonly timers: TimerService;
@@ -60,7 +64,9 @@
     this.clients = new PeerClients(logger, counts => {
       engineLoads.recordPeer(counts);
     });
+    const { availabilityZone, regions } = dependencies;
     this.directory = new PeerDirectory({
+      availabilityZone,
       connect: address => this.clients.at(address),
       instance,
       logger,
@@ -74,7 +80,12 @@
     this.owners = new OwnerSelector(instance, this.directory, timers, logger);
     this.relayServer = new RelayServer(relayTarget, logger);
     this.server = new PeerServer(self, logger, this.relayServer, engineLoads);
-    const candidates = new RelayCandidates(() => this.directory.addresses, timers, random);
+    const candidates = new RelayCandidates(
+      allowedRegions =>
+        this.directory.addressesWhere(zone => isAtHome(zone, allowedRegions, regions)),
+      timers,
+      random,
+    );
     this.relay = new RelayClient({ candidates, logger, metrics, timers });
   }
 
--- a/packages/gateway/src/peers/relayCandidates.ts
+++ b/packages/gateway/src/peers/relayCandidates.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from '@zincring/core';
+import type { Region, TimerService } from '@zincring/core';
 
 /** Time for which an instance that could not relay a request is not chosen, in milliseconds; it doubles while it cannot. */
 const INITIAL_AVOID_MILLISECONDS = 500;
@@ -21,16 +21,18 @@
   private readonly avoided = new Map<string, AvoidedCandidate>();
 
   public constructor(
-    /** Returns the addresses of the other registered instances. */
-    private readonly listAddresses: () => readonly string[],
+    /** Returns the addresses of the other registered instances in these regions, or of all if `undefined`. */
+    private readonly listAddresses: (
+      allowedRegions: ReadonlySet<Region> | undefined,
+    ) => readonly string[],
     private readonly timers: TimerService,
     private readonly random: () => number,
   ) {}
 
-  /** Chooses an instance; `undefined` if there is none. */
-  public choose(): string | undefined {
+  /** Chooses an instance, in the given regions if the request may be sent to these alone; `undefined` if there is none. */
+  public choose(allowedRegions?: ReadonlySet<Region>): string | undefined {
     const now = this.timers.now();
-    const usable = this.listAddresses().filter(
+    const usable = this.listAddresses(allowedRegions).filter(
       address => (this.avoided.get(address)?.until ?? -Infinity) <= now,
     );
     return usable[Math.floor(this.random() * usable.length)];
--- a/packages/gateway/src/peers/relayClient.ts
+++ b/packages/gateway/src/peers/relayClient.ts
@@ -61,7 +61,7 @@
     const endsAt = timers.now() + MAXIMUM_ASKING_MILLISECONDS;
     let reason = 'no other instance is known';
     for (let asked = 0; asked < MAXIMUM_ASKED && timers.now() < endsAt; asked++) {
-      const address = candidates.choose();
+      const address = candidates.choose(request.allowedRegions);
       if (address === undefined || request.signal.aborted) {
         break;
       }
@@ -91,7 +91,8 @@
     entry: ReplicaEntry,
     request: ReplicaRequest,
   ): Promise<RelayOutcome> {
-    const content = encodeRelayedRequest({ ...request, body: request.body ?? Buffer.alloc(0) });
+    const { body = Buffer.alloc(0), headers, isRepeatable, method, path } = request;
+    const content = encodeRelayedRequest({ body, headers, isRepeatable, method, path });
     const [host, port] = address.split(':');
     return await new Promise(resolve => {
       const outgoing = startRequest({
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -1,4 +1,4 @@
-import type { Logger, TimerService, UpstreamId, WorkspaceName } from '@zincring/core';
+import type { Logger, Region, TimerService, UpstreamId, WorkspaceName } from '@zincring/core';
 
 import { discardBody, sleep, ZincringError } from '@zincring/core';
 
@@ -38,6 +38,8 @@
   readonly urgency: number | undefined;
   /** Version at which a stream that the caller takes up goes on; `undefined` for other requests. */
   readonly softwareVersion: SoftwareVersion | undefined;
+  /** Regions whose replicas may get the request; all may if absent. */
+  readonly allowedRegions?: ReadonlySet<Region> | undefined;
 }
 
 /** Cancellation state of a running request. */
@@ -146,7 +148,7 @@
       }
       const admitted = await this.admitToReplica();
       if (admitted.kind === 'none') {
-        return this.giveUp('no replica can take the request', admitted.retryAfterMilliseconds);
+        return this.giveUp(this.describeLackOfReplicas(), admitted.retryAfterMilliseconds);
       }
       if (this.isCancelled()) {
         return { kind: 'aborted', mayHaveRun: this.mayHaveRun };
@@ -173,6 +175,14 @@
     }
   }
 
+  private describeLackOfReplicas(): string {
+    if (this.request.allowedRegions === undefined) {
+      return 'no replica can take the request';
+    }
+    this.dependencies.metrics.homeRefusals.inc();
+    return 'no replica in the homes of the request can take it';
+  }
+
   private isCancelled(): boolean {
     return this.control.signal.aborted || !this.control.isCallerWaiting();
   }
@@ -183,8 +193,9 @@
       return { kind: 'none', retryAfterMilliseconds: undefined };
     }
     const { permits, pool, streamOrigins, timers } = this.dependencies;
-    const { deadline, facts, route, service } = this.request;
+    const { allowedRegions, deadline, facts, route, service } = this.request;
     const poolRequest = {
+      allowedRegions,
       excluded: this.excluded,
       facts,
       isSticky: route.isSticky,
@@ -236,6 +247,7 @@
     this.possibleRuns++;
     try {
       const outcome = await this.dependencies.transport.exchange(entry, {
+        allowedRegions: this.request.allowedRegions,
         body: this.request.body.length === 0 ? undefined : this.request.body,
         headers: this.makeReplicaHeaders(entry),
         isRepeatable: this.isRepeatable,
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from '@zincring/core';
+import type { Region, TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -24,6 +24,8 @@
   readonly signal: AbortSignal;
   /** Whether the request may be sent again if its outcome is unknown. */
   readonly isRepeatable: boolean;
+  /** Regions whose instances may relay the request; all may if absent. */
+  readonly allowedRegions?: ReadonlySet<Region> | undefined;
 }
 
 /**
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZone, Logger, ServiceName, TimerService } from '@zincring/core';
+import type { AvailabilityZone, Logger, Region, ServiceName, TimerService } from '@zincring/core';
 
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
@@ -16,6 +16,7 @@
 import { ReplicaPermits } from './permits/replicaPermits.js';
 import { probeConnection } from './reachability/probeConnection.js';
 import { ReplicaReachability } from './reachability/replicaReachability.js';
+import { isAtHome } from './homes/combineHomes.js';
 import { ReplicaLoads } from './replicaLoads.js';
 import { ReplicaPool } from './replicaPool.js';
 import { ReplicaTransport } from './replicaTransport.js';
@@ -36,6 +37,8 @@
   readonly owners: OwnerSelector;
   readonly relay: ReplicaRelay;
   readonly random: () => number;
+  /** Region of each availability zone. */
+  readonly regions: ReadonlyMap<AvailabilityZone, Region>;
   readonly timers: TimerService;
   readonly getMaximumConnections: (entry: ReplicaEntry) => number;
   readonly isStopping: () => boolean;
@@ -72,7 +75,8 @@
       loads,
       availabilityZone,
       random,
-      entry => !isZoneEvacuated(entry.availabilityZone),
+      (zone, allowedRegions) =>
+        !isZoneEvacuated(zone) && isAtHome(zone, allowedRegions, dependencies.regions),
     );
     this.ownedPermits = new OwnedPermits({ logger, ranking: owners, timers });
     const coldReplicas = new ColdReplicas({
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -1,4 +1,4 @@
-import type { AvailabilityZone, UpstreamId } from '@zincring/core';
+import type { AvailabilityZone, Region, UpstreamId } from '@zincring/core';
 
 import { LRUCache } from 'lru-cache';
 
@@ -26,6 +26,8 @@
   readonly isSticky: boolean;
   /** Version at which a stream goes on; `undefined` if any version may serve the request. */
   readonly softwareVersion: SoftwareVersion | undefined;
+  /** Regions whose replicas may get the request; all may if absent. */
+  readonly allowedRegions?: ReadonlySet<Region> | undefined;
   /** Replica runs that were already tried for this request. */
   readonly excluded: ReadonlySet<ReplicaRunId>;
 }
@@ -41,8 +43,11 @@
     public readonly loads: ReplicaLoads,
     private readonly availabilityZone: AvailabilityZone,
     private readonly random: () => number,
-    /** Whether requests may be sent to the availability zone of a replica. */
-    private readonly isPermitted: (entry: ReplicaEntry) => boolean,
+    /** Whether a request may be sent to an availability zone. */
+    private readonly isPermitted: (
+      zone: AvailabilityZone,
+      allowedRegions: ReadonlySet<Region> | undefined,
+    ) => boolean,
   ) {}
 
   /** Chooses the replica for a request; `undefined` if none is left. */
@@ -81,13 +86,19 @@
   }
 
   private findCandidates({
+    allowedRegions,
     excluded,
     service,
     softwareVersion,
   }: PoolRequest): readonly PlacementCandidate[] {
     const candidates = this.directory
       .findReplicas(service.name)
-      .filter(entry => !entry.isDraining && !this.loads.isLeaving(entry) && this.isPermitted(entry))
+      .filter(
+        entry =>
+          !entry.isDraining &&
+          !this.loads.isLeaving(entry) &&
+          this.isPermitted(entry.availabilityZone, allowedRegions),
+      )
       .map(entry => ({
         entry,
         inFlight: this.loads.findOrAddState(entry).inFlight,
--- a/packages/gateway/tests/compatibility/formats.test.ts
+++ b/packages/gateway/tests/compatibility/formats.test.ts
@@ -1,4 +1,4 @@
-import type { InstanceId } from '@zincring/core';
+import type { AvailabilityZone, InstanceId } from '@zincring/core';
 
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { readdirSync, readFileSync } from 'node:fs';
@@ -127,13 +127,14 @@
   it('name an instance that may own keys', async () => {
     const directory = new PeerDirectory({
       ...makeCommon(),
+      availabilityZone: 'nelson' as AvailabilityZone,
       connect: address => makeOwner(address).peer,
       instance: 'entry-1' as InstanceId,
       retain: () => undefined,
     });
     directory.start('10.1.0.1:7780');
     await timers.advance(3_000);
-    expect(directory.addresses).toEqual(['10.1.0.9:7780']);
+    expect(directory.addressesWhere(() => true)).toEqual(['10.1.0.9:7780']);
     await finishWithin(timers, directory.stop(), 1_000);
   });
 });
--- a/packages/gateway/tests/compatibility/writeRecording.ts
+++ b/packages/gateway/tests/compatibility/writeRecording.ts
@@ -1,4 +1,4 @@
-import type { InstanceId } from '@zincring/core';
+import type { AvailabilityZone, InstanceId } from '@zincring/core';
 import type { AddressInfo } from 'node:net';
 
 import { ManualTimerService, silentLogger } from '@zincring/core';
@@ -132,6 +132,7 @@
   await writeStream(common, timers);
   new PeerDirectory({
     ...common,
+    availabilityZone: 'nelson' as AvailabilityZone,
     connect: () => new PeerClients(silentLogger).at(''),
     instance: 'entry-9' as InstanceId,
     retain: () => undefined,
--- a/packages/gateway/tests/peers/peerDirectory.test.ts
+++ b/packages/gateway/tests/peers/peerDirectory.test.ts
@@ -1,4 +1,4 @@
-import type { InstanceId } from '@zincring/core';
+import type { AvailabilityZone, InstanceId } from '@zincring/core';
 
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
@@ -27,6 +27,7 @@
 
   function makeDirectory(name: string): PeerDirectory {
     return new PeerDirectory({
+      availabilityZone: 'nelson' as AvailabilityZone,
       connect: address => {
         connected.push(address);
         return makeOwner(address).peer;
@@ -162,4 +163,19 @@
     );
     expect(remaining).toEqual(['sound']);
   });
+
+  it('knows the availability zones of the others, except for those of builds that do not state them', async () => {
+    const directory = makeDirectory('entry-1');
+    makeDirectory('entry-2').start('10.1.0.2:7780');
+    putRegistration('entry-3', {
+      address: '10.1.0.3:7780',
+      expiresAt: timers.wallClock() + 60_000,
+    });
+    directory.start('10.1.0.1:7780');
+    await timers.advance(4_000);
+    const listIn = (zone: string | undefined): readonly string[] =>
+      directory.addressesWhere(each => each === zone);
+    expect(listIn('nelson')).toEqual(['10.1.0.2:7780']);
+    expect(listIn(undefined)).toEqual(['10.1.0.3:7780']);
+  });
 });
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -1,3 +1,4 @@
+import type { Region } from '@zincring/core';
 import type { Socket } from 'node:net';
 
 import { silentLogger, SystemTimerService } from '@zincring/core';
@@ -267,4 +268,32 @@
     expect(await readBody(outcome)).toBe('');
     expect(replica.receivedRequests[0]).toMatchObject({ body: '', method: 'GET' });
   });
+
+  it('are only offered to instances in the regions that the request may be sent to', async () => {
+    const { entry, replica } = await startReplica(responds('done'));
+    const address = await startRelay(entry);
+    const allowedRegions = new Set(['west' as Region]);
+    const asked: unknown[] = [];
+    const candidates = new RelayCandidates(
+      regions => {
+        asked.push(regions);
+        return regions === undefined ? [address] : [];
+      },
+      timers,
+      () => 0,
+    );
+    const client = new RelayClient({
+      candidates,
+      logger: silentLogger,
+      metrics: new GatewayMetrics(),
+      timers,
+    });
+    cleanups.push(() => {
+      client.close();
+    });
+    const outcome = await client.exchange(entry, makeRequest({ allowedRegions }));
+    expect(outcome.kind).toBe('unavailable');
+    expect(asked).toEqual([allowedRegions]);
+    expect(replica.receivedRequests).toHaveLength(0);
+  });
 });
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -4,7 +4,7 @@
 import { request as startRequest } from 'node:http';
 import { afterEach } from 'vitest';
 
-import type { AvailabilityZone, InstanceId, Logger } from '@zincring/core';
+import type { AvailabilityZone, InstanceId, Logger, Region } from '@zincring/core';
 import type { PartitionedTable } from '@zincring/platform';
 
 import type { GatewayRoute } from '../../src/configuration/gatewayConfiguration.js';
@@ -57,6 +57,10 @@
 
 export interface GatewayFixtureOptions {
   readonly logger?: Logger;
+  /** Availability zones of the replicas; `nelson` by default. */
+  readonly availabilityZones?: readonly string[];
+  /** Homes of the workspace; none by default. */
+  readonly workspaceHomes?: readonly Region[];
   /** Rate of the workspace, in requests per second; no limit by default. */
   readonly ratePerSecond?: number;
   /** Service of the replicas and the slots of each; a plain service with 12 by default. */
@@ -87,6 +91,11 @@
 /** Time after which instances have noticed a change of the registrations and swept what they no longer need, in milliseconds. */
 const FORGET_MILLISECONDS = 2_500;
 
+/** Regions of the availability zones of all fixtures. */
+const regions = new Map(
+  Object.entries({ banff: 'east', kaslo: 'west', nelson: 'west' }),
+) as ReadonlyMap<string, string> as ReadonlyMap<AvailabilityZone, Region>;
+
 let nextId = 0;
 const cleanups: (() => Promise<void> | void)[] = [];
 
@@ -110,6 +119,8 @@
     ratePerSecond = 0,
     replicaService = { name: plainService.name, slots: 12 },
     softwareVersions = [],
+    availabilityZones = [],
+    workspaceHomes = [],
     wrapTable = (table: PartitionedTable) => table,
   }: GatewayFixtureOptions = {},
 ): Promise<GatewayFixture> {
@@ -124,6 +135,7 @@
     });
     replicas.push(replica);
     const registration = sampleReplica(`r${String(index)}`, {
+      availabilityZone: (availabilityZones[index] ?? 'nelson') as AvailabilityZone,
       port,
       service: replicaService.name,
       slots: replicaService.slots,
@@ -136,7 +148,7 @@
     configurationAddress,
     sampleConfiguration(1, {
       routes: [route],
-      workspaces: [sampleWorkspace({ burst: ratePerSecond, ratePerSecond })],
+      workspaces: [sampleWorkspace({ burst: ratePerSecond, homes: workspaceHomes, ratePerSecond })],
     }),
   );
   return await startInstance({ logger, registrations, replicas, store, wrapTable });
@@ -160,6 +172,7 @@
   const gateway = new Gateway(
     {
       availabilityZone: 'nelson' as AvailabilityZone,
+      regions,
       callers: { host: '127.0.0.1', port: 0 },
       coldRateBound: { factor: 1.5, slack: 5 },
       drainMilliseconds: 2_000,
