refactor(gateway): permitted regions instead of homes

A home is the instance that looks after a program (docs/GLOSSARY.md), so the regions of a route or workspace get a name of their own.

--- a/packages/gateway/src/callers/admitByConfiguration.ts
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -10,7 +10,7 @@
 } from '../configuration/gatewayConfiguration.js';
 import type { RequestFacts } from './requestFacts.js';
 
-import { combineHomes } from '../upstreams/homes/combineHomes.js';
+import { combinePermittedRegions } from '../upstreams/regions/permittedRegions.js';
 
 /** Properties of a request that its admission follows from. */
 export interface AdmittedRequest {
@@ -27,7 +27,7 @@
   readonly workspace: GatewayWorkspace | undefined;
   readonly maximumBodyBytes: number;
   /** Regions whose replicas may get the request; `undefined` if all may. */
-  readonly allowedRegions: ReadonlySet<Region> | undefined;
+  readonly permittedRegions: ReadonlySet<Region> | undefined;
   /** Lowest priority that the configuration uses. */
   readonly lowestPriority: number;
 }
@@ -63,7 +63,7 @@
     );
   }
   return Ok({
-    allowedRegions: combineHomes(route.homes, workspace?.homes),
+    permittedRegions: combinePermittedRegions(route.permittedRegions, workspace?.permittedRegions),
     lowestPriority: index.lowestPriority,
     maximumBodyBytes: index.configuration.callerLimits.maximumBodyBytes,
     route,
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -258,9 +258,9 @@
     body: Buffer,
     lifetime: RequestLifetime,
   ): RunnableRequest {
-    const { allowedRegions, route, service, workspace } = admission;
+    const { permittedRegions, route, service, workspace } = admission;
     return {
-      allowedRegions,
+      permittedRegions,
       body,
       deadline: lifetime.deadline,
       facts: incoming.facts,
--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -48,8 +48,8 @@
   readonly storesTurns: boolean;
   /** Time for which turns are stored, in milliseconds. */
   readonly retentionMilliseconds: number;
-  /** Homes: regions whose replicas may get its requests; any if empty or absent. */
-  readonly homes?: readonly Region[] | undefined;
+  /** Permitted regions: those whose replicas may get its requests; any if empty or absent. */
+  readonly permittedRegions?: readonly Region[] | undefined;
 }
 
 /** Capacity of each model engine of a service. */
@@ -91,8 +91,8 @@
   readonly ratePerSecond: number;
   /** Requests that may arrive at the same time. */
   readonly burst: number;
-  /** Homes: regions whose replicas may get its requests; any if empty or absent. */
-  readonly homes?: readonly Region[] | undefined;
+  /** Permitted regions: those whose replicas may get its requests; any if empty or absent. */
+  readonly permittedRegions?: readonly Region[] | undefined;
 }
 
 /** Limits on the requests and connections of callers. */
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -43,9 +43,9 @@
     name: 'zincring_permits_total',
     registers: [this.registry],
   });
-  public readonly homeRefusals = new Counter({
-    help: 'Requests with homes for which no replica was left.',
-    name: 'zincring_home_refusals_total',
+  public readonly regionRefusals = new Counter({
+    help: 'Requests that may be sent to certain regions only and for which no replica was left.',
+    name: 'zincring_region_refusals_total',
     registers: [this.registry],
   });
   public readonly relays = new Counter({
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -9,7 +9,7 @@
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { RelayTarget } from './relayServer.js';
 
-import { isAtHome } from '../upstreams/homes/combineHomes.js';
+import { isPermittedZone } from '../upstreams/regions/permittedRegions.js';
 import { OwnerSelector } from './ownerSelector.js';
 import { PeerClients } from './peerClients.js';
 import { PeerDirectory } from './peerDirectory.js';
@@ -81,8 +81,8 @@
     this.relayServer = new RelayServer(relayTarget, logger);
     this.server = new PeerServer(self, logger, this.relayServer, engineLoads);
     const candidates = new RelayCandidates(
-      allowedRegions =>
-        this.directory.addressesWhere(zone => isAtHome(zone, allowedRegions, regions)),
+      permittedRegions =>
+        this.directory.addressesWhere(zone => isPermittedZone(zone, permittedRegions, regions)),
       timers,
       random,
     );
--- a/packages/gateway/src/peers/relayCandidates.ts
+++ b/packages/gateway/src/peers/relayCandidates.ts
@@ -23,16 +23,16 @@
   public constructor(
     /** Returns the addresses of the other registered instances in these regions, or of all if `undefined`. */
     private readonly listAddresses: (
-      allowedRegions: ReadonlySet<Region> | undefined,
+      permittedRegions: ReadonlySet<Region> | undefined,
     ) => readonly string[],
     private readonly timers: TimerService,
     private readonly random: () => number,
   ) {}
 
   /** Chooses an instance, in the given regions if the request may be sent to these alone; `undefined` if there is none. */
-  public choose(allowedRegions?: ReadonlySet<Region>): string | undefined {
+  public choose(permittedRegions?: ReadonlySet<Region>): string | undefined {
     const now = this.timers.now();
-    const usable = this.listAddresses(allowedRegions).filter(
+    const usable = this.listAddresses(permittedRegions).filter(
       address => (this.avoided.get(address)?.until ?? -Infinity) <= now,
     );
     return usable[Math.floor(this.random() * usable.length)];
--- a/packages/gateway/src/peers/relayClient.ts
+++ b/packages/gateway/src/peers/relayClient.ts
@@ -61,7 +61,7 @@
     const endsAt = timers.now() + MAXIMUM_ASKING_MILLISECONDS;
     let reason = 'no other instance is known';
     for (let asked = 0; asked < MAXIMUM_ASKED && timers.now() < endsAt; asked++) {
-      const address = candidates.choose(request.allowedRegions);
+      const address = candidates.choose(request.permittedRegions);
       if (address === undefined || request.signal.aborted) {
         break;
       }
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -39,7 +39,7 @@
   /** Version at which a stream that the caller takes up goes on; `undefined` for other requests. */
   readonly softwareVersion: SoftwareVersion | undefined;
   /** Regions whose replicas may get the request; all may if absent. */
-  readonly allowedRegions?: ReadonlySet<Region> | undefined;
+  readonly permittedRegions?: ReadonlySet<Region> | undefined;
 }
 
 /** Cancellation state of a running request. */
@@ -176,11 +176,11 @@
   }
 
   private describeLackOfReplicas(): string {
-    if (this.request.allowedRegions === undefined) {
+    if (this.request.permittedRegions === undefined) {
       return 'no replica can take the request';
     }
-    this.dependencies.metrics.homeRefusals.inc();
-    return 'no replica in the homes of the request can take it';
+    this.dependencies.metrics.regionRefusals.inc();
+    return 'no replica in the permitted regions can take the request';
   }
 
   private isCancelled(): boolean {
@@ -193,9 +193,9 @@
       return { kind: 'none', retryAfterMilliseconds: undefined };
     }
     const { permits, pool, streamOrigins, timers } = this.dependencies;
-    const { allowedRegions, deadline, facts, route, service } = this.request;
+    const { permittedRegions, deadline, facts, route, service } = this.request;
     const poolRequest = {
-      allowedRegions,
+      permittedRegions,
       excluded: this.excluded,
       facts,
       isSticky: route.isSticky,
@@ -247,7 +247,7 @@
     this.possibleRuns++;
     try {
       const outcome = await this.dependencies.transport.exchange(entry, {
-        allowedRegions: this.request.allowedRegions,
+        permittedRegions: this.request.permittedRegions,
         body: this.request.body.length === 0 ? undefined : this.request.body,
         headers: this.makeReplicaHeaders(entry),
         isRepeatable: this.isRepeatable,
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -25,7 +25,7 @@
   /** Whether the request may be sent again if its outcome is unknown. */
   readonly isRepeatable: boolean;
   /** Regions whose instances may relay the request; all may if absent. */
-  readonly allowedRegions?: ReadonlySet<Region> | undefined;
+  readonly permittedRegions?: ReadonlySet<Region> | undefined;
 }
 
 /**
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -16,7 +16,7 @@
 import { ReplicaPermits } from './permits/replicaPermits.js';
 import { probeConnection } from './reachability/probeConnection.js';
 import { ReplicaReachability } from './reachability/replicaReachability.js';
-import { isAtHome } from './homes/combineHomes.js';
+import { isPermittedZone } from './regions/permittedRegions.js';
 import { ReplicaLoads } from './replicaLoads.js';
 import { ReplicaPool } from './replicaPool.js';
 import { ReplicaTransport } from './replicaTransport.js';
@@ -75,8 +75,8 @@
       loads,
       availabilityZone,
       random,
-      (zone, allowedRegions) =>
-        !isZoneEvacuated(zone) && isAtHome(zone, allowedRegions, dependencies.regions),
+      (zone, permittedRegions) =>
+        !isZoneEvacuated(zone) && isPermittedZone(zone, permittedRegions, dependencies.regions),
     );
     this.ownedPermits = new OwnedPermits({ logger, ranking: owners, timers });
     const coldReplicas = new ColdReplicas({
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -27,7 +27,7 @@
   /** Version at which a stream goes on; `undefined` if any version may serve the request. */
   readonly softwareVersion: SoftwareVersion | undefined;
   /** Regions whose replicas may get the request; all may if absent. */
-  readonly allowedRegions?: ReadonlySet<Region> | undefined;
+  readonly permittedRegions?: ReadonlySet<Region> | undefined;
   /** Replica runs that were already tried for this request. */
   readonly excluded: ReadonlySet<ReplicaRunId>;
 }
@@ -46,7 +46,7 @@
     /** Whether a request may be sent to an availability zone. */
     private readonly isPermitted: (
       zone: AvailabilityZone,
-      allowedRegions: ReadonlySet<Region> | undefined,
+      permittedRegions: ReadonlySet<Region> | undefined,
     ) => boolean,
   ) {}
 
@@ -86,7 +86,7 @@
   }
 
   private findCandidates({
-    allowedRegions,
+    permittedRegions,
     excluded,
     service,
     softwareVersion,
@@ -97,7 +97,7 @@
         entry =>
           !entry.isDraining &&
           !this.loads.isLeaving(entry) &&
-          this.isPermitted(entry.availabilityZone, allowedRegions),
+          this.isPermitted(entry.availabilityZone, permittedRegions),
       )
       .map(entry => ({
         entry,
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -272,7 +272,7 @@
   it('are only offered to instances in the regions that the request may be sent to', async () => {
     const { entry, replica } = await startReplica(responds('done'));
     const address = await startRelay(entry);
-    const allowedRegions = new Set(['west' as Region]);
+    const permittedRegions = new Set(['west' as Region]);
     const asked: unknown[] = [];
     const candidates = new RelayCandidates(
       regions => {
@@ -291,9 +291,9 @@
     cleanups.push(() => {
       client.close();
     });
-    const outcome = await client.exchange(entry, makeRequest({ allowedRegions }));
+    const outcome = await client.exchange(entry, makeRequest({ permittedRegions }));
     expect(outcome.kind).toBe('unavailable');
-    expect(asked).toEqual([allowedRegions]);
+    expect(asked).toEqual([permittedRegions]);
     expect(replica.receivedRequests).toHaveLength(0);
   });
 });
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -59,8 +59,8 @@
   readonly logger?: Logger;
   /** Availability zones of the replicas; `nelson` by default. */
   readonly availabilityZones?: readonly string[];
-  /** Homes of the workspace; none by default. */
-  readonly workspaceHomes?: readonly Region[];
+  /** Permitted regions of the workspace; any by default. */
+  readonly workspaceRegions?: readonly Region[];
   /** Rate of the workspace, in requests per second; no limit by default. */
   readonly ratePerSecond?: number;
   /** Service of the replicas and the slots of each; a plain service with 12 by default. */
@@ -120,7 +120,7 @@
     replicaService = { name: plainService.name, slots: 12 },
     softwareVersions = [],
     availabilityZones = [],
-    workspaceHomes = [],
+    workspaceRegions = [],
     wrapTable = (table: PartitionedTable) => table,
   }: GatewayFixtureOptions = {},
 ): Promise<GatewayFixture> {
@@ -148,7 +148,13 @@
     configurationAddress,
     sampleConfiguration(1, {
       routes: [route],
-      workspaces: [sampleWorkspace({ burst: ratePerSecond, homes: workspaceHomes, ratePerSecond })],
+      workspaces: [
+        sampleWorkspace({
+          burst: ratePerSecond,
+          permittedRegions: workspaceRegions,
+          ratePerSecond,
+        }),
+      ],
     }),
   );
   return await startInstance({ logger, registrations, replicas, store, wrapTable });
--- a/packages/gateway/tests/upstreams/homes/homes.test.ts
+++ b/packages/gateway/tests/upstreams/regions/permittedRegions.test.ts
@@ -2,7 +2,10 @@
 
 import { describe, expect, it } from 'vitest';
 
-import { combineHomes, isAtHome } from '../../../src/upstreams/homes/combineHomes.js';
+import {
+  combinePermittedRegions,
+  isPermittedZone,
+} from '../../../src/upstreams/regions/permittedRegions.js';
 import { responds } from '../../support/fakeReplica.js';
 import { safeRoute, startGateway } from '../../support/gatewayFixture.js';
 import { routeCases } from '../../support/routeCases.js';
@@ -13,7 +16,7 @@
   Region,
 ];
 
-describe(combineHomes, () => {
+describe(combinePermittedRegions, () => {
   it.each([
     [undefined, undefined, undefined],
     [[], [], undefined],
@@ -22,7 +25,7 @@
     [[west, north], [east, west], [west]],
     [[west], [east], []],
   ])('of a route with %j and a workspace with %j are %j', (route, workspace, combined) => {
-    const regions = combineHomes(route, workspace);
+    const regions = combinePermittedRegions(route, workspace);
     expect(regions === undefined ? undefined : [...regions]).toEqual(combined);
   });
 
@@ -39,16 +42,22 @@
       ['nelson', west],
       ['banff', east],
     ]) as ReadonlyMap<string, Region> as ReadonlyMap<AvailabilityZone, Region>;
-    const allowedRegions = allowed === undefined ? undefined : new Set(allowed);
-    expect(isAtHome(zone as AvailabilityZone | undefined, allowedRegions, regions)).toBe(expected);
+    const permittedRegions = allowed === undefined ? undefined : new Set(allowed);
+    expect(isPermittedZone(zone as AvailabilityZone | undefined, permittedRegions, regions)).toBe(
+      expected,
+    );
   });
 });
 
-describe('requests with homes', () => {
+describe('requests of permitted regions', () => {
   it.each(routeCases)('reach replicas there only on %s', async (_name, route, behaviour) => {
-    const fixture = await startGateway({ ...route, homes: [east] }, [[behaviour], [behaviour]], {
-      availabilityZones: ['nelson', 'banff'],
-    });
+    const fixture = await startGateway(
+      { ...route, permittedRegions: [east] },
+      [[behaviour], [behaviour]],
+      {
+        availabilityZones: ['nelson', 'banff'],
+      },
+    );
     for (let request = 0; request < 8; request++) {
       expect((await fixture.send({ body: 'input' })).status).toBe(200);
     }
@@ -58,12 +67,16 @@
   it.each([
     ['no replica is there', [north], []],
     ['those of the route and of the workspace differ', [east], [west]],
-  ])('are refused at once if %s', async (_name, homes, workspaceHomes) => {
+  ])('are refused at once if %s', async (_name, permittedRegions, workspaceRegions) => {
     const [, , behaviour] = routeCases[1]!;
-    const fixture = await startGateway({ ...safeRoute, homes }, [[behaviour], [behaviour]], {
-      availabilityZones: ['nelson', 'banff'],
-      workspaceHomes,
-    });
+    const fixture = await startGateway(
+      { ...safeRoute, permittedRegions },
+      [[behaviour], [behaviour]],
+      {
+        availabilityZones: ['nelson', 'banff'],
+        workspaceRegions,
+      },
+    );
     expect((await fixture.send()).status).toBe(503);
     expect(fixture.replicas.every(each => each.receivedRequests.length === 0)).toBe(true);
   });
@@ -71,7 +84,7 @@
   it('are not tried again elsewhere', async () => {
     const failing = responds('failed', '500 Failed');
     const fixture = await startGateway(
-      { ...safeRoute, homes: [west], maximumAttempts: 3 },
+      { ...safeRoute, permittedRegions: [west], maximumAttempts: 3 },
       [[failing], [failing], [failing]],
       { availabilityZones: ['nelson', 'banff', 'kaslo'] },
     );
