feat(gateway): bound what an instance holds for callers and replicas that read slowly

What callers saw: a response whose caller paused was left unread at the replica, which cuts it off after some seconds; and nothing bounded what slow callers together made an instance hold, on instances with 178 MB.

Cause: back-pressure from the first unread byte, and no count over requests.

Change: HeldMemory counts bodies and unread bytes. A response is read on up to 1 MB ahead of its caller, less when memory is short; a full instance refuses requests before anything has run (instance-memory-full); a complete response that nobody reads for the idle timeout is closed. The bound is a quarter of the memory that the settings name; without it nothing is bounded.

--- a/packages/core/src/errors/errorKinds.ts
+++ b/packages/core/src/errors/errorKinds.ts
@@ -72,6 +72,12 @@
     retryAfterSeconds: null,
     text: 'The headers are too large.',
   },
+  'instance-memory-full': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 1,
+    text: 'The instance holds as much for other calls as its memory allows.',
+  },
   'instance-not-ready': {
     status: 503,
     ran: 'no',
--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
+import type { HeldResponse } from './memory/heldResponse.js';
 import type { BodyFraming, ResponseSink } from './responseSink.js';
 
 import { withoutHeaders } from '../util/headerList.js';
@@ -11,13 +12,14 @@
  * Writes the response to a caller through Node's HTTP server.
  *
  * @example
- * new CallerResponse(response, () => isStopping).send(200, headers, body);
+ * new CallerResponse(response, held, () => isStopping).send(200, headers, body);
  */
 export class CallerResponse implements ResponseSink {
   private writtenFraming: BodyFraming | undefined;
 
   public constructor(
     private readonly response: ServerResponse,
+    private readonly held: HeldResponse,
     private readonly shouldCloseConnection: () => boolean,
   ) {}
 
@@ -43,7 +45,7 @@
       announcesLength ? ['Content-Length', String(body.length)] : [],
       hasBody ? framing : 'length',
     );
-    this.response.end(hasBody ? body : undefined);
+    this.held.end(hasBody ? body : undefined);
   }
 
   public startStream(status: number, headers: readonly string[], framing: BodyFraming): void {
@@ -52,7 +54,7 @@
   }
 
   public async write(bytes: Buffer): Promise<void> {
-    if (this.response.destroyed || this.response.write(bytes)) {
+    if (this.response.destroyed || this.held.write(bytes)) {
       return;
     }
     await new Promise<void>(resolve => {
@@ -67,7 +69,7 @@
   }
 
   public end(): void {
-    this.response.end();
+    this.held.end();
   }
 
   public abort(): void {
--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -7,18 +7,23 @@
 import type { CallerLimits } from '../configuration/gatewayConfiguration.js';
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { ZoneOutageDetector } from '../lifecycle/zoneOutageDetector.js';
+import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
+import type { HeldMemory } from './memory/heldMemory.js';
 import type { HeaderCodec } from './requestFacts.js';
 import type { IncomingRequest, RequestPipeline } from './requestPipeline.js';
 
 import { failureText } from '@zincring/core';
 
 import { CallerResponse } from './callerResponse.js';
+import { HeldResponse } from './memory/heldResponse.js';
 import { listenOn, getPort } from '../util/listen.js';
 import { readRequestBody } from './readRequestBody.js';
 
 /** Dependencies of a {@link GatewayServer}. */
 export interface GatewayServerDependencies {
   readonly pipeline: RequestPipeline;
+  readonly memory: HeldMemory;
+  readonly metrics: GatewayMetrics;
   readonly headerCodec: HeaderCodec;
   readonly timers: TimerService;
   readonly logger: Logger;
@@ -119,6 +124,7 @@
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
     const callerResponse = new CallerResponse(
       response,
+      this.holdResponse(response),
       () => this.isClosing || !this.dependencies.hasStoreContact(),
     );
     request.on('error', () => undefined);
@@ -145,6 +151,22 @@
     });
   }
 
+  private holdResponse(response: ServerResponse): HeldResponse {
+    const { logger, memory, metrics, timers } = this.dependencies;
+    return new HeldResponse(response, {
+      getUnreadMilliseconds: () => this.server.keepAliveTimeout,
+      memory,
+      onUnread: () => {
+        metrics.unreadResponses.inc();
+        logger.warn(
+          { event: 'response-unread', held: memory.bytes },
+          'closed a connection whose caller does not read the response',
+        );
+      },
+      timers,
+    });
+  }
+
   private toIncomingRequest(request: IncomingMessage, response: ServerResponse): IncomingRequest {
     return {
       facts: this.dependencies.headerCodec.readFacts(request.rawHeaders),
@@ -159,7 +181,8 @@
         });
       },
       path: request.url ?? '/',
-      readBody: async maximumBytes => await readRequestBody(request, maximumBytes),
+      readBody: async maximumBytes =>
+        await readRequestBody(request, response, this.dependencies.memory, maximumBytes),
       receivedAt: this.dependencies.timers.now(),
     };
   }
--- /dev/null
+++ b/packages/gateway/src/callers/memory/heldMemory.ts
@@ -0,0 +1,73 @@
+/** Bounds of what one instance holds for its callers and replicas. */
+export interface HeldMemoryOptions {
+  /** Bytes that the instance holds for all requests together; unlimited by default. */
+  readonly capacityBytes?: number;
+  /** Bytes that the instance holds for one caller who reads more slowly than the replica responds. */
+  readonly maximumResponseBytes?: number;
+}
+
+/** Returns what was held; further calls have no effect. */
+export type ReleaseMemory = () => void;
+
+const defaultOptions: Required<HeldMemoryOptions> = {
+  capacityBytes: Infinity,
+  maximumResponseBytes: 1024 * 1024,
+};
+
+/**
+ * Counts the bytes of requests and responses that this instance holds, and decides what it may still
+ * take in. The load are callers and replicas that read slowly: replicas cut off a response that is not
+ * read for some seconds, so a response is read ahead of its caller for as long as there is memory. When
+ * memory is short, the responses that are far ahead wait first, and requests that have not been read
+ * are refused before anything has run.
+ *
+ * @example
+ * const memory = new HeldMemory({ capacityBytes: 40_000_000 });
+ * const release = memory.hold(body.length);
+ * memory.isFull; // false
+ * release();
+ */
+export class HeldMemory {
+  private readonly options: Required<HeldMemoryOptions>;
+  private heldBytes = 0;
+
+  public constructor(options: HeldMemoryOptions = {}) {
+    this.options = { ...defaultOptions, ...options };
+  }
+
+  /** Bytes that are held now. */
+  public get bytes(): number {
+    return this.heldBytes;
+  }
+
+  /** Whether further requests are to be refused. */
+  public get isFull(): boolean {
+    return this.heldBytes >= this.options.capacityBytes;
+  }
+
+  /** Counts bytes until they are released. */
+  public hold(bytes: number): ReleaseMemory {
+    this.heldBytes += bytes;
+    let isHeld = true;
+    return () => {
+      if (isHeld) {
+        isHeld = false;
+        this.heldBytes -= bytes;
+      }
+    };
+  }
+
+  /**
+   * Whether a response may be read further while its caller has yet to read the given bytes of it. The
+   * share of a response shrinks with the memory that is left, so that many slow callers do not use up
+   * what other requests need.
+   */
+  public allowsReadingAhead(unreadBytes: number): boolean {
+    const { capacityBytes, maximumResponseBytes } = this.options;
+    if (capacityBytes === Infinity) {
+      return unreadBytes <= maximumResponseBytes;
+    }
+    const freeBytes = capacityBytes - this.heldBytes;
+    return unreadBytes <= (maximumResponseBytes * freeBytes) / capacityBytes;
+  }
+}
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -14,6 +14,7 @@
   RunOutcome,
 } from '../upstreams/attemptLoop.js';
 import type { GatewayMetrics, RequestEnd } from '../observation/gatewayMetrics.js';
+import type { HeldMemory } from './memory/heldMemory.js';
 import type { Admission } from './admitByConfiguration.js';
 import type { ResponseSink } from './responseSink.js';
 import type { RequestFacts } from './requestFacts.js';
@@ -48,6 +49,7 @@
   readonly rates: WorkspaceRates;
   readonly metrics: GatewayMetrics;
   readonly budgets: TurnBudgets;
+  readonly memory: HeldMemory;
   readonly programAdmission: ProgramAdmission;
   readonly turnStore: TurnStore;
   readonly zoneOutageDetector: ZoneOutageDetector;
@@ -245,9 +247,14 @@
       request.route.kind === 'streaming' ? recorder : undefined,
       lifetime,
     );
+    // A stored history makes the body longer than the one that was counted while it was read.
+    const releaseMemory = this.dependencies.memory.hold(
+      request.route.storesTurns ? request.body.length : 0,
+    );
     try {
       return await loop.run();
     } finally {
+      releaseMemory();
       recorder.settle();
     }
   }
--- a/packages/gateway/src/callers/responseSink.ts
+++ b/packages/gateway/src/callers/responseSink.ts
@@ -14,7 +14,7 @@
   send(status: number, headers: readonly string[], body: Buffer, framing?: BodyFraming): void;
   /** Starts a response whose body follows, in chunks unless the framing is `connection`. */
   startStream(status: number, headers: readonly string[], framing: BodyFraming): void;
-  /** Writes a chunk of the body and waits while the caller is slow to read. */
+  /** Writes a chunk of the body and waits while the caller is so far behind that no more may be held for it. */
   write(bytes: Buffer): Promise<void>;
   /** Ends a complete body. */
   end(): void;
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -11,6 +11,7 @@
 import type { StoreCall } from '../store/monitoredTable.js';
 import type { GatewayOptions, GatewayTimes } from './gatewayOptions.js';
 
+import { HeldMemory } from '../callers/memory/heldMemory.js';
 import { GatewayServer } from '../callers/gatewayServer.js';
 import { RequestPipeline } from '../callers/requestPipeline.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
@@ -42,7 +43,7 @@
 import { StreamOrigins, sweptStreams } from '../upstreams/streamOrigins.js';
 import { VersionHistory } from '../upstreams/versionHistory.js';
 import { VersionRecord } from '../upstreams/versionRecord.js';
-import { deriveGatewayTimes } from './gatewayOptions.js';
+import { deriveGatewayTimes, deriveHeldMemoryOptions } from './gatewayOptions.js';
 import { ReadinessServer } from './readinessServer.js';
 import { ZoneOutageDetector } from './zoneOutageDetector.js';
 
@@ -111,6 +112,7 @@
   private readonly credits: StoreCreditSource;
   private readonly tokenAccounts: StoreTokenAccounts;
   private readonly engineLoads: EngineLoads;
+  private readonly memory: HeldMemory;
   private readonly peers: PeerNetwork;
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
   private readonly holder: string;
@@ -133,6 +135,7 @@
     this.table = this.instrumentStore(dependencies.table, timers);
     const { table } = this;
     this.times = deriveGatewayTimes(options);
+    this.memory = new HeldMemory(deriveHeldMemoryOptions(options));
     this.configuration = this.makeConfiguration();
     this.replicas = this.makeReplicas();
     this.versions = new VersionHistory(this.replicas, timers);
@@ -158,6 +161,8 @@
     this.server = new GatewayServer({
       hasStoreContact: () => this.hasStoreContact,
       logger,
+      memory: this.memory,
+      metrics: this.metrics,
       pipeline: this.makePipeline(),
       zoneOutageDetector: this.zoneOutageDetector,
       timers,
@@ -209,6 +214,7 @@
       REPLICA_SWEEP_INTERVAL_MILLISECONDS,
       () => {
         this.replicaNetwork.sweep();
+        this.metrics.heldBytes.set(this.memory.bytes);
       },
     );
     await this.server.listen(this.options.callers);
@@ -371,6 +377,7 @@
       crashes: this.crashes,
       turnStore: new TurnStore({ logger, random, rowBytes: this.options.rowBytes, table, timers }),
       logger,
+      memory: this.memory,
       metrics: this.metrics,
       announcements: replicaNetwork.announcements,
       permits: replicaNetwork.permits,
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -2,6 +2,8 @@
 
 import type { ColdRateBound } from '../upstreams/permits/coldReplicas.js';
 
+import type { HeldMemoryOptions } from '../callers/memory/heldMemory.js';
+
 /** IP address and port to listen on. */
 export interface ListenAddress {
   readonly host: string;
@@ -36,6 +38,8 @@
   readonly coldRateBound: ColdRateBound;
   /** Maximum size of one row of the store, in bytes. */
   readonly rowBytes: number;
+  /** Memory of the instance, in bytes; what it holds for callers is not bounded by default. */
+  readonly memoryBytes?: number;
 }
 
 /** Times of an instance in milliseconds, derived from the operator's bounds. */
@@ -67,6 +71,19 @@
 /** Fraction of the grace period after which the process ends. */
 const STOP_SHARE = 0.9;
 
+/** Share of the memory of an instance that may hold requests and responses; code and caches take the remainder. */
+const HELD_SHARE = 0.25;
+
+/**
+ * Derives the bounds of what an instance holds for its callers from its memory.
+ *
+ * @example
+ * deriveHeldMemoryOptions({ ...options, memoryBytes: 160_000_000 }).capacityBytes; // 40_000_000
+ */
+export function deriveHeldMemoryOptions({ memoryBytes }: GatewayOptions): HeldMemoryOptions {
+  return memoryBytes === undefined ? {} : { capacityBytes: memoryBytes * HELD_SHARE };
+}
+
 /**
  * Derives the times of an instance from the operator's bounds.
  *
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Outcome of a request in the metrics. */
 export type RequestEnd = 'aborted' | 'caller-left' | 'cut' | 'interrupted' | 'refused' | 'served';
@@ -54,6 +54,16 @@
     name: 'zincring_relays_total',
     registers: [this.registry],
   });
+  public readonly heldBytes = new Gauge({
+    help: 'Bytes of requests and responses that this instance holds.',
+    name: 'zincring_held_bytes',
+    registers: [this.registry],
+  });
+  public readonly unreadResponses = new Counter({
+    help: 'Responses that were closed because their callers did not read them.',
+    name: 'zincring_unread_responses_total',
+    registers: [this.registry],
+  });
   public readonly admissionSeconds = new Histogram({
     buckets: LATENCY_BUCKETS,
     help: 'Time from the headers of a request to its first attempt.',
--- /dev/null
+++ b/packages/gateway/tests/callers/memory/heldMemory.test.ts
@@ -0,0 +1,56 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { HeldMemory } from '../../../src/callers/memory/heldMemory.js';
+
+describe('the memory of an instance', () => {
+  it.each([
+    { capacityBytes: 1_000, held: 0, isFull: false, unread: 100 },
+    { capacityBytes: 1_000, held: 500, isFull: false, unread: 50 },
+    { capacityBytes: 1_000, held: 900, isFull: false, unread: 10 },
+    { capacityBytes: 1_000, held: 1_000, isFull: true, unread: 0 },
+    { capacityBytes: undefined, held: 1_000_000, isFull: false, unread: 100 },
+  ])(
+    'lets a response be $unread bytes ahead of its caller while $held of $capacityBytes are held',
+    ({ capacityBytes, held, isFull, unread }) => {
+      const memory = new HeldMemory({
+        maximumResponseBytes: 100,
+        ...(capacityBytes === undefined ? {} : { capacityBytes }),
+      });
+      memory.hold(held);
+      expect(memory.isFull).toBe(isFull);
+      expect(memory.allowsReadingAhead(unread)).toBe(true);
+      expect(memory.allowsReadingAhead(unread + 1)).toBe(false);
+    },
+  );
+
+  it('is free again once everything has been released, however often', () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat({ max: 5_000 })), sizes => {
+        const memory = new HeldMemory({ capacityBytes: 1_000 });
+        const releases = sizes.map(size => memory.hold(size));
+        expect(memory.bytes).toBe(sizes.reduce((sum, size) => sum + size, 0));
+        [...releases, ...releases].forEach(release => {
+          release();
+        });
+        expect(memory.bytes).toBe(0);
+      }),
+    );
+  });
+
+  it('stays within its bound under any number of callers that read nothing', () => {
+    const memory = new HeldMemory({ capacityBytes: 10_000, maximumResponseBytes: 4_000 });
+    const pieceBytes = 100;
+    const unread = Array.from({ length: 50 }, () => 0);
+    for (let round = 0; round < 200; round++) {
+      unread.forEach((bytes, index) => {
+        if (memory.allowsReadingAhead(bytes)) {
+          memory.hold(pieceBytes);
+          unread[index] = bytes + pieceBytes;
+        }
+      });
+    }
+    expect(memory.bytes).toBeLessThanOrEqual(10_000 + pieceBytes);
+    expect(Math.min(...unread)).toBeGreaterThan(0);
+  });
+});
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -56,6 +56,8 @@
 }
 
 export interface GatewayFixtureOptions {
+  /** Memory of each instance, in bytes; not bounded by default. */
+  readonly memoryBytes?: number;
   readonly logger?: Logger;
   /** Availability zones of the replicas; `nelson` by default. */
   readonly availabilityZones?: readonly string[];
@@ -116,6 +118,7 @@
   behaviours: readonly (readonly Behaviour[])[],
   {
     logger = silentLogger,
+    memoryBytes,
     ratePerSecond = 0,
     replicaService = { name: plainService.name, slots: 12 },
     softwareVersions = [],
@@ -157,12 +160,13 @@
       ],
     }),
   );
-  return await startInstance({ logger, registrations, replicas, store, wrapTable });
+  return await startInstance({ logger, memoryBytes, registrations, replicas, store, wrapTable });
 }
 
 /** What the instances of a fixture share. */
 interface SharedParts {
   readonly logger: Logger;
+  readonly memoryBytes: number | undefined;
   readonly registrations: readonly ReplicaEntry[];
   readonly replicas: readonly FakeReplica[];
   readonly store: RealTimeTable;
@@ -174,7 +178,7 @@
 }
 
 async function startInstance(parts: SharedParts): Promise<GatewayFixture> {
-  const { logger, registrations, replicas, store, wrapTable } = parts;
+  const { logger, memoryBytes, registrations, replicas, store, wrapTable } = parts;
   const gateway = new Gateway(
     {
       availabilityZone: 'nelson' as AvailabilityZone,
@@ -185,6 +189,7 @@
       evacuationMilliseconds: 5_000,
       graceMilliseconds: 1_000,
       instance: `entry-${String(nextId++)}` as InstanceId,
+      ...(memoryBytes === undefined ? {} : { memoryBytes }),
       metrics: { host: '127.0.0.1', port: 0 },
       peers: { host: '127.0.0.1', port: 0 },
       readiness: { host: '127.0.0.1', port: 0 },
