--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,9 @@
   RouteName,
   WeightedService,
 } from './configuration/gatewayConfiguration.js';
+export type { Finding, FindingKind } from './configuration/review/finding.js';
+export { formatFinding } from './configuration/review/finding.js';
+export { reviewConfiguration } from './configuration/review/reviewConfiguration.js';
 export type { GatewayDependencies, GatewayPorts } from './lifecycle/gateway.js';
 export { Gateway } from './lifecycle/gateway.js';
 export type { GatewayOptions, ListenAddress } from './lifecycle/gatewayOptions.js';
