fix(gateway): release what was held for callers that left, and close no response that is read

Callers that left before their response was ready (calls that must not be cut run on) left its bytes counted for good: Node does not call back for the last chunk of a closed response. A full instance would then refuse calls with nothing in hand.

Node calls back for buffered writes only as a whole, so a complete response whose caller read slowly, but read, was closed after the idle timeout; so was a pipelined one that waited for an earlier response. Progress is now also seen in the write queue of the connection, and a response that waits for its turn stays open.

--- a/packages/gateway/src/callers/memory/heldResponse.ts
+++ b/packages/gateway/src/callers/memory/heldResponse.ts
@@ -3,6 +3,8 @@
 
 import type { HeldMemory, ReleaseMemory } from './heldMemory.js';
 
+import { countUnsentBytes } from './countUnsentBytes.js';
+
 /** What a {@link HeldResponse} needs. */
 export interface HeldResponseDependencies {
   readonly memory: HeldMemory;
@@ -54,10 +56,14 @@
     } else {
       this.response.end(bytes, this.hold(bytes));
     }
-    this.watchUnread(this.unreadBytes);
+    this.watchUnread();
   }
 
   private hold(bytes: Buffer): ReleaseMemory {
+    if (this.isClosed) {
+      // Node drops what is written to a closed response, and may never call back.
+      return () => undefined;
+    }
     const release = this.dependencies.memory.hold(bytes.length);
     this.unreadBytes += bytes.length;
     this.pending.add(release);
@@ -69,17 +75,24 @@
   }
 
   /** Closes the response if none of the unread bytes have been read when the time has passed. */
-  private watchUnread(previousUnreadBytes: number): void {
-    if (this.isClosed || previousUnreadBytes === 0) {
+  private watchUnread(): void {
+    if (this.isClosed || this.unreadBytes === 0) {
       return;
     }
     const { getUnreadMilliseconds, onUnread, timers } = this.dependencies;
+    const previousUnreadBytes = this.unreadBytes;
+    const previousUnsentBytes = countUnsentBytes(this.response.socket);
     this.unreadTimer = timers.after(getUnreadMilliseconds(), () => {
       if (this.isClosed || this.response.writableFinished) {
         return;
       }
-      if (this.unreadBytes < previousUnreadBytes) {
-        this.watchUnread(this.unreadBytes);
+      // A pipelined response waits for those before it, whatever its caller reads.
+      const isQueued = this.response.socket === null;
+      const isRead =
+        this.unreadBytes < previousUnreadBytes ||
+        countUnsentBytes(this.response.socket) !== previousUnsentBytes;
+      if (isQueued || isRead) {
+        this.watchUnread();
         return;
       }
       onUnread();
--- a/packages/gateway/tests/callers/memory/heldResponse.test.ts
+++ b/packages/gateway/tests/callers/memory/heldResponse.test.ts
@@ -14,6 +14,10 @@
 class UnreadResponse extends EventEmitter {
   public writableFinished = false;
   public isDestroyed = false;
+  /** Connection of the response; null while it waits for an earlier one. */
+  public socket: { _handle: { writeQueueSize: number } } | null = {
+    _handle: { writeQueueSize: 100 },
+  };
   private readonly unread: (() => void)[] = [];
 
   public write(_bytes: Buffer, onRead: () => void): boolean {
@@ -79,6 +83,35 @@
     expect(memory.bytes).toBe(0);
   });
 
+  it('holds nothing for a caller that left before its response was ready', () => {
+    const { held, memory, response } = setUp();
+    response.destroy();
+    held.write(piece);
+    held.end(piece);
+    expect(memory.bytes).toBe(0);
+  });
+
+  it('stays open while the caller reads a part of one large write at a time', async () => {
+    const { countUnread, held, response, timers } = setUp();
+    held.end(piece);
+    for (const writeQueueSize of [60, 20]) {
+      response.socket = { _handle: { writeQueueSize } };
+      await timers.advance(UNREAD_MILLISECONDS);
+      expect(response.isDestroyed).toBe(false);
+    }
+    await timers.advance(UNREAD_MILLISECONDS);
+    expect(response.isDestroyed).toBe(true);
+    expect(countUnread()).toBe(1);
+  });
+
+  it('stays open while it waits for an earlier response of its connection', async () => {
+    const { held, response, timers } = setUp();
+    response.socket = null;
+    held.end(piece);
+    await timers.advance(3 * UNREAD_MILLISECONDS);
+    expect(response.isDestroyed).toBe(false);
+  });
+
   it('stays open while the caller reads on, and is closed once it reads nothing', async () => {
     const { countUnread, held, response, timers } = setUp();
     held.write(piece);
