fix(gateway): end pipelined requests whose caller left

Node closes only the response that is being written when a connection ends. Those that wait behind it never ended: their bodies stayed counted as held memory, they counted as in flight, and their requests ran on at replicas until their deadline. They are now closed with their connection; nothing is added to requests that are not pipelined.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -17,6 +17,7 @@
 import { CallerResponse } from './callerResponse.js';
 import { HeldResponse } from './memory/heldResponse.js';
 import { listenOn, getPort } from '../util/listen.js';
+import { QueuedResponses } from './queuedResponses.js';
 import { readRequestBody } from './readRequestBody.js';
 
 /** Dependencies of a {@link GatewayServer}. */
@@ -54,6 +55,7 @@
  */
 export class GatewayServer {
   private readonly server: Server;
+  private readonly queuedResponses = new QueuedResponses();
   private isClosing = false;
   private inFlightCount = 0;
   private maximumHeaderBytes = MAXIMUM_PARSED_HEADER_BYTES;
@@ -129,6 +131,7 @@
     );
     request.on('error', () => undefined);
     response.on('error', () => undefined);
+    this.queuedResponses.add(response, request.socket);
     this.inFlightCount++;
     response.once('close', () => {
       this.inFlightCount--;
--- a/packages/gateway/tests/callers/memory/slowCallers.test.ts
+++ b/packages/gateway/tests/callers/memory/slowCallers.test.ts
@@ -6,6 +6,7 @@
 import type { Behaviour } from '../../support/fakeReplica.js';
 import type { GatewayFixture } from '../../support/gatewayFixture.js';
 
+import { neverResponds, responds } from '../../support/fakeReplica.js';
 import { safeRoute, startGateway, streamRoute, waitUntil } from '../../support/gatewayFixture.js';
 
 /** Far more than the buffers of the sockets between replica and caller hold. */
@@ -34,16 +35,18 @@
   sockets.splice(0).forEach(socket => socket.destroy());
 });
 
-/** Sends a request and reads nothing of its response until the socket is resumed. */
-function sendWithoutReading({ gateway }: GatewayFixture, body = ''): Socket {
+/** Sends requests on one connection and reads nothing of their responses until the socket is resumed. */
+function sendWithoutReading({ gateway }: GatewayFixture, ...bodies: readonly string[]): Socket {
   const socket = connect(gateway.ports.callers, '127.0.0.1');
   sockets.push(socket);
   socket.pause();
   socket.on('error', () => undefined);
-  socket.write(
-    'POST /summaries/7 HTTP/1.1\r\nHost: agents.example\r\nkey: key-of-clerks\r\nrequest-id: request-1\r\n' +
-      `remaining: 60000\r\nContent-Length: ${String(body.length)}\r\n\r\n${body}`,
-  );
+  (bodies.length === 0 ? [''] : bodies).forEach((body, index) => {
+    socket.write(
+      `POST /summaries/7 HTTP/1.1\r\nHost: agents.example\r\nkey: key-of-clerks\r\nrequest-id: request-${String(index)}\r\n` +
+        `remaining: 60000\r\nContent-Length: ${String(body.length)}\r\n\r\n${body}`,
+    );
+  });
   return socket;
 }
 
@@ -74,7 +77,6 @@
 
 describe('an instance whose memory is full', () => {
   it('refuses further requests, which have not run, and serves again afterwards', async () => {
-    const neverResponds: Behaviour = () => undefined;
     const fixture = await startGateway(
       { ...safeRoute, timeoutMilliseconds: 60_000 },
       [[neverResponds]],
@@ -93,4 +95,16 @@
     void fixture.send({ body: 'z', disconnectAfterMilliseconds: 2_000 }).catch(() => undefined);
     await waitUntil(() => fixture.replicas[0]!.receivedRequests.length === 2);
   });
+
+  it('forgets pipelined requests whose caller left', async () => {
+    const route = { ...safeRoute, timeoutMilliseconds: 60_000 };
+    const fixture = await startGateway(route, [[neverResponds, neverResponds, responds('done')]], {
+      memoryBytes: 4_000,
+    });
+    const pipeline = sendWithoutReading(fixture, 'x'.repeat(500), 'y'.repeat(1_000));
+    await waitUntil(() => fixture.replicas[0]!.receivedRequests.length === 2);
+    pipeline.destroy();
+    await waitUntil(() => fixture.replicas[0]!.closedConnections === 2);
+    expect(await fixture.send({ body: 'z' })).toMatchObject({ body: 'done', status: 200 });
+  });
 });
