fix(gateway): do not count the part of a request body that was dropped

When memory ran out in the middle of a body, what had been read of it was dropped but stayed counted until its caller had sent the rest and read the refusal. Slow senders thus kept an instance full that held nothing for them.

--- a/packages/gateway/src/callers/readRequestBody.ts
+++ b/packages/gateway/src/callers/readRequestBody.ts
@@ -24,11 +24,12 @@
   maximumBytes: number,
 ): Promise<Result<Buffer, ZincringError> | undefined> {
   const releases: ReleaseMemory[] = [];
-  response.once('close', () => {
-    releases.forEach(release => {
+  const releaseAll = (): void => {
+    releases.splice(0).forEach(release => {
       release();
     });
-  });
+  };
+  response.once('close', releaseAll);
   const body = await readBoundedBody(request, maximumBytes, {
     hold: bytes => {
       releases.push(memory.hold(bytes));
@@ -36,6 +37,7 @@
     get isFull() {
       return memory.isFull;
     },
+    release: releaseAll,
   });
   if (body.ok) {
     return body;
--- a/packages/gateway/src/util/readBoundedBody.ts
+++ b/packages/gateway/src/util/readBoundedBody.ts
@@ -15,9 +15,15 @@
   readonly isFull: boolean;
   /** Counts further bytes. */
   hold(bytes: number): void;
+  /** Returns all that was counted, since the body is dropped. */
+  release(): void;
 }
 
-const unboundedHolder: BodyHolder = { hold: () => undefined, isFull: false };
+const unboundedHolder: BodyHolder = {
+  hold: () => undefined,
+  isFull: false,
+  release: () => undefined,
+};
 
 /**
  * Reads the complete body of a request or response, up to a maximum size.
@@ -42,9 +48,13 @@
         return Err('too-large');
       }
       // The rest is read all the same, since a sender that is cut off would not see the response.
-      isDropped ||= holder.isFull;
       if (isDropped) {
+        continue;
+      }
+      if (holder.isFull) {
+        isDropped = true;
         chunks.length = 0;
+        holder.release();
         continue;
       }
       holder.hold(chunk.length);
--- a/packages/gateway/tests/callers/memory/slowCallers.test.ts
+++ b/packages/gateway/tests/callers/memory/slowCallers.test.ts
@@ -1,11 +1,16 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import { connect } from 'node:net';
+import { PassThrough } from 'node:stream';
+import { setImmediate } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 
 import type { Behaviour } from '../../support/fakeReplica.js';
 import type { GatewayFixture } from '../../support/gatewayFixture.js';
 
+import { HeldMemory } from '../../../src/callers/memory/heldMemory.js';
+import { readRequestBody } from '../../../src/callers/readRequestBody.js';
 import { neverResponds, responds } from '../../support/fakeReplica.js';
 import { safeRoute, startGateway, streamRoute, waitUntil } from '../../support/gatewayFixture.js';
 
@@ -107,4 +112,24 @@
     await waitUntil(() => fixture.replicas[0]!.closedConnections === 2);
     expect(await fixture.send({ body: 'z' })).toMatchObject({ body: 'done', status: 200 });
   });
+
+  it('does not count what it dropped of a body that is still arriving', async () => {
+    const memory = new HeldMemory({ capacityBytes: 1_000 });
+    const request = new PassThrough();
+    const pendingBody = readRequestBody(
+      request as unknown as IncomingMessage,
+      new PassThrough() as unknown as ServerResponse,
+      memory,
+      10_000,
+    );
+    const release = memory.hold(500);
+    for (let index = 0; index < 2; index++) {
+      request.write(Buffer.alloc(600));
+      await setImmediate();
+    }
+    expect(memory.bytes).toBe(500);
+    release();
+    request.destroy();
+    expect(await pendingBody).toBe(undefined);
+  });
 });
