fix(gateway): do not call routes unreachable that need no key

Requests need a key only if the configuration has workspaces. Without any, the check said of each route that is not open that no request can reach it. Of routes that store turns it said that their streams are not taken up in the middle; only callers cannot have that done, instances do within one response. The test asks for the new words.

--- a/packages/gateway/src/configuration/review/reviewRoutes.ts
+++ b/packages/gateway/src/configuration/review/reviewRoutes.ts
@@ -39,7 +39,7 @@
   {
     kind: 'unreachable',
     matches: ({ isOpen }, { workspaces }) =>
-      !isOpen && workspaces.every(({ keys }) => keys.length === 0),
+      !isOpen && workspaces.length > 0 && workspaces.every(({ keys }) => keys.length === 0),
     text: 'it needs a key, and no workspace has one',
   },
   {
@@ -67,7 +67,7 @@
   {
     kind: 'contradiction',
     matches: ({ isResumable, storesTurns }) => isResumable && storesTurns,
-    text: 'it stores turns, so that streams are not taken up in the middle although it is resumable',
+    text: 'it stores turns, so that callers cannot have a stream taken up in the middle although it is resumable',
   },
   {
     kind: 'contradiction',
