--- a/packages/gateway/src/callers/memory/heldMemory.ts
+++ b/packages/gateway/src/callers/memory/heldMemory.ts
@@ -60,12 +60,12 @@
   /**
    * Whether a response may be read further while its caller has yet to read the given bytes of it. The
    * share of a response shrinks with the memory that is left, so that many slow callers do not use up
-   * what other requests need.
+   * what other requests need. Nothing is read ahead while the memory is not known.
    */
   public allowsReadingAhead(unreadBytes: number): boolean {
     const { capacityBytes, maximumResponseBytes } = this.options;
     if (capacityBytes === Infinity) {
-      return unreadBytes <= maximumResponseBytes;
+      return false;
     }
     const freeBytes = capacityBytes - this.heldBytes;
     return unreadBytes <= (maximumResponseBytes * freeBytes) / capacityBytes;
