feat(gateway): place turns and calls by learned costs, and slow replicas by how slow they are

Callers saw programs end late wherever engines were not those of one data sheet: replicas of speeds 0.55 and 1.2 got equal parts, and ones that turned slow kept theirs, since placement used constants. Now packages/scheduling/engines learns what a prompt token, a turn and a call take at a service, and a slowness for each run of a replica, from the exchanges of the instance (clipped means in log space, aged, back to the constants of before without evidence). Replies between instances carry the latest measurements that deviate, four at most, in an optional field that builds before ignore. Conversations are spread by rendezvous weighted with the slowness; a slow replica keeps a tenth of its part to tell when it is well.

--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -37,6 +37,7 @@
 import { StoreCallReporter } from '../observation/storeCallReporter.js';
 import { CrashRecord, sweptCrashes } from '../upstreams/crashRecord.js';
 import { EngineLoads } from '../upstreams/load/engineLoads.js';
+import { ReplicaCosts } from '../upstreams/load/replicaCosts.js';
 import { ProgramAdmission } from '../upstreams/load/programAdmission.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaNetwork } from '../upstreams/replicaNetwork.js';
@@ -113,6 +114,7 @@
   private readonly tokenAccounts: StoreTokenAccounts;
   private readonly engineLoads: EngineLoads;
   private readonly memory: HeldMemory;
+  private readonly replicaCosts: ReplicaCosts;
   private readonly peers: PeerNetwork;
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
   private readonly holder: string;
@@ -148,6 +150,7 @@
     this.credits = new StoreCreditSource(ownership);
     this.tokenAccounts = new StoreTokenAccounts(ownership);
     this.engineLoads = new EngineLoads({ countPeers: () => this.peers.peerCount, timers });
+    this.replicaCosts = new ReplicaCosts({ logger, metrics: this.metrics, timers });
     this.peers = this.makePeers();
     this.replicaNetwork = this.makeReplicaNetwork();
     this.budgets = this.makeBudgets();
@@ -310,6 +313,7 @@
       availabilityZone: this.options.availabilityZone,
       regions: this.options.regions,
       engineLoads: this.engineLoads,
+      replicaCosts: this.replicaCosts,
       instance: this.options.instance,
       logger,
       metrics: this.metrics,
@@ -330,6 +334,7 @@
     return new ReplicaNetwork({
       availabilityZone: this.options.availabilityZone,
       coldRateBound: this.options.coldRateBound,
+      costs: this.replicaCosts,
       directory: this.replicas,
       findWarmUp: service => this.configuration.current?.findService(service)?.warmUp,
       getMaximumConnections: entry => this.getMaximumConnections(entry),
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -83,6 +83,18 @@
     name: 'zincring_store_seconds',
     registers: [this.registry],
   });
+  public readonly learnedMilliseconds = new Gauge({
+    help: 'What a call, a turn and a prompt token take at a service, as learned, in milliseconds.',
+    labelNames: ['service', 'of'] as const,
+    name: 'zincring_learned_milliseconds',
+    registers: [this.registry],
+  });
+  public readonly slowReplicas = new Gauge({
+    help: 'Replicas of a service that are judged slow.',
+    labelNames: ['service'] as const,
+    name: 'zincring_slow_replicas',
+    registers: [this.registry],
+  });
 
   /** Renders the metrics in the Prometheus text format. */
   public async render(): Promise<string> {
--- a/packages/gateway/src/peers/peerClients.ts
+++ b/packages/gateway/src/peers/peerClients.ts
@@ -7,9 +7,10 @@
 import type { OwnedTokensReply } from '../programs/tokenAccounts.js';
 import type { PermitReply } from '../upstreams/permits/permitOwner.js';
 import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
+import type { SlownessReport } from '../upstreams/load/slownessReports.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 
-import { parseEngineTurns } from './peerMessages.js';
+import { parseEngineTurns, parseSlownessReports } from './peerMessages.js';
 import { PEER_PATHS } from './peerPaths.js';
 
 /** Timeout of a call to another instance, in milliseconds: longer than an owner waits for the store, shorter than callers notice. */
@@ -30,6 +31,8 @@
     private readonly logger: Logger,
     /** Called with the turns that a responding instance has in flight at engines. */
     private readonly onEngineTurns: (counts: EngineTurnCounts) => void = () => undefined,
+    /** Called with the measurements of replicas that a responding instance tells of. */
+    private readonly onSlowness: (reports: readonly SlownessReport[]) => void = () => undefined,
   ) {}
 
   /** Returns the client of the instance at an address, such as `10.1.0.11:7780`. */
@@ -105,11 +108,14 @@
   }
 
   private readReply(text: string): unknown {
-    const { engineTurns, ...reply } = JSON.parse(text) as Record<string, unknown>;
+    const { engineTurns, replicaSlowness, ...reply } = JSON.parse(text) as Record<string, unknown>;
     const counts = parseEngineTurns(engineTurns);
     if (counts !== undefined) {
       this.onEngineTurns(counts);
     }
+    if (replicaSlowness !== undefined) {
+      this.onSlowness(parseSlownessReports(replicaSlowness));
+    }
     return reply;
   }
 
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -3,6 +3,7 @@
 import type { AnnouncedRate } from '../upstreams/permits/announcedRate.js';
 import type { PermitRequest, RateReport } from '../upstreams/permits/permitOwner.js';
 import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
+import type { SlownessReport } from '../upstreams/load/slownessReports.js';
 import type { ReplicaRunId } from '../upstreams/replica.js';
 
 /** Settlement of a reservation, as another instance sends it. */
@@ -111,6 +112,39 @@
   return Object.fromEntries(counts);
 }
 
+/**
+ * Reads the measurements of replicas that an instance tells of; none if the value is no list, as in
+ * replies of builds up to 09ca40e.
+ *
+ * @example
+ * parseSlownessReports([['r1@1', 2.5, 40]]); // [{ ageMilliseconds: 40, ratio: 2.5, run: 'r1@1' }]
+ */
+export function parseSlownessReports(value: unknown): readonly SlownessReport[] {
+  if (!Array.isArray(value)) {
+    return [];
+  }
+  return value.flatMap((item: unknown) => {
+    const [run, ratio, ageMilliseconds] = Array.isArray(item) ? (item as unknown[]) : [];
+    return typeof run === 'string' && isNumber(ratio) && isNumber(ageMilliseconds)
+      ? [{ ageMilliseconds, ratio, run: run as ReplicaRunId }]
+      : [];
+  });
+}
+
+/**
+ * Writes measurements as {@link parseSlownessReports} reads them; `undefined` if there are none.
+ *
+ * @example
+ * formatSlownessReports(costs.ownReports);
+ */
+export function formatSlownessReports(
+  reports: readonly SlownessReport[],
+): readonly unknown[] | undefined {
+  return reports.length === 0
+    ? undefined
+    : reports.map(({ ageMilliseconds, ratio, run }) => [run, ratio, ageMilliseconds]);
+}
+
 function readAnnouncedRate(fields: JsonFields): AnnouncedRate | undefined {
   const { ageMilliseconds, requestsPerSecond } = fields;
   const isRate =
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -6,6 +6,7 @@
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { EngineLoads } from '../upstreams/load/engineLoads.js';
+import type { ReplicaCosts } from '../upstreams/load/replicaCosts.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { RelayTarget } from './relayServer.js';
 
@@ -34,6 +35,7 @@
   readonly relayTarget: RelayTarget;
   readonly metrics: GatewayMetrics;
   readonly engineLoads: EngineLoads;
+  readonly replicaCosts: ReplicaCosts;
 }
 
 /** Interval at which a stopping instance looks whether it still relays requests, in milliseconds. */
@@ -58,12 +60,19 @@
   private readonly server: PeerServer;
 
   public constructor(dependencies: PeerNetworkDependencies) {
-    const { engineLoads, instance, logger, metrics, random, relayTarget, self, table, timers } =
+    const { engineLoads, instance, logger, metrics, random, relayTarget, replicaCosts } =
       dependencies;
+    const { self, table, timers } = dependencies;
     this.timers = timers;
-    this.clients = new PeerClients(logger, counts => {
-      engineLoads.recordPeer(counts);
-    });
+    this.clients = new PeerClients(
+      logger,
+      counts => {
+        engineLoads.recordPeer(counts);
+      },
+      reports => {
+        replicaCosts.hear(reports);
+      },
+    );
     const { availabilityZone, regions } = dependencies;
     this.directory = new PeerDirectory({
       availabilityZone,
@@ -79,7 +88,7 @@
     });
     this.owners = new OwnerSelector(instance, this.directory, timers, logger);
     this.relayServer = new RelayServer(relayTarget, logger);
-    this.server = new PeerServer(self, logger, this.relayServer, engineLoads);
+    this.server = new PeerServer(self, logger, this.relayServer, engineLoads, replicaCosts);
     const candidates = new RelayCandidates(
       permittedRegions =>
         this.directory.addressesWhere(zone => isPermittedZone(zone, permittedRegions, regions)),
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -6,12 +6,14 @@
 
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
+import type { SlownessReport } from '../upstreams/load/slownessReports.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { RelayServer } from './relayServer.js';
 
 import { readBoundedBody } from '../util/readBoundedBody.js';
 import { getPort, listenOn } from '../util/listen.js';
 import {
+  formatSlownessReports,
   parseBucket,
   parseDemand,
   parsePermitRequest,
@@ -25,6 +27,12 @@
   readonly ownCounts: EngineTurnCounts;
 }
 
+/** Measurements of replicas that other instances should know, which each reply carries. */
+export interface SlownessSource {
+  readonly ownReports: readonly SlownessReport[];
+}
+
+const noReports: SlownessSource = { ownReports: [] };
 const idleEngines: EngineLoadSource = { ownCounts: {} };
 /** Time after which a connection without calls is closed, in milliseconds: a peer that is gone may never close it. */
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
@@ -46,6 +54,7 @@
     private readonly logger: Logger,
     relay: RelayServer,
     private readonly engineLoads: EngineLoadSource = idleEngines,
+    private readonly slowness: SlownessSource = noReports,
   ) {
     this.server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
       this.handle(request, response).catch((failure: unknown) => {
@@ -90,7 +99,11 @@
       endWithStatus(response, STATUS_UNREADABLE);
       return;
     }
-    const content = JSON.stringify({ ...reply, engineTurns: this.engineLoads.ownCounts });
+    const content = JSON.stringify({
+      ...reply,
+      engineTurns: this.engineLoads.ownCounts,
+      replicaSlowness: formatSlownessReports(this.slowness.ownReports),
+    });
     response.writeHead(200, {
       'Content-Length': Buffer.byteLength(content),
       'Content-Type': 'application/json',
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -11,6 +11,7 @@
 import type { AdmittedReplica } from './chooseAdmittedReplica.js';
 import type { CrashRecord } from './crashRecord.js';
 import type { EngineLoads } from './load/engineLoads.js';
+import type { ExchangeTiming } from './load/exchangeTiming.js';
 import type { ReplicaPermits } from './permits/replicaPermits.js';
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
@@ -118,6 +119,8 @@
   private refusals = 0;
   private lastEventId: string | undefined;
   private forwardedEvents = 0;
+  /** Measures the current attempt. */
+  private timing: ExchangeTiming | undefined;
   /** Version of the replica that sent the first event: what two versions write does not fit together. */
   private softwareVersion: SoftwareVersion | undefined;
   /** Whether the version can be found by whoever goes on with the stream. */
@@ -240,9 +243,12 @@
   }
 
   private async attempt(entry: ReplicaEntry): Promise<AttemptResult> {
-    const load = this.dependencies.pool.loads.findOrAddState(entry);
-    const { engine, name } = this.request.service;
-    const endTurn = engine === undefined ? undefined : this.dependencies.engineLoads.begin(name);
+    const { engineLoads, pool } = this.dependencies;
+    const load = pool.loads.findOrAddState(entry);
+    const { facts, route, service } = this.request;
+    const endTurn = service.engine && engineLoads.begin(service.name);
+    const prompt = pool.expectPrompt(facts, entry);
+    this.timing = pool.costs.begin(entry, { kind: route.name, prompt });
     load.inFlight++;
     this.possibleRuns++;
     try {
@@ -309,6 +315,7 @@
       return { kind: 'lost', reason: 'the answer does not bear the seal of the replica' };
     }
     loads.recordEnd(entry, response.status >= 500 ? 'failed' : 'answered');
+    this.timing?.recordStatus(response.status);
     return await this.forwardResponse(entry, response);
   }
 
@@ -322,6 +329,7 @@
       return;
     }
     if (this.control.signal.aborted) {
+      this.timing?.abandon();
       if (this.control.isCallerWaiting()) {
         pool.loads.recordEnd(entry, 'failed');
       }
@@ -369,6 +377,7 @@
     let heldEvent: StreamEvent | undefined;
     const end = await relayStream(response, {
       onEvent: async event => {
+        this.timing?.recordEvent();
         if (!(await this.recordVersion(entry))) {
           return false;
         }
@@ -378,6 +387,7 @@
           this.observer?.onEvent(nextEvent.data);
           await this.forwardEvent(response, nextEvent);
         }
+        this.timing?.recordForwarded();
         return true;
       },
       signal: this.control.signal,
@@ -434,6 +444,9 @@
   }
 
   private describeServed({ framing, status }: ReplicaResponse): AttemptResult {
+    if (isSuccess(status)) {
+      this.timing?.complete();
+    }
     return { body: { events: this.forwardedEvents, framing }, kind: 'served', status };
   }
 
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -8,6 +8,7 @@
 import type { ColdRateBound, ReturnedZones } from './permits/coldReplicas.js';
 import type { WarmUpDescription } from '../configuration/gatewayConfiguration.js';
 import type { ReplicaRelay } from './replicaTransport.js';
+import type { ReplicaCosts } from './load/replicaCosts.js';
 
 import { Announcements } from './announcements.js';
 import { DirectRelayTarget } from './directRelayTarget.js';
@@ -30,6 +31,7 @@
 /** Dependencies of a {@link ReplicaNetwork}. */
 export interface ReplicaNetworkDependencies {
   readonly availabilityZone: AvailabilityZone;
+  readonly costs: ReplicaCosts;
   readonly directory: ReplicaDirectory;
   readonly headerCodec: HeaderCodec;
   readonly logger: Logger;
@@ -66,18 +68,21 @@
   private readonly reachability: ReplicaReachability;
 
   public constructor(dependencies: ReplicaNetworkDependencies) {
-    const { directory, logger, metrics, owners, random, timers } = dependencies;
+    const { availabilityZone, costs, directory, logger, metrics, owners, random, timers } =
+      dependencies;
     const loads = new ReplicaLoads(timers, dependencies.getMaximumConnections);
-    const { availabilityZone, coldRateBound, findWarmUp, zones } = dependencies;
+    const { coldRateBound, findWarmUp, zones } = dependencies;
     const isZoneEvacuated = (zone: AvailabilityZone): boolean => zones.isEvacuated(zone);
-    this.pool = new ReplicaPool(
+    this.pool = new ReplicaPool({
+      availabilityZone,
+      costs,
       directory,
+      isPermitted: (zone, permittedRegions) =>
+        !isZoneEvacuated(zone) && isPermittedZone(zone, permittedRegions, dependencies.regions),
       loads,
-      availabilityZone,
       random,
-      (zone, permittedRegions) =>
-        !isZoneEvacuated(zone) && isPermittedZone(zone, permittedRegions, dependencies.regions),
-    );
+      timers,
+    });
     this.ownedPermits = new OwnedPermits({ logger, ranking: owners, timers });
     const coldReplicas = new ColdReplicas({
       bound: coldRateBound,
--- a/packages/gateway/src/upstreams/replicaPlacement.ts
+++ b/packages/gateway/src/upstreams/replicaPlacement.ts
@@ -1,6 +1,8 @@
 import type { AvailabilityZone, UpstreamId } from '@zincring/core';
+import type { CostEstimate } from '@zincring/scheduling';
 
 import { hash32 } from '@zincring/core';
+import { expectTurnMilliseconds, scoreRendezvous } from '@zincring/scheduling';
 
 import type { PromptPart } from '../callers/requestFacts.js';
 import type { ReplicaEntry } from './replica.js';
@@ -12,6 +14,8 @@
   readonly inFlight: number;
   /** Whether the replica failed recently and should be avoided. */
   readonly isAvoided: boolean;
+  /** Factor on the time that it takes, as learned; 1 for a usual replica. */
+  readonly slowness: number;
 }
 
 /** Properties of a request that determine the choice of a replica. */
@@ -23,18 +27,14 @@
   readonly affinity: string | undefined;
   /** Replica that ran the previous turn of the session; `undefined` if this instance does not know it. */
   readonly previousReplica: UpstreamId | undefined;
+  /** What turns and calls of the service take at present. */
+  readonly costs: CostEstimate;
 }
 
-/** Prefill time of an engine per prompt token, in milliseconds: from the data sheet of the engines. */
-const PREFILL_MILLISECONDS_PER_TOKEN = 1 / 147;
-/** Time that each further request of a batch adds to a turn of usual length, in milliseconds: from the data sheet of the engines. */
-const BATCH_COST_MILLISECONDS_PER_REQUEST = 15;
-/** Cost of each queued request at an engine whose batch is full, in milliseconds: about one turn. */
-const QUEUE_COST_MILLISECONDS_PER_REQUEST = 350;
-/** Cost of a request in flight at a plain service, in milliseconds: about one call. */
-const PLAIN_COST_MILLISECONDS_PER_REQUEST = 40;
-/** Gain at a replica that has handled the object before, in milliseconds: half of a usual call. */
-const AFFINITY_GAIN_MILLISECONDS = 25;
+/** Slots of a common replica of a plain service. */
+const COMMON_PLAIN_SLOTS = 6;
+/** Gain at a replica that has handled the object before, as a share of a usual call. */
+const AFFINITY_GAIN_SHARE = 0.625;
 /** Cost of a replica in another availability zone, in milliseconds: one round trip. */
 const CROSS_ZONE_COST_MILLISECONDS = 2;
 /** Cost of a replica that failed recently, in milliseconds: higher than any other cost. */
@@ -56,17 +56,24 @@
 ): ReplicaEntry | undefined {
   const preferredReplica = findPreferredReplica(candidates, request);
   const promptTokens = request.promptParts.reduce((sum, part) => sum + part.tokens, 0);
-  return findCheapest(candidates, candidate => {
-    const { entry, inFlight } = candidate;
-    const queuedRequests = Math.max(0, inFlight + 1 - entry.slots);
-    const uncachedTokens = entry.id === preferredReplica ? 0 : promptTokens;
-    return (
-      uncachedTokens * PREFILL_MILLISECONDS_PER_TOKEN +
-      inFlight * BATCH_COST_MILLISECONDS_PER_REQUEST +
-      queuedRequests * QUEUE_COST_MILLISECONDS_PER_REQUEST +
-      computeCommonCost(candidate, request)
-    );
-  });
+  const { affinity, costs } = request;
+  return findCheapest(
+    candidates,
+    candidate => {
+      const { entry, inFlight, slowness } = candidate;
+      const uncachedTokens = entry.id === preferredReplica ? 0 : promptTokens;
+      return (
+        expectTurnMilliseconds(costs, {
+          inFlight,
+          slots: entry.slots,
+          slowness,
+          uncachedTokens,
+        }) + computeCommonCost(candidate, request)
+      );
+    },
+    // Sessions whose engine is busy or slow are spread over the others, in the same way by every instance.
+    affinity === undefined ? 0 : hash32(affinity),
+  );
 }
 
 /**
@@ -84,11 +91,13 @@
 ): ReplicaEntry | undefined {
   const preferredReplica =
     request.affinity === undefined ? undefined : findPreferredReplica(candidates, request);
+  const { callMilliseconds } = request.costs;
   return findCheapest(candidates, candidate => {
-    const { entry, inFlight } = candidate;
+    const { entry, inFlight, slowness } = candidate;
+    const requestsAtOnce = Math.max(1, entry.slots / COMMON_PLAIN_SLOTS);
     return (
-      inFlight * (PLAIN_COST_MILLISECONDS_PER_REQUEST / Math.max(1, entry.slots / 6)) +
-      (entry.id === preferredReplica ? -AFFINITY_GAIN_MILLISECONDS : 0) +
+      callMilliseconds * (1 + inFlight / requestsAtOnce) * slowness +
+      (entry.id === preferredReplica ? -callMilliseconds * AFFINITY_GAIN_SHARE : 0) +
       random() +
       computeCommonCost(candidate, request)
     );
@@ -115,19 +124,23 @@
   if (affinity === undefined) {
     return undefined;
   }
-  const usable = candidates.filter(({ isAvoided }) => !isAvoided);
-  return findCheapest(usable, ({ entry }) => hash32(`${affinity}\n${entry.id}`))?.id;
+  return findCheapest(candidates, ({ entry, isAvoided, slowness }) =>
+    isAvoided ? Infinity : scoreRendezvous(hash32(`${affinity}\n${entry.id}`), slowness),
+  )?.id;
 }
 
+/** Finds the candidate of the least cost; of several the first from an offset on. */
 function findCheapest(
   candidates: readonly PlacementCandidate[],
   computeCost: (candidate: PlacementCandidate) => number,
+  offset = 0,
 ): ReplicaEntry | undefined {
   let best: ReplicaEntry | undefined;
   let bestCost = Infinity;
-  for (const candidate of candidates) {
-    const cost = computeCost(candidate);
-    if (cost < bestCost) {
+  for (let index = 0; index < candidates.length; index++) {
+    const candidate = candidates[(index + offset) % candidates.length];
+    const cost = candidate === undefined ? Infinity : computeCost(candidate);
+    if (candidate !== undefined && cost < bestCost) {
       best = candidate.entry;
       bestCost = cost;
     }
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -1,9 +1,11 @@
-import type { AvailabilityZone, Region, UpstreamId } from '@zincring/core';
+import type { AvailabilityZone, Region, TimerService, UpstreamId } from '@zincring/core';
+import type { PromptExpectation } from '@zincring/scheduling';
 
 import { LRUCache } from 'lru-cache';
 
 import type { GatewayService } from '../configuration/gatewayConfiguration.js';
-import type { RequestFacts } from '../callers/requestFacts.js';
+import type { PromptPart, RequestFacts } from '../callers/requestFacts.js';
+import type { ReplicaCosts } from './load/replicaCosts.js';
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ReplicaDirectory } from './replicaDirectory.js';
 import type { ReplicaLoads } from './replicaLoads.js';
@@ -18,6 +20,8 @@
 
 /** Maximum share of the replicas of a service that are avoided at the same time. */
 const MAXIMUM_AVOIDED_SHARE = 0.5;
+/** Share of its even part of the requests that each slow replica gets to tell when it is well again. */
+const TRICKLE_SHARE = 0.1;
 
 /** Request for which a replica is chosen. */
 export interface PoolRequest {
@@ -32,38 +36,60 @@
   readonly excluded: ReadonlySet<ReplicaRunId>;
 }
 
-/** Chooses among the registered replicas by the load that this instance puts on them. */
+/** Last turn of a conversation. */
+interface PreviousTurn {
+  readonly replica: UpstreamId;
+  readonly promptTokens: number;
+}
+
+/** Dependencies of a {@link ReplicaPool}. */
+export interface ReplicaPoolDependencies {
+  readonly directory: Pick<ReplicaDirectory, 'findReplicas' | 'listAll'>;
+  readonly loads: ReplicaLoads;
+  readonly costs: ReplicaCosts;
+  readonly availabilityZone: AvailabilityZone;
+  readonly timers: TimerService;
+  /** Whether a request may be sent to an availability zone. */
+  readonly isPermitted: (
+    zone: AvailabilityZone,
+    permittedRegions: ReadonlySet<Region> | undefined,
+  ) => boolean;
+  /** Returns a number from 0 to 1. */
+  readonly random: () => number;
+}
+
+/** Chooses among the registered replicas by what requests are expected to take there. */
 export class ReplicaPool {
-  private readonly previousReplicas = new LRUCache<string, UpstreamId>({
+  public readonly loads: ReplicaLoads;
+  public readonly costs: ReplicaCosts;
+  private readonly previousTurns = new LRUCache<string, PreviousTurn>({
     max: MAXIMUM_REMEMBERED_CONVERSATIONS,
   });
 
-  public constructor(
-    private readonly directory: ReplicaDirectory,
-    public readonly loads: ReplicaLoads,
-    private readonly availabilityZone: AvailabilityZone,
-    private readonly random: () => number,
-    /** Whether a request may be sent to an availability zone. */
-    private readonly isPermitted: (
-      zone: AvailabilityZone,
-      permittedRegions: ReadonlySet<Region> | undefined,
-    ) => boolean,
-  ) {}
+  public constructor(private readonly dependencies: ReplicaPoolDependencies) {
+    this.costs = dependencies.costs;
+    this.loads = dependencies.loads;
+  }
 
   /** Chooses the replica for a request; `undefined` if none is left. */
   public choose(poolRequest: PoolRequest): ReplicaEntry | undefined {
     const { facts, isSticky, service } = poolRequest;
     const candidates = this.findCandidates(poolRequest);
+    const trickle = this.chooseTrickle(candidates);
+    if (trickle !== undefined) {
+      return trickle;
+    }
     const conversation = findConversation(facts);
     const request = {
       affinity: service.engine === undefined ? chooseAffinity(facts, isSticky) : conversation,
-      availabilityZone: this.availabilityZone,
+      availabilityZone: this.dependencies.availabilityZone,
+      costs: this.costs.estimate(service.name),
       previousReplica:
-        conversation === undefined ? undefined : this.previousReplicas.get(conversation),
+        conversation === undefined ? undefined : this.previousTurns.get(conversation)?.replica,
       promptParts: facts.promptParts,
     };
     return service.engine === undefined
-      ? choosePlainReplica(candidates, request, this.random)
+      ? choosePlainReplica(candidates, request, this.dependencies.random)
       : chooseEngine(candidates, request);
   }
 
@@ -75,45 +101,98 @@
     }
     // A sub-agent that was sent elsewhere has only a part of the conversation there.
     const isMainLine = facts.promptParts.length <= PARTS_OF_MAIN_LINE;
-    if (isMainLine || !this.previousReplicas.has(conversation)) {
-      this.previousReplicas.set(conversation, entry.id);
+    if (isMainLine || !this.previousTurns.has(conversation)) {
+      const promptTokens = countTokens(facts.promptParts);
+      this.previousTurns.set(conversation, { promptTokens, replica: entry.id });
     }
   }
 
-  /** Closes the connections to replicas that are no longer registered. */
+  /** Tells how much of a prompt a replica is expected to compute; `undefined` for requests without one. */
+  public expectPrompt(facts: RequestFacts, entry: ReplicaEntry): PromptExpectation | undefined {
+    const promptTokens = countTokens(facts.promptParts);
+    if (promptTokens === 0) {
+      return undefined;
+    }
+    const conversation = findConversation(facts);
+    const previous = conversation === undefined ? undefined : this.previousTurns.get(conversation);
+    const cachedTokens = previous?.replica === entry.id ? previous.promptTokens : 0;
+    return { promptTokens, uncachedTokens: Math.max(0, promptTokens - cachedTokens) };
+  }
+
+  /** Closes the connections to replicas that are no longer registered, and forgets what they cost. */
   public sweep(): void {
-    this.loads.retain(new Set(this.directory.listAll().map(entry => entry.runId)));
+    const runs = new Set(this.dependencies.directory.listAll().map(entry => entry.runId));
+    this.loads.retain(runs);
+    this.costs.retain(runs);
   }
 
-  private findCandidates({
-    permittedRegions,
-    excluded,
-    service,
-    softwareVersion,
-  }: PoolRequest): readonly PlacementCandidate[] {
-    const candidates = this.directory
-      .findReplicas(service.name)
-      .filter(
-        entry =>
-          !entry.isDraining &&
-          !this.loads.isLeaving(entry) &&
-          this.isPermitted(entry.availabilityZone, permittedRegions),
-      )
-      .map(entry => ({
-        entry,
-        inFlight: this.loads.findOrAddState(entry).inFlight,
-        isAvoided: this.loads.isAvoided(entry),
-      }));
-    const avoidedCount = candidates.filter(({ isAvoided }) => isAvoided).length;
-    // If most replicas fail, the cause is elsewhere, and avoiding them would overload the others.
-    const mayAvoid = avoidedCount <= candidates.length * MAXIMUM_AVOIDED_SHARE;
-    return candidates
-      .filter(
-        ({ entry }) =>
-          !excluded.has(entry.runId) &&
-          (softwareVersion === undefined || entry.softwareVersion === softwareVersion),
-      )
-      .map(candidate => ({ ...candidate, isAvoided: mayAvoid && candidate.isAvoided }));
+  /** Now and then chooses a slow replica, since only what it is sent tells when it is well again. */
+  private chooseTrickle(candidates: readonly PoolCandidate[]): ReplicaEntry | undefined {
+    if (!candidates.some(({ isSlow }) => isSlow)) {
+      return undefined;
+    }
+    const slow = candidates.filter(({ isAvoided, isSlow }) => isSlow && !isAvoided);
+    const point = (this.dependencies.random() * candidates.length) / TRICKLE_SHARE;
+    return slow[Math.floor(point)]?.entry;
+  }
+
+  private findCandidates(poolRequest: PoolRequest): readonly PoolCandidate[] {
+    const { directory, isPermitted, timers } = this.dependencies;
+    const now = timers.now();
+    const isUneven = this.costs.isUneven(now);
+    const candidates: PoolCandidate[] = [];
+    const counts = { all: 0, avoided: 0, slow: 0 };
+    const { permittedRegions, service } = poolRequest;
+    for (const entry of directory.findReplicas(service.name)) {
+      if (
+        entry.isDraining ||
+        this.loads.isLeaving(entry) ||
+        !isPermitted(entry.availabilityZone, permittedRegions)
+      ) {
+        continue;
+      }
+      const { avoidedUntil, inFlight } = this.loads.findOrAddState(entry);
+      const run = isUneven ? this.costs.findSlowness(entry) : undefined;
+      const isAvoided = avoidedUntil > now;
+      const isSlow = run?.isSlow ?? false;
+      counts.all++;
+      counts.avoided += isAvoided ? 1 : 0;
+      counts.slow += isSlow ? 1 : 0;
+      if (!isLeftOut(entry, poolRequest)) {
+        candidates.push({ entry, inFlight, isAvoided, isSlow, slowness: run?.estimate(now) ?? 1 });
+      }
+    }
+    limitAvoided(candidates, counts);
+    return candidates;
+  }
+}
+
+/** A candidate and what was judged of it. */
+interface PoolCandidate extends PlacementCandidate {
+  isAvoided: boolean;
+  slowness: number;
+  readonly isSlow: boolean;
+}
+
+function isLeftOut(entry: ReplicaEntry, { excluded, softwareVersion }: PoolRequest): boolean {
+  return (
+    excluded.has(entry.runId) ||
+    (softwareVersion !== undefined && entry.softwareVersion !== softwareVersion)
+  );
+}
+
+/** If most replicas fail or are slow, the cause is elsewhere, and avoiding them would overload the others. */
+function limitAvoided(
+  candidates: readonly PoolCandidate[],
+  counts: { readonly all: number; readonly avoided: number; readonly slow: number },
+): void {
+  const maximum = counts.all * MAXIMUM_AVOIDED_SHARE;
+  if (counts.avoided <= maximum && counts.slow <= maximum) {
+    return;
+  }
+  for (const candidate of candidates) {
+    candidate.isAvoided &&= counts.avoided <= maximum;
+    candidate.slowness = counts.slow <= maximum ? candidate.slowness : 1;
   }
 }
 
@@ -125,6 +204,14 @@
   return promptParts[1]?.id ?? sessionId;
 }
 
+function countTokens(promptParts: readonly PromptPart[]): number {
+  let tokens = 0;
+  for (const part of promptParts) {
+    tokens += part.tokens;
+  }
+  return tokens;
+}
+
 function chooseAffinity(facts: RequestFacts, isSticky: boolean): string | undefined {
   return isSticky ? facts.affinityKey : undefined;
 }
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -8,6 +8,7 @@
 import type { ReplicaRunId } from '../../src/upstreams/replica.js';
 
 import { PeerClients } from '../../src/peers/peerClients.js';
+import { parseSlownessReports } from '../../src/peers/peerMessages.js';
 import { PeerServer } from '../../src/peers/peerServer.js';
 import { makeOwner, makeRelayServer } from '../support/fakePeer.js';
 import { startStranger } from '../support/startStranger.js';
@@ -166,6 +167,40 @@
     expect(received).toEqual([{ engines: 3 }]);
   });
 
+  it('carries measurements of replicas beside any reply, and nothing while there are none', async () => {
+    const measured = [{ ageMilliseconds: 40, ratio: 2.5, run: 'r1@1' as ReplicaRunId }];
+    const source = { ownReports: measured };
+    const { peer } = makeOwner('self', {});
+    const loads = { ownCounts: {} };
+    const server = new PeerServer(peer, silentLogger, makeRelayServer(), loads, source);
+    await server.listen({ host: '127.0.0.1', port: 0 });
+    const received: unknown[] = [];
+    const clients = new PeerClients(
+      silentLogger,
+      () => undefined,
+      reports => received.push(reports),
+    );
+    cleanups.push(() => {
+      server.close();
+      clients.close();
+    });
+    const remote = clients.at(`127.0.0.1:${String(server.port)}`);
+    const reply = await remote.acquireOwned(bucket);
+    expect(reply).not.toHaveProperty('replicaSlowness');
+    expect(received).toEqual([measured]);
+    source.ownReports = [];
+    await remote.acquireOwned(bucket);
+    expect(received).toHaveLength(1);
+  });
+
+  it.each([
+    ['of a build that measures nothing', undefined, []],
+    ['with something else', 7, []],
+    ['with items that are none', [['r1@1', 'fast', 3], 5, ['r2@1', 2, 7, 'more']], ['r2@1']],
+  ])('reads measurements %s', (_name, value, expected) => {
+    expect(parseSlownessReports(value).map(({ run }) => run)).toEqual(expected);
+  });
+
   it.each([
     ['of a build that does not count turns', '{"kind":"pending"}', []],
     ['with something else', '{"kind":"pending","engineTurns":7}', []],
--- a/packages/gateway/tests/support/engineLoad/gatewayPolicy.ts
+++ b/packages/gateway/tests/support/engineLoad/gatewayPolicy.ts
@@ -1,15 +1,21 @@
-import type { AvailabilityZone, ProgramId, UpstreamId } from '@zincring/core';
+import type { AvailabilityZone, ProgramId } from '@zincring/core';
 
-import { ManualTimerService } from '@zincring/core';
+import { ManualTimerService, silentLogger } from '@zincring/core';
 
+import type { SessionId } from '../../../src/callers/requestFacts.js';
 import type { ProgramStage } from '../../../src/programs/programStage.js';
+import type { ReplicaEntry } from '../../../src/upstreams/replica.js';
+import type { ExchangeTiming } from '../../../src/upstreams/load/exchangeTiming.js';
 import type { EngineLoad, LoadedTurn, TurnDecision, TurnPolicy } from './playPrograms.js';
 
+import { GatewayMetrics } from '../../../src/observation/gatewayMetrics.js';
 import { findProgramStage } from '../../../src/programs/programStage.js';
 import { EngineLoads } from '../../../src/upstreams/load/engineLoads.js';
 import { computeEngineUrgency } from '../../../src/upstreams/load/engineUrgency.js';
 import { ProgramAdmission } from '../../../src/upstreams/load/programAdmission.js';
-import { chooseEngine } from '../../../src/upstreams/replicaPlacement.js';
+import { ReplicaCosts } from '../../../src/upstreams/load/replicaCosts.js';
+import { ReplicaLoads } from '../../../src/upstreams/replicaLoads.js';
+import { ReplicaPool } from '../../../src/upstreams/replicaPool.js';
 import { makeRandom } from '../makeRandom.js';
 import { engineService, sampleFacts, sampleReplica } from '../samples.js';
 
@@ -19,6 +25,8 @@
   readonly ordersByStage: boolean;
   /** Refuses program starts while the engines are busy. */
   readonly limitsStarts: boolean;
+  /** Learns what turns cost and how slow engines are; otherwise the defaults stay. */
+  readonly learnsCosts?: boolean;
 }
 
 /** Calls to random other instances that one turn needs: one for the rate and two for the budget. */
@@ -27,9 +35,9 @@
 
 interface PlayedInstance {
   readonly admission: ProgramAdmission;
-  readonly inFlight: Map<UpstreamId, number>;
+  readonly costs: ReplicaCosts;
   readonly loads: EngineLoads;
-  readonly previousReplicas: Map<string, UpstreamId>;
+  readonly pool: ReplicaPool;
 }
 
 /** Takes the decisions of all instances with the parts of the gateway. */
@@ -39,6 +47,7 @@
   const replicas = Array.from({ length: load.engines }, (_unused, index) =>
     sampleReplica(`engine-${String(index)}`, { slots: load.sheet.slots }),
   );
+  const metrics = new GatewayMetrics();
   const indexes = new Map(replicas.map(({ id }, index) => [id, index]));
   const instances = Array.from({ length: load.instances }, (): PlayedInstance => {
     const loads = new EngineLoads({ countPeers: () => load.instances - 1, timers });
@@ -47,15 +56,26 @@
       findReplicas: () => replicas,
       random,
     });
-    return { admission, inFlight: new Map(), loads, previousReplicas: new Map() };
+    const costs = new ReplicaCosts({ logger: silentLogger, metrics, timers });
+    const pool = new ReplicaPool({
+      availabilityZone: 'nelson' as AvailabilityZone,
+      costs,
+      directory: { findReplicas: () => replicas, listAll: () => replicas },
+      isPermitted: () => true,
+      loads: new ReplicaLoads(timers, () => 1),
+      random,
+      timers,
+    });
+    return { admission, costs, loads, pool };
   });
-  const ends = new Map<LoadedTurn, () => void>();
+  const sent = new Map<LoadedTurn, SentTurn>();
 
-  function samplePeers({ loads }: PlayedInstance): void {
+  function samplePeers({ costs, loads }: PlayedInstance): void {
     for (let call = 0; call < PEER_CALLS_PER_TURN; call++) {
       const peer = instances[Math.floor(random() * instances.length)];
       if (peer !== undefined) {
         loads.recordPeer(peer.loads.ownCounts);
+        costs.hear(peer.costs.ownReports);
       }
     }
   }
@@ -75,19 +95,14 @@
         retryAfterMilliseconds: (refusal.retryAfterSeconds ?? 0) * 1_000,
       };
     }
-    const entry = chooseEngine(
-      replicas.map(each => ({
-        entry: each,
-        inFlight: instance.inFlight.get(each.id) ?? 0,
-        isAvoided: turn.refusals > 0 && random() < AVOIDED_AFTER_REFUSAL,
-      })),
-      {
-        affinity: turn.session,
-        availabilityZone: 'nelson' as AvailabilityZone,
-        previousReplica: instance.previousReplicas.get(turn.session),
-        promptParts: turn.parts,
-      },
-    );
+    const isExcluded = (): boolean => turn.refusals > 0 && random() < EXCLUDED_AFTER_REFUSAL;
+    const entry = instance.pool.choose({
+      excluded: new Set(replicas.filter(isExcluded).map(({ runId }) => runId)),
+      facts,
+      isSticky: true,
+      service: engineService,
+      softwareVersion: undefined,
+    });
     const stage: ProgramStage = options.ordersByStage
       ? findProgramStage(facts, turn.isFirst)
       : 'in-progress';
@@ -98,38 +113,67 @@
     };
   }
 
-  function count(turn: LoadedTurn, engine: number, change: number): void {
-    const { inFlight } = instances[turn.instance]!;
-    const { id } = replicas[engine]!;
-    inFlight.set(id, (inFlight.get(id) ?? 0) + change);
-  }
-
   return {
     decide: (turn, now) => {
       timers.skip(now - timers.now());
       return decide(turn);
     },
-    onEnded: (turn, engine) => {
-      count(turn, engine, -1);
-      ends.get(turn)?.();
-      ends.delete(turn);
+    onEnded: (turn, _engine, isComplete, now) => {
+      timers.skip(now - timers.now());
+      sent.get(turn)?.end(isComplete);
+      sent.delete(turn);
+    },
+    onEvent: (turn, now) => {
+      timers.skip(now - timers.now());
+      sent.get(turn)?.timing?.recordEvent();
     },
     onSent: (turn, engine) => {
-      const instance = instances[turn.instance]!;
-      count(turn, engine, 1);
-      instance.previousReplicas.set(turn.session, replicas[engine]!.id);
-      ends.set(turn, instance.loads.begin(engineService.name));
+      sent.set(turn, beginTurn(instances[turn.instance]!, replicas[engine]!, turn, options));
+    },
+  };
+}
+
+/** A turn at an engine, as its instance sees it. */
+interface SentTurn {
+  readonly timing: ExchangeTiming | undefined;
+  readonly end: (isComplete: boolean) => void;
+}
+
+function beginTurn(
+  { costs, loads, pool }: PlayedInstance,
+  entry: ReplicaEntry,
+  turn: LoadedTurn,
+  { learnsCosts = false }: PolicyOptions,
+): SentTurn {
+  const facts = makeFacts(turn);
+  const prompt = pool.expectPrompt(facts, entry);
+  const timing = learnsCosts ? costs.begin(entry, { kind: 'turns', prompt }) : undefined;
+  const endTurn = loads.begin(engineService.name);
+  const state = pool.loads.findOrAddState(entry);
+  state.inFlight++;
+  pool.recordReplica(facts, entry);
+  return {
+    end: isComplete => {
+      state.inFlight--;
+      endTurn();
+      if (isComplete) {
+        timing?.complete();
+      } else {
+        timing?.abandon();
+      }
     },
+    timing,
   };
 }
 
 /** Share of the engines that a turn avoids after a refusal, which stands for those that it excludes. */
-const AVOIDED_AFTER_REFUSAL = 0.5;
+const EXCLUDED_AFTER_REFUSAL = 0.5;
 
 function makeFacts(turn: LoadedTurn): ReturnType<typeof sampleFacts> {
   return sampleFacts({
     programId: turn.session as ProgramId,
     programRemainingMilliseconds: turn.programRemaining,
     promptParts: turn.parts,
+    sessionId: turn.session as SessionId,
   });
 }
--- a/packages/gateway/tests/support/engineLoad/modelEngine.ts
+++ b/packages/gateway/tests/support/engineLoad/modelEngine.ts
@@ -18,6 +18,8 @@
   readonly urgency: number;
   /** Time at which the caller leaves, in milliseconds. */
   readonly deadline: number;
+  /** Called with the first token and with each further event of {@link TOKENS_PER_EVENT}. */
+  readonly onEvent?: () => void;
   /** Called at the end with whether the turn is complete. */
   readonly onEnd: (isComplete: boolean, now: number) => void;
 }
@@ -31,6 +33,8 @@
 
 /** Tokens of a prompt that are computed between two steps. */
 const CHUNK_TOKENS = 1_024;
+/** Tokens of an event. */
+const TOKENS_PER_EVENT = 32;
 /** Steps without a prefill that are computed at a time; arrivals wait for their end. */
 const STEPS_AT_A_TIME = 8;
 
@@ -67,7 +71,7 @@
   }
 
   /** Computes one iteration and returns its duration, in milliseconds; 0 if there is nothing to do. */
-  public advance(now: number): number {
+  public advance(now: number, speed = 1): number {
     this.dropExpired(now);
     this.admit();
     if (this.running.length === 0) {
@@ -79,11 +83,17 @@
     const chunk = Math.min(CHUNK_TOKENS, next?.prefillTokens ?? 0);
     const steps = next === undefined ? STEPS_AT_A_TIME : 1;
     const duration =
-      chunk / prefillTokensPerMillisecond +
-      steps * (stepMilliseconds + this.running.length * stepMillisecondsPerRequest);
+      (chunk / prefillTokensPerMillisecond +
+        steps * (stepMilliseconds + this.running.length * stepMillisecondsPerRequest)) /
+      speed;
     for (const each of this.running) {
       if (each.prefillTokens === 0) {
+        const eventsLeft = Math.ceil(each.remainingTokens / TOKENS_PER_EVENT);
+        const isFirst = each.remainingTokens === each.turn.outputTokens;
         each.remainingTokens -= steps;
+        if (isFirst || Math.ceil(each.remainingTokens / TOKENS_PER_EVENT) < eventsLeft) {
+          each.turn.onEvent?.();
+        }
       }
     }
     if (next !== undefined) {
--- a/packages/gateway/tests/support/engineLoad/playPrograms.ts
+++ b/packages/gateway/tests/support/engineLoad/playPrograms.ts
@@ -28,6 +28,8 @@
   readonly sharedTokens: number;
   /** Programs that begin per second, by time in milliseconds. */
   readonly programsPerSecond: (now: number) => number;
+  /** Speed of an engine at a time, relative to the sheet; 1 if absent. */
+  readonly speedOf?: (engine: number, now: number) => number;
 }
 
 /** A turn as an instance sees it. */
@@ -53,6 +55,8 @@
   decide(turn: LoadedTurn, now: number): TurnDecision;
   /** Called when a turn began at an engine. */
   onSent(turn: LoadedTurn, engine: number, now: number): void;
+  /** Called when an engine has sent an event of a turn. */
+  onEvent?(turn: LoadedTurn, now: number): void;
   /** Called when a turn has left an engine. */
   onEnded(turn: LoadedTurn, engine: number, isComplete: boolean, now: number): void;
 }
@@ -243,6 +247,7 @@
         this.policy.onEnded(loadedTurn, engine, isComplete, this.now);
         this.endTurn(program, isComplete);
       },
+      onEvent: () => this.policy.onEvent?.(loadedTurn, this.now),
       outputTokens: OUTPUT_TOKENS,
       parts: [...parts],
       urgency,
@@ -266,7 +271,7 @@
     }
     this.isActive[index] = true;
     const iterate = (): void => {
-      const duration = this.engines[index]!.advance(this.now);
+      const duration = this.engines[index]!.advance(this.now, this.load.speedOf?.(index, this.now));
       if (duration === 0) {
         this.isActive[index] = false;
       } else {
--- a/packages/gateway/tests/upstreams/replicaPlacement.test.ts
+++ b/packages/gateway/tests/upstreams/replicaPlacement.test.ts
@@ -1,5 +1,6 @@
 import type { AvailabilityZone, UpstreamId } from '@zincring/core';
 
+import { defaultLearnedCostOptions, ServiceCosts } from '@zincring/scheduling';
 import { describe, expect, it } from 'vitest';
 
 import type { PromptPart } from '../../src/callers/requestFacts.js';
@@ -16,6 +17,7 @@
     entry: sampleReplica(`r${String(index)}`),
     inFlight: 0,
     isAvoided: false,
+    slowness: 1,
     ...overrides,
   }));
 }
@@ -24,6 +26,7 @@
   return {
     affinity: 'session-1',
     availabilityZone: 'nelson' as AvailabilityZone,
+    costs: new ServiceCosts(defaultLearnedCostOptions).estimate(0),
     previousReplica: undefined,
     promptParts: [{ id: 'shared' as PromptPart['id'], tokens: 12_600 }],
     ...overrides,
--- a/packages/gateway/tests/upstreams/replicaPool.test.ts
+++ b/packages/gateway/tests/upstreams/replicaPool.test.ts
@@ -5,6 +5,8 @@
 
 import type { PromptPart, RequestFacts, SessionId } from '../../src/callers/requestFacts.js';
 
+import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
+import { ReplicaCosts } from '../../src/upstreams/load/replicaCosts.js';
 import { ReplicaDirectory } from '../../src/upstreams/replicaDirectory.js';
 import { ReplicaLoads } from '../../src/upstreams/replicaLoads.js';
 import { ReplicaPool } from '../../src/upstreams/replicaPool.js';
@@ -55,13 +57,15 @@
     directory.start();
     await timers.advance(100);
     const loads = new ReplicaLoads(timers, () => 16);
-    return new ReplicaPool(
+    return new ReplicaPool({
+      availabilityZone: 'nelson' as AvailabilityZone,
+      costs: new ReplicaCosts({ logger: silentLogger, metrics: new GatewayMetrics(), timers }),
       directory,
+      isPermitted: () => true,
       loads,
-      'nelson' as AvailabilityZone,
-      () => 0.5,
-      () => true,
-    );
+      random: () => 0.5,
+      timers,
+    });
   }
 
   function choose(pool: ReplicaPool, facts: RequestFacts): string | undefined {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -54,3 +54,13 @@
   WindowStatus,
 } from './service/serviceScheduler.js';
 export { WindowedServiceScheduler } from './service/serviceScheduler.js';
+export type { LearnedCostOptions, SampleOptions } from './engines/costOptions.js';
+export { defaultLearnedCostOptions } from './engines/costOptions.js';
+export type { EngineStanding } from './engines/expectedTurn.js';
+export { expectTurnMilliseconds } from './engines/expectedTurn.js';
+export { scoreRendezvous } from './engines/rendezvousScore.js';
+export type { SlownessVerdict } from './engines/replicaSlowness.js';
+export { ReplicaSlowness } from './engines/replicaSlowness.js';
+export { RobustMean } from './engines/robustMean.js';
+export type { CostEstimate, PromptExpectation } from './engines/serviceCosts.js';
+export { ServiceCosts } from './engines/serviceCosts.js';
