--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -8,11 +8,9 @@
 import type { ZoneOutageDetector } from '../lifecycle/zoneOutageDetector.js';
 import type { WorkspaceRates } from '../limits/workspaceRates.js';
 import type { ProgramAdmission } from '../upstreams/load/programAdmission.js';
-import type {
-  AttemptLoopDependencies,
-  RunnableRequest,
-  RunOutcome,
-} from '../upstreams/attemptLoop.js';
+import type { RunnableRequest } from '../upstreams/attemptLoop.js';
+import type { AttemptLoopDependencies } from '../upstreams/attemptLoopDependencies.js';
+import type { RunOutcome } from '../upstreams/runOutcome.js';
 import type { GatewayMetrics, RequestEnd } from '../observation/gatewayMetrics.js';
 import type { HeldMemory } from './memory/heldMemory.js';
 import type { Admission } from './admitByConfiguration.js';
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -1,23 +1,17 @@
-import type { Logger, Region, TimerService, UpstreamId, WorkspaceName } from '@zincring/core';
+import type { Region, WorkspaceName } from '@zincring/core';
 
 import { discardBody, sleep, ZincringError } from '@zincring/core';
 
-import type { BodyFraming, ResponseSink, StreamObserver } from '../callers/responseSink.js';
+import type { ResponseSink, StreamObserver } from '../callers/responseSink.js';
 import type { StreamEvent } from '../callers/eventSplitter.js';
-import type { RequestFacts, HeaderCodec } from '../callers/requestFacts.js';
+import type { RequestFacts } from '../callers/requestFacts.js';
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
-import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
-import type { Announcements } from './announcements.js';
+import type { AttemptLoopDependencies } from './attemptLoopDependencies.js';
 import type { AdmittedReplica } from './chooseAdmittedReplica.js';
-import type { CrashRecord } from './crashRecord.js';
-import type { EngineLoads } from './load/engineLoads.js';
 import type { ExchangeTiming } from './load/exchangeTiming.js';
-import type { ReplicaPermits } from './permits/replicaPermits.js';
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
 import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
-import type { ReplicaPool } from './replicaPool.js';
-import type { ReplicaTransport } from './replicaTransport.js';
-import type { StreamOrigins } from './streamOrigins.js';
+import type { ForwardedBody, RunOutcome } from './runOutcome.js';
 
 import { chooseAdmittedReplica } from './chooseAdmittedReplica.js';
 import { readResponseBody } from './readResponseBody.js';
@@ -51,43 +45,6 @@
   isCallerWaiting(): boolean;
 }
 
-/** Outcome of a request. */
-export type RunOutcome =
-  | { readonly kind: 'aborted'; readonly mayHaveRun: boolean }
-  | { readonly kind: 'failed'; readonly error: ZincringError }
-  | { readonly kind: 'interrupted' }
-  | {
-      readonly kind: 'served';
-      readonly status: number;
-      readonly replica: UpstreamId;
-      readonly softwareVersion: SoftwareVersion;
-      /** Number of attempts that may have run, including the last one. */
-      readonly runs: number;
-      readonly body: ForwardedBody;
-    };
-
-/** How the body of a response was forwarded. */
-export interface ForwardedBody {
-  readonly framing: BodyFraming;
-  /** Number of events of a stream over all attempts; 0 for other responses. */
-  readonly events: number;
-}
-
-/** Dependencies of an {@link AttemptLoop}. */
-export interface AttemptLoopDependencies {
-  readonly timers: TimerService;
-  readonly logger: Logger;
-  readonly pool: ReplicaPool;
-  readonly permits: ReplicaPermits;
-  readonly announcements: Announcements;
-  readonly transport: ReplicaTransport;
-  readonly headerCodec: HeaderCodec;
-  readonly crashes: CrashRecord;
-  readonly streamOrigins: StreamOrigins;
-  readonly metrics: GatewayMetrics;
-  readonly engineLoads: EngineLoads;
-}
-
 /** Number of refusals by replicas after which the caller is asked to retry later: most replicas of a small service. */
 const MAXIMUM_REFUSALS = 6;
 /** Retry delay for callers whose request no replica accepted, in milliseconds: about the length of a short call. */
--- /dev/null
+++ b/packages/gateway/src/upstreams/attemptLoopDependencies.ts
@@ -0,0 +1,26 @@
+import type { Logger, TimerService } from '@zincring/core';
+
+import type { HeaderCodec } from '../callers/requestFacts.js';
+import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
+import type { Announcements } from './announcements.js';
+import type { CrashRecord } from './crashRecord.js';
+import type { EngineLoads } from './load/engineLoads.js';
+import type { ReplicaPermits } from './permits/replicaPermits.js';
+import type { ReplicaPool } from './replicaPool.js';
+import type { ReplicaTransport } from './replicaTransport.js';
+import type { StreamOrigins } from './streamOrigins.js';
+
+/** Dependencies of an attempt loop. */
+export interface AttemptLoopDependencies {
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly pool: ReplicaPool;
+  readonly permits: ReplicaPermits;
+  readonly announcements: Announcements;
+  readonly transport: ReplicaTransport;
+  readonly headerCodec: HeaderCodec;
+  readonly crashes: CrashRecord;
+  readonly streamOrigins: StreamOrigins;
+  readonly metrics: GatewayMetrics;
+  readonly engineLoads: EngineLoads;
+}
