feat(gateway): refuse first the program starts that cost callers least

What callers saw: while the engines were busy, any program start was refused above one limit of load, whoever asked. A workspace that sent seven times its usual and one that sent a little were refused alike, and neither the work that a program needs nor its deadline was weighed.

Change: CostAdmission in packages/scheduling decides, pure, from priority, work of the kind, time left, use of the workspace against its fair share over all instances, and what was admitted of each kind. ProgramAdmission connects it. Use by workspace travels as an optional field in the replies of owners while the engines are busy. A start just above its limit waits for a tenth of the time in which callers expect a first event. The size estimator moves to scheduling.

The test of ProgramAdmission asks the same of the new interface: check and refuse in place of checkStart; no case is dropped. The played arrivals have their own random numbers, so that policies meet the same programs.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -7,7 +7,7 @@
 import type { TurnDraft, TurnStore } from '../programs/turnStore.js';
 import type { ZoneOutageDetector } from '../lifecycle/zoneOutageDetector.js';
 import type { WorkspaceRates } from '../limits/workspaceRates.js';
-import type { ProgramAdmission } from '../upstreams/load/programAdmission.js';
+import type { ProgramAdmission, ProgramTurn } from '../upstreams/load/programAdmission.js';
 import type { RunnableRequest } from '../upstreams/attemptLoop.js';
 import type { AttemptLoopDependencies } from '../upstreams/attemptLoopDependencies.js';
 import type { RunOutcome } from '../upstreams/runOutcome.js';
@@ -143,18 +143,18 @@
     lifetime: RequestLifetime,
   ): Promise<RunOutcome> {
     const request = this.toRunnableRequest(incoming, admission, body, lifetime);
-    const startRefusal = this.dependencies.programAdmission.checkStart({
-      priority: findPriority(admission),
-      service: request.service,
-    });
-    if (startRefusal === undefined) {
+    const held = this.dependencies.programAdmission.check(toProgramTurn(admission, request));
+    if (held === undefined) {
       return await this.serveAdmitted(request, admission, sink, lifetime);
     }
     // Whether the turn starts a program is known with its reservation, so the rate is not charged before.
     const prepared = await this.prepare(request, lifetime);
     if (prepared.ok && prepared.val.reservation?.startsProgram === true) {
-      releaseReservation(prepared);
-      return { error: startRefusal, kind: 'failed' };
+      const refusal = await this.dependencies.programAdmission.settle(held, lifetime.signal);
+      if (refusal !== undefined) {
+        releaseReservation(prepared);
+        return { error: refusal, kind: 'failed' };
+      }
     }
     return await this.serveAdmitted(request, admission, sink, lifetime, prepared);
   }
@@ -235,6 +235,10 @@
     if (reservation?.startsProgram === true) {
       this.dependencies.rates.recordProgramStart();
     }
+    const endTurn = this.dependencies.programAdmission.begin(
+      toProgramTurn(admission, request),
+      reservation?.startsProgram === true,
+    );
     const recorder = new TurnRecorder(reservation, draft, lifetime.signal);
     lifetime.recordAdmission(this.timers.now());
     this.dependencies.metrics.admissionSeconds.observe(lifetime.admissionMilliseconds / 1_000);
@@ -254,6 +258,7 @@
     } finally {
       releaseMemory();
       recorder.settle();
+      endTurn();
     }
   }
 
@@ -392,6 +397,11 @@
   }
 }
 
+function toProgramTurn(admission: Admission, request: RunnableRequest): ProgramTurn {
+  const { lowestPriority } = admission;
+  return { lowestPriority, priority: findPriority(admission), request };
+}
+
 /** Rank of a turn in the queues of engines; none for calls of plain services. */
 function findUrgency(
   admission: Admission,
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -2,6 +2,7 @@
 import type { PartitionedTable } from '@zincring/platform';
 
 import { sleep } from '@zincring/core';
+import { WorkspaceShares } from '@zincring/scheduling';
 
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { ConfigurationSource } from '../configuration/configurationFollower.js';
@@ -39,6 +40,7 @@
 import { EngineLoads } from '../upstreams/load/engineLoads.js';
 import { ReplicaCosts } from '../upstreams/load/replicaCosts.js';
 import { ProgramAdmission } from '../upstreams/load/programAdmission.js';
+import { WorkspaceWeights } from '../upstreams/load/workspaceWeights.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaNetwork } from '../upstreams/replicaNetwork.js';
 import { StreamOrigins, sweptStreams } from '../upstreams/streamOrigins.js';
@@ -115,6 +117,7 @@
   private readonly engineLoads: EngineLoads;
   private readonly memory: HeldMemory;
   private readonly replicaCosts: ReplicaCosts;
+  private readonly programAdmission: ProgramAdmission;
   private readonly peers: PeerNetwork;
   /** Identifies this run of the instance as a holder of tokens and credit; unique among all runs of all instances. */
   private readonly holder: string;
@@ -151,6 +154,7 @@
     this.tokenAccounts = new StoreTokenAccounts(ownership);
     this.engineLoads = new EngineLoads({ countPeers: () => this.peers.peerCount, timers });
     this.replicaCosts = new ReplicaCosts({ logger, metrics: this.metrics, timers });
+    this.programAdmission = this.makeProgramAdmission();
     this.peers = this.makePeers();
     this.replicaNetwork = this.makeReplicaNetwork();
     this.budgets = this.makeBudgets();
@@ -314,6 +318,7 @@
       regions: this.options.regions,
       engineLoads: this.engineLoads,
       replicaCosts: this.replicaCosts,
+      workspaceTurns: this.programAdmission,
       instance: this.options.instance,
       logger,
       metrics: this.metrics,
@@ -363,22 +368,35 @@
     return new TurnBudgets({ accounts, holder, logger, table, timers });
   }
 
+  private makeProgramAdmission(): ProgramAdmission {
+    const { logger, metrics } = this;
+    const { random, timers } = this.dependencies;
+    const { evacuatedZones } = this.configuration;
+    const weights = new WorkspaceWeights(() => this.configuration.current?.configuration);
+    return new ProgramAdmission({
+      countPeers: () => this.peers.peerCount,
+      estimateTurns: service => this.engineLoads.estimateTurns(service),
+      findReplicas: service =>
+        this.replicas
+          .findReplicas(service)
+          .filter(({ availabilityZone: zone }) => !evacuatedZones.isEvacuated(zone)),
+      isStopping: () => this.isStopping,
+      logger,
+      metrics,
+      random,
+      shares: new WorkspaceShares({ timers, weightOf: name => weights.weightOf(name) }),
+      timers,
+    });
+  }
+
   private makePipeline(): RequestPipeline {
     const { budgets, logger, replicaNetwork, table, versionRecord, versions } = this;
-    const { evacuatedZones } = this.configuration;
     const { headerCodec, random, timers } = this.dependencies;
     return new RequestPipeline({
       budgets,
       configuration: this.configuration,
       engineLoads: this.engineLoads,
-      programAdmission: new ProgramAdmission({
-        estimateTurns: service => this.engineLoads.estimateTurns(service),
-        findReplicas: service =>
-          this.replicas
-            .findReplicas(service)
-            .filter(({ availabilityZone: zone }) => !evacuatedZones.isEvacuated(zone)),
-        random,
-      }),
+      programAdmission: this.programAdmission,
       crashes: this.crashes,
       turnStore: new TurnStore({ logger, random, rowBytes: this.options.rowBytes, table, timers }),
       logger,
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -5,7 +5,7 @@
 import type { GatewayWorkspace } from '../configuration/gatewayConfiguration.js';
 import type { CreditSource, NamedRateLimit, RateAdmission } from './creditSource.js';
 
-import { ProgramSizeEstimator } from './programSizeEstimator.js';
+import { ProgramSizeEstimator } from '@zincring/scheduling';
 
 /** Share of the rate for which new programs are admitted while the workspace is over its rate; the rest is left to programs in progress. */
 const PROGRAM_START_SHARE = 0.85;
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -37,6 +37,13 @@
     name: 'zincring_attempts_total',
     registers: [this.registry],
   });
+  /** Turns that did not start a program at once because the engines were busy. */
+  public readonly admissions = new Counter({
+    help: 'Decisions on program starts that were held, by reason and priority.',
+    labelNames: ['decision', 'reason', 'priority'] as const,
+    name: 'zincring_admissions_total',
+    registers: [this.registry],
+  });
   public readonly permits = new Counter({
     help: 'Permits asked for to send a request to a replica that limits its rate.',
     labelNames: ['outcome'] as const,
--- a/packages/gateway/src/peers/peerClients.ts
+++ b/packages/gateway/src/peers/peerClients.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '@zincring/core';
+import type { WorkspaceTurnCounts } from '@zincring/scheduling';
 
 import { failureText } from '@zincring/core';
 import { HttpClient } from '@zincring/platform';
@@ -10,7 +11,7 @@
 import type { SlownessReport } from '../upstreams/load/slownessReports.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 
-import { parseEngineTurns, parseSlownessReports } from './peerMessages.js';
+import { parseEngineTurns, parseSlownessReports, parseWorkspaceTurns } from './peerMessages.js';
 import { PEER_PATHS } from './peerPaths.js';
 
 /** Timeout of a call to another instance, in milliseconds: longer than an owner waits for the store, shorter than callers notice. */
@@ -33,6 +34,8 @@
     private readonly onEngineTurns: (counts: EngineTurnCounts) => void = () => undefined,
     /** Called with the measurements of replicas that a responding instance tells of. */
     private readonly onSlowness: (reports: readonly SlownessReport[]) => void = () => undefined,
+    /** Called with the turns that it has in flight by workspace, if it tells them. */
+    private readonly onWorkspaceTurns: (counts: WorkspaceTurnCounts) => void = () => undefined,
   ) {}
 
   /** Returns the client of the instance at an address, such as `10.1.0.11:7780`. */
@@ -108,7 +111,10 @@
   }
 
   private readReply(text: string): unknown {
-    const { engineTurns, replicaSlowness, ...reply } = JSON.parse(text) as Record<string, unknown>;
+    const { engineTurns, replicaSlowness, workspaceTurns, ...reply } = JSON.parse(text) as Record<
+      string,
+      unknown
+    >;
     const counts = parseEngineTurns(engineTurns);
     if (counts !== undefined) {
       this.onEngineTurns(counts);
@@ -116,6 +122,10 @@
     if (replicaSlowness !== undefined) {
       this.onSlowness(parseSlownessReports(replicaSlowness));
     }
+    const workspaceCounts = parseWorkspaceTurns(workspaceTurns);
+    if (workspaceCounts !== undefined) {
+      this.onWorkspaceTurns(workspaceCounts);
+    }
     return reply;
   }
 
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -1,3 +1,5 @@
+import type { WorkspaceTurnCounts } from '@zincring/scheduling';
+
 import type { NamedRateLimit } from '../limits/creditSource.js';
 import type { TurnDemand } from '../programs/tokenAccounts.js';
 import type { AnnouncedRate } from '../upstreams/permits/announcedRate.js';
@@ -12,6 +14,9 @@
   readonly deliveredTokens: number;
 }
 
+/** Maximum number of workspaces that are read from one reply. */
+const MAXIMUM_WORKSPACES = 16;
+
 /** A JSON value of any shape. */
 type JsonFields = Readonly<Record<string, unknown>>;
 
@@ -145,6 +150,18 @@
     : reports.map(({ ageMilliseconds, ratio, run }) => [run, ratio, ageMilliseconds]);
 }
 
+/**
+ * Reads the turns that an instance has in flight by workspace; `undefined` if the value is none, as in
+ * replies of builds up to 09ca40e and of instances whose engines have room.
+ *
+ * @example
+ * parseWorkspaceTurns({ clerks: 3, '': 2 });
+ */
+export function parseWorkspaceTurns(value: unknown): WorkspaceTurnCounts | undefined {
+  const counts = parseEngineTurns(value);
+  return counts && Object.fromEntries(Object.entries(counts).slice(0, MAXIMUM_WORKSPACES));
+}
+
 function readAnnouncedRate(fields: JsonFields): AnnouncedRate | undefined {
   const { ageMilliseconds, requestsPerSecond } = fields;
   const isRate =
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -1,5 +1,6 @@
 import type { AvailabilityZone, InstanceId, Logger, Region, TimerService } from '@zincring/core';
 import type { PartitionedTable } from '@zincring/platform';
+import type { WorkspaceTurnCounts } from '@zincring/scheduling';
 
 import { sleep } from '@zincring/core';
 
@@ -8,6 +9,7 @@
 import type { EngineLoads } from '../upstreams/load/engineLoads.js';
 import type { ReplicaCosts } from '../upstreams/load/replicaCosts.js';
 import type { GatewayPeer } from './gatewayPeer.js';
+import type { WorkspaceTurnSource } from './peerServer.js';
 import type { RelayTarget } from './relayServer.js';
 
 import { isPermittedZone } from '../upstreams/regions/permittedRegions.js';
@@ -19,6 +21,12 @@
 import { RelayClient } from './relayClient.js';
 import { RelayServer } from './relayServer.js';
 
+/** Exchanges the use of the engines by workspace with replies. */
+export interface WorkspaceTurnExchange extends WorkspaceTurnSource {
+  /** Takes in the use at another instance. */
+  recordPeer(counts: WorkspaceTurnCounts): void;
+}
+
 /** Dependencies of a {@link PeerNetwork}. */
 export interface PeerNetworkDependencies {
   readonly availabilityZone: AvailabilityZone;
@@ -36,6 +44,7 @@
   readonly metrics: GatewayMetrics;
   readonly engineLoads: EngineLoads;
   readonly replicaCosts: ReplicaCosts;
+  readonly workspaceTurns: WorkspaceTurnExchange;
 }
 
 /** Interval at which a stopping instance looks whether it still relays requests, in milliseconds. */
@@ -62,7 +71,7 @@
   public constructor(dependencies: PeerNetworkDependencies) {
     const { engineLoads, instance, logger, metrics, random, relayTarget, replicaCosts } =
       dependencies;
-    const { self, table, timers } = dependencies;
+    const { self, table, timers, workspaceTurns } = dependencies;
     this.timers = timers;
     this.clients = new PeerClients(
       logger,
@@ -72,6 +81,9 @@
       reports => {
         replicaCosts.hear(reports);
       },
+      counts => {
+        workspaceTurns.recordPeer(counts);
+      },
     );
     const { availabilityZone, regions } = dependencies;
     this.directory = new PeerDirectory({
@@ -88,7 +100,14 @@
     });
     this.owners = new OwnerSelector(instance, this.directory, timers, logger);
     this.relayServer = new RelayServer(relayTarget, logger);
-    this.server = new PeerServer(self, logger, this.relayServer, engineLoads, replicaCosts);
+    this.server = new PeerServer(
+      self,
+      logger,
+      this.relayServer,
+      engineLoads,
+      replicaCosts,
+      workspaceTurns,
+    );
     const candidates = new RelayCandidates(
       permittedRegions =>
         this.directory.addressesWhere(zone => isPermittedZone(zone, permittedRegions, regions)),
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '@zincring/core';
+import type { WorkspaceTurnCounts } from '@zincring/scheduling';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { failureText } from '@zincring/core';
@@ -33,7 +34,14 @@
 }
 
 const noReports: SlownessSource = { ownReports: [] };
+
+/** Use of the engines by workspace at this instance, which replies carry while the engines are busy. */
+export interface WorkspaceTurnSource {
+  readonly ownCounts: WorkspaceTurnCounts | undefined;
+}
+
 const idleEngines: EngineLoadSource = { ownCounts: {} };
+const noWorkspaces: WorkspaceTurnSource = { ownCounts: undefined };
 /** Time after which a connection without calls is closed, in milliseconds: a peer that is gone may never close it. */
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
 /** Maximum size of a message, in bytes: far more than any of them has. */
@@ -55,6 +63,7 @@
     relay: RelayServer,
     private readonly engineLoads: EngineLoadSource = idleEngines,
     private readonly slowness: SlownessSource = noReports,
+    private readonly workspaceTurns: WorkspaceTurnSource = noWorkspaces,
   ) {
     this.server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
       this.handle(request, response).catch((failure: unknown) => {
@@ -103,6 +112,7 @@
       ...reply,
       engineTurns: this.engineLoads.ownCounts,
       replicaSlowness: formatSlownessReports(this.slowness.ownReports),
+      workspaceTurns: this.workspaceTurns.ownCounts,
     });
     response.writeHead(200, {
       'Content-Length': Buffer.byteLength(content),
--- a/packages/gateway/tests/support/engineLoad/playPrograms.ts
+++ b/packages/gateway/tests/support/engineLoad/playPrograms.ts
@@ -22,6 +22,10 @@
   readonly instances: number;
   readonly engines: number;
   readonly sheet: EngineSheet;
+  /** Time that a program has, relative to its time on idle engines. */
+  readonly objectiveFactor?: number;
+  /** Picks the workspace that begins a program, by time in milliseconds and a random number from 0 to 1. */
+  readonly pickWorkspace?: (now: number, random: number) => string;
   readonly kinds: readonly ProgramKind[];
   /** Prompts that the programs of a kind share; the first are asked for most. */
   readonly sharedPrompts: number;
@@ -36,7 +40,11 @@
 export interface LoadedTurn {
   readonly instance: number;
   readonly session: string;
+  readonly kind: string;
+  readonly workspace: string;
   readonly parts: readonly PromptPart[];
+  /** Time until the caller gives the turn up, in milliseconds. */
+  readonly remaining: number;
   readonly priority: number;
   readonly isFirst: boolean;
   /** Time until the program should end, in milliseconds. */
@@ -48,7 +56,9 @@
 /** Decision on a turn. */
 export type TurnDecision =
   | { readonly kind: 'refuse'; readonly retryAfterMilliseconds: number }
-  | { readonly kind: 'send'; readonly engine: number; readonly urgency: number };
+  | { readonly kind: 'send'; readonly engine: number; readonly urgency: number }
+  /** Decide again on the same turn later. */
+  | { readonly kind: 'wait'; readonly milliseconds: number };
 
 /** Decisions under test, of all instances. */
 export interface TurnPolicy {
@@ -61,6 +71,13 @@
   onEnded(turn: LoadedTurn, engine: number, isComplete: boolean, now: number): void;
 }
 
+/** Programs of one kind or workspace, and those that ended in time or at all. */
+export interface GroupResult {
+  programs: number;
+  onTime: number;
+  served: number;
+}
+
 /** What callers got. */
 export interface LoadResult {
   readonly programs: number;
@@ -70,6 +87,8 @@
   readonly refusals: number;
   /** Worth earned over worth asked for: a program that is late earns three tenths. */
   readonly earnedShare: number;
+  /** By name of a kind or workspace. */
+  readonly groups: ReadonlyMap<string, GroupResult>;
   readonly computedTokensPerTurn: number;
   /** Work of the busiest engine over the mean. */
   readonly imbalance: number;
@@ -77,6 +96,7 @@
 
 interface Program {
   readonly kind: ProgramKind;
+  readonly workspace: string;
   readonly id: number;
   readonly instance: number;
   readonly parts: PromptPart[];
@@ -107,12 +127,15 @@
 }
 
 class ProgramPlay {
+  /** Separate from the other random numbers, so that all policies meet the same programs. */
+  private readonly randomArrival: () => number;
   private readonly random: () => number;
   private readonly engines: readonly ModelEngine[];
   private readonly isActive: boolean[];
   private readonly events = new Map<number, Event[]>();
   private now = 0;
   private readonly counts = { failed: 0, late: 0, onTime: 0, programs: 0, refusals: 0, turns: 0 };
+  private readonly groups = new Map<string, GroupResult>();
   private earned = 0;
   private owed = 0;
 
@@ -120,7 +143,8 @@
     private readonly load: EngineLoad,
     private readonly policy: TurnPolicy,
   ) {
-    this.random = makeRandom(load.seed);
+    this.randomArrival = makeRandom(load.seed);
+    this.random = makeRandom(load.seed + 1_000);
     this.engines = Array.from({ length: load.engines }, () => new ModelEngine(load.sheet));
     this.isActive = this.engines.map(() => false);
   }
@@ -143,6 +167,7 @@
       ...counts,
       computedTokensPerTurn: computed / turns,
       earnedShare: this.earned / this.owed,
+      groups: this.groups,
       imbalance: Math.max(...work) / mean,
     };
   }
@@ -159,7 +184,7 @@
 
   private scheduleArrival(): void {
     const rate = this.load.programsPerSecond(this.now);
-    this.after((-Math.log(1 - this.random()) * 1_000) / rate, () => {
+    this.after((-Math.log(1 - this.randomArrival()) * 1_000) / rate, () => {
       if (this.now < this.load.seconds * 1_000) {
         this.startProgram();
         this.scheduleArrival();
@@ -170,7 +195,7 @@
   private startProgram(): void {
     const kind = this.pickKind();
     const [least, most] = kind.turns;
-    const turns = least + Math.floor(this.random() * (most - least + 1));
+    const turns = least + Math.floor(this.randomArrival() * (most - least + 1));
     const id = this.counts.programs++;
     const parts = [this.pickSharedPart(kind)];
     const prompt = this.load.sharedTokens + turns * kind.inputTokens;
@@ -179,21 +204,32 @@
       prompt / this.load.sheet.prefillTokensPerMillisecond +
       turns * (OUTPUT_TOKENS * step + WAY_MILLISECONDS + kind.thinkMilliseconds);
     this.owed += kind.worth * turns;
+    const workspace = this.load.pickWorkspace?.(this.now, this.randomArrival()) ?? 'clerks';
+    this.findGroups(kind.name, workspace).forEach(group => group.programs++);
     this.runTurn({
       failures: 0,
       id,
-      instance: Math.floor(this.random() * this.load.instances),
+      instance: Math.floor(this.randomArrival() * this.load.instances),
       kind,
-      objective: OBJECTIVE_FACTOR * idle + OBJECTIVE_MILLISECONDS,
+      objective: (this.load.objectiveFactor ?? OBJECTIVE_FACTOR) * idle + OBJECTIVE_MILLISECONDS,
       parts,
       startedAt: this.now,
       turn: 0,
       turns,
+      workspace,
+    });
+  }
+
+  private findGroups(...names: readonly string[]): readonly GroupResult[] {
+    return names.map(name => {
+      const group = this.groups.get(name) ?? { onTime: 0, programs: 0, served: 0 };
+      this.groups.set(name, group);
+      return group;
     });
   }
 
   private pickKind(): ProgramKind {
-    let point = this.random();
+    let point = this.randomArrival();
     const kind = this.load.kinds.find(({ share }) => (point -= share) < 0);
     return kind ?? this.load.kinds[0]!;
   }
@@ -203,7 +239,7 @@
       { length: this.load.sharedPrompts },
       (_unused, index) => (index + 1) ** -POPULARITY_EXPONENT,
     );
-    let point = this.random() * weights.reduce((sum, weight) => sum + weight, 0);
+    let point = this.randomArrival() * weights.reduce((sum, weight) => sum + weight, 0);
     const index = weights.findIndex(weight => (point -= weight) < 0);
     return {
       id: `${name}-shared-${String(index)}` as PromptPartId,
@@ -224,18 +260,32 @@
   }
 
   private sendTurn(program: Program, attempt: number, refusals: number): void {
-    const { id, kind, parts, turn } = program;
+    const { id, kind, parts, turn, workspace } = program;
     const isStray = this.random() < STRAY_SHARE;
     const loadedTurn: LoadedTurn = {
       instance: isStray ? Math.floor(this.random() * this.load.instances) : program.instance,
       isFirst: turn === 0,
+      kind: kind.name,
       parts: [...parts],
       priority: kind.priority,
       programRemaining: program.startedAt + program.objective - this.now,
       refusals,
+      remaining: DEADLINE_MILLISECONDS,
       session: `session-${String(id)}`,
+      workspace,
     };
+    this.decideTurn(program, loadedTurn, attempt);
+  }
+
+  private decideTurn(program: Program, loadedTurn: LoadedTurn, attempt: number): void {
+    const { parts, refusals } = loadedTurn;
     const decision = this.policy.decide(loadedTurn, this.now);
+    if (decision.kind === 'wait') {
+      this.after(decision.milliseconds, () => {
+        this.decideTurn(program, loadedTurn, attempt);
+      });
+      return;
+    }
     if (decision.kind === 'refuse') {
       this.refuse(program, attempt, decision.retryAfterMilliseconds);
       return;
@@ -249,7 +299,7 @@
       },
       onEvent: () => this.policy.onEvent?.(loadedTurn, this.now),
       outputTokens: OUTPUT_TOKENS,
-      parts: [...parts],
+      parts,
       urgency,
     });
     if (!isTaken) {
@@ -319,8 +369,13 @@
     }
     const elapsed = this.now + WAY_MILLISECONDS - program.startedAt;
     const worth = program.kind.worth * program.turns;
+    const groups = this.findGroups(program.kind.name, program.workspace);
+    if (elapsed <= 2 * program.objective) {
+      groups.forEach(group => group.served++);
+    }
     if (elapsed <= program.objective) {
       this.counts.onTime++;
+      groups.forEach(group => group.onTime++);
       this.earned += worth;
     } else if (elapsed <= 2 * program.objective) {
       this.counts.late++;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -64,3 +64,23 @@
 export { RobustMean } from './engines/robustMean.js';
 export type { CostEstimate, PromptExpectation } from './engines/serviceCosts.js';
 export { ServiceCosts } from './engines/serviceCosts.js';
+export type {
+  AdmissionDecision,
+  AdmissionPolicy,
+  AdmissionReason,
+  AdmissionRefusal,
+  AdmissionRequest,
+  ServiceLoad,
+  WorkStage,
+} from './admission/admissionPolicy.js';
+export { AdmittedShare } from './admission/admittedShare.js';
+export type { CostAdmissionOptions } from './admission/costAdmission.js';
+export { CostAdmission, defaultCostAdmissionOptions } from './admission/costAdmission.js';
+export { ProgramSizeEstimator } from './admission/programSizeEstimator.js';
+export { ProgramWork } from './admission/programWork.js';
+export type {
+  WorkspaceSharesDependencies,
+  WorkspaceStanding,
+  WorkspaceTurnCounts,
+} from './admission/workspaceShares.js';
+export { WorkspaceShares } from './admission/workspaceShares.js';
