feat(scheduling): refuse at once the starts that can return in time

What callers saw: a start just above its limit waited for up to a tenth of the time in which callers expect a first event.

Change: only a start whose caller leaves before it could return waits; for all others a refusal costs less.

--- a/packages/scheduling/src/admission/costAdmission.ts
+++ b/packages/scheduling/src/admission/costAdmission.ts
@@ -131,10 +131,13 @@
     return perSlot <= firstLimit && kindAdmittedShare < guaranteedShare * admittedShare;
   }
 
-  /** Time to wait until there may be a place; 0 if a refusal serves the caller better. */
+  /** Time to wait until there may be a place; 0 if a refusal costs the caller less because it can return in time. */
   private computeWait(request: AdmissionRequest, excess: number): number {
     const { maximumWaitShare, turnoverMilliseconds } = this.options;
     const { remainingMilliseconds, targetMilliseconds, waitedMilliseconds } = request;
+    if (computeUsableRetry(request) >= RETRY_MILLISECONDS.minimum) {
+      return 0;
+    }
     const maximum = maximumWaitShare * Math.min(remainingMilliseconds, targetMilliseconds);
     const wait = Math.max(MINIMUM_WAIT_MILLISECONDS, excess * turnoverMilliseconds);
     return waitedMilliseconds + wait <= maximum ? wait : 0;
@@ -142,17 +145,24 @@
 
   /** Time until the excess has been worked off, spread so that refused callers do not return at once. */
   private chooseRetry(request: AdmissionRequest, excess: number, reason: AdmissionReason): number {
-    const { programRemainingMilliseconds = Infinity, remainingMilliseconds } = request;
     const factor = reason === 'busy' ? 1 : REPEATED_REFUSAL_FACTOR;
     const milliseconds =
       factor * (RETRY_MILLISECONDS.minimum + excess * this.options.turnoverMilliseconds);
-    const usable = Math.max(0, Math.min(remainingMilliseconds, programRemainingMilliseconds));
-    const maximum = Math.min(factor * RETRY_MILLISECONDS.maximum, usable * USABLE_RETRY_SHARE);
+    const maximum = Math.min(factor * RETRY_MILLISECONDS.maximum, computeUsableRetry(request));
     const spread = 0.5 + request.draw;
     return Math.ceil(Math.min(maximum, milliseconds * spread));
   }
 }
 
+/** Longest time to return that leaves the caller enough of its own. */
+function computeUsableRetry({
+  programRemainingMilliseconds = Infinity,
+  remainingMilliseconds,
+}: AdmissionRequest): number {
+  const usable = Math.min(remainingMilliseconds, programRemainingMilliseconds);
+  return Math.max(0, usable) * USABLE_RETRY_SHARE;
+}
+
 function computeWorkChange({ relativeWork }: AdmissionRequest): number {
   const change = WORK.perDoubling * Math.log2(Math.max(relativeWork, Number.MIN_VALUE));
   return Math.min(WORK.maximum, Math.max(-WORK.maximum, change));
