--- a/packages/core/src/hashing/hash.ts
+++ b/packages/core/src/hashing/hash.ts
@@ -1,10 +1,8 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 
-import createXxhash from 'xxhash-wasm';
-
 import type { HistoryDigest, KeyHash } from '../ids/identifiers.js';
 
-const xxhash = await createXxhash();
+import { xxhash32 } from './xxhash32.js';
 
 /**
  * Computes the 32-bit xxHash of a text, which is the same on every instance. Use it for placement,
@@ -15,7 +13,7 @@
  * const shard = hash32(programId) % shardCount;
  */
 export function hash32(text: string): number {
-  return xxhash.h32(text);
+  return xxhash32(Buffer.from(text));
 }
 
 /**
