perf(platform): start the bundle from code compiled at build time

The build now runs two instances of the bundle until they have served some requests of each kind, and writes V8's code cache; a launcher passes it on, and starts without it where it is missing or rejected (one line code-cache-unused). The launcher is CommonJS, so node doesn't load its ES module loader, and yargs is loaded only for arguments.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,8 +1,17 @@
-// Bundles the instance for the users' platform into one file, so it starts fast and needs no node_modules at run time.
+// Bundles the instance for the users' platform into one file, with the code that its first requests need already compiled,
+// so it starts fast and needs no node_modules at run time. Argument: the output folder.
 import { build } from 'esbuild';
+import { spawnSync } from 'node:child_process';
+import { copyFileSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { resolve } from 'node:path';
+import process from 'node:process';
 
-const OUTPUT_FILE = 'target/zincring.js';
+const OUTPUT_FOLDER = process.argv[2] ?? 'target';
+const BUNDLE_FILE = `${OUTPUT_FOLDER}/instance.js`;
+const LAUNCHER_FILE = `${OUTPUT_FOLDER}/zincring.js`;
+const CODE_CACHE_FILE = `${OUTPUT_FOLDER}/instance.cache`;
+/** Time after which the warm-up run is given up, in milliseconds. */
+const WARM_UP_TIMEOUT_MILLISECONDS = 60_000;
 
 const packages = ['core', 'gateway', 'platform', 'scheduling'];
 
@@ -19,6 +28,15 @@
   },
 };
 
+/** Returns the options that the deploy file passes to node; V8 accepts a code cache only under the options it was made with. */
+function readNodeOptions() {
+  const [, words = ''] = /^run = "node (.*?)target\//m.exec(
+    readFileSync('deploy/system.toml', 'utf8'),
+  );
+  return words.split(' ').filter(word => word !== '');
+}
+
+mkdirSync(OUTPUT_FOLDER, { recursive: true });
 await build({
   alias: {
     ...Object.fromEntries(
@@ -26,17 +44,32 @@
     ),
     'ts-results': './scripts/tsResults.js',
   },
+  // The launcher calls this function; the parentheses let V8 compile it at once.
   banner: {
-    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+    js: "(function (require, module, __filename) { const bundleUrl = require('node:url').pathToFileURL(__filename).href;",
   },
   bundle: true,
+  define: { 'import.meta.url': 'bundleUrl' },
   entryPoints: ['platform/src/bin.ts'],
-  format: 'esm',
+  footer: { js: '})' },
+  format: 'cjs',
   legalComments: 'none',
   minifySyntax: true,
   minifyWhitespace: true,
-  outfile: OUTPUT_FILE,
+  outfile: BUNDLE_FILE,
   platform: 'node',
   plugins: [englishOnly],
   target: 'node20',
 });
+copyFileSync('scripts/launcher.cjs', LAUNCHER_FILE);
+// Without the package's module type, node starts the launcher without loading its ES module loader.
+writeFileSync(`${OUTPUT_FOLDER}/package.json`, '{ "type": "commonjs" }\n');
+rmSync(CODE_CACHE_FILE, { force: true });
+const warmUp = spawnSync(
+  process.execPath,
+  [...readNodeOptions(), 'scripts/codeCache/makeCodeCache.js', BUNDLE_FILE, CODE_CACHE_FILE],
+  { stdio: ['ignore', 'ignore', 'inherit'], timeout: WARM_UP_TIMEOUT_MILLISECONDS },
+);
+if (warmUp.status !== 0) {
+  process.stderr.write('no code cache was made: instances start without one\n');
+}
