--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -67,7 +67,7 @@
 rmSync(CODE_CACHE_FILE, { force: true });
 const warmUp = spawnSync(
   process.execPath,
-  [...readNodeOptions(), 'scripts/codeCache/makeCodeCache.js', BUNDLE_FILE, CODE_CACHE_FILE],
+  [...readNodeOptions(), 'platform/codeCache/makeCodeCache.js', BUNDLE_FILE, CODE_CACHE_FILE],
   { stdio: ['ignore', 'ignore', 'inherit'], timeout: WARM_UP_TIMEOUT_MILLISECONDS },
 );
 if (warmUp.status !== 0) {
