--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -7,7 +7,10 @@
 import type { AvailabilityZone, InstanceId, Logger, Region } from '@zincring/core';
 import type { PartitionedTable } from '@zincring/platform';
 
-import type { GatewayRoute } from '../../src/configuration/gatewayConfiguration.js';
+import type {
+  GatewayRoute,
+  WarmUpDescription,
+} from '../../src/configuration/gatewayConfiguration.js';
 import type { ReplicaEntry, SoftwareVersion } from '../../src/upstreams/replica.js';
 import type { Behaviour } from './fakeReplica.js';
 
@@ -17,6 +20,7 @@
 import { plainHeaderCodec } from './plainHeaderCodec.js';
 import {
   configurationAddress,
+  engineService,
   plainService,
   replicaTable,
   sampleConfiguration,
@@ -61,6 +65,10 @@
   readonly logger?: Logger;
   /** Availability zones of the replicas; `nelson` by default. */
   readonly availabilityZones?: readonly string[];
+  /** Times for which the replicas are cold, in milliseconds; 0 by default. */
+  readonly coldMilliseconds?: readonly number[];
+  /** How replicas of plain services warm up; they take any rate at once by default. */
+  readonly warmUp?: WarmUpDescription;
   /** Permitted regions of the workspace; any by default. */
   readonly workspaceRegions?: readonly Region[];
   /** Rate of the workspace, in requests per second; no limit by default. */
@@ -123,6 +131,8 @@
     replicaService = { name: plainService.name, slots: 12 },
     softwareVersions = [],
     availabilityZones = [],
+    coldMilliseconds = [],
+    warmUp,
     workspaceRegions = [],
     wrapTable = (table: PartitionedTable) => table,
   }: GatewayFixtureOptions = {},
@@ -139,6 +149,7 @@
     replicas.push(replica);
     const registration = sampleReplica(`r${String(index)}`, {
       availabilityZone: (availabilityZones[index] ?? 'nelson') as AvailabilityZone,
+      coldMilliseconds: coldMilliseconds[index] ?? 0,
       port,
       service: replicaService.name,
       slots: replicaService.slots,
@@ -151,6 +162,7 @@
     configurationAddress,
     sampleConfiguration(1, {
       routes: [route],
+      services: [engineService, { ...plainService, warmUp }],
       workspaces: [
         sampleWorkspace({
           burst: ratePerSecond,
--- a/packages/gateway/tests/upstreams/replicaPool.test.ts
+++ b/packages/gateway/tests/upstreams/replicaPool.test.ts
@@ -31,8 +31,10 @@
 describe(ReplicaPool, () => {
   let timers: ManualTimerService;
   let store: MemoryTable;
+  let evacuatedZone: string | undefined;
 
   beforeEach(() => {
+    evacuatedZone = undefined;
     timers = new ManualTimerService();
     store = new MemoryTable(timers);
     for (let index = 0; index < REPLICAS; index++) {
@@ -61,7 +63,7 @@
       availabilityZone: 'nelson' as AvailabilityZone,
       costs: new ReplicaCosts({ logger: silentLogger, metrics: new GatewayMetrics(), timers }),
       directory,
-      isPermitted: () => true,
+      isPermitted: zone => zone !== evacuatedZone,
       loads,
       random: () => 0.5,
       timers,
@@ -102,6 +104,20 @@
     expect(choose(pool, main)).toBe(elsewhere.id);
   });
 
+  it('sends the next turn of a conversation elsewhere while the zone of its engine is evacuated', async () => {
+    const kaslo = 'kaslo' as AvailabilityZone;
+    const other = sampleReplica('r3', { availabilityZone: kaslo });
+    store.put({ key: other.id, partition: '', table: replicaTable }, other);
+    const pool = await makePool();
+    const main = makeFacts('main', 'own');
+    pool.recordReplica(main, other);
+    expect(choose(pool, main)).toBe(other.id);
+    evacuatedZone = kaslo;
+    expect(choose(pool, main)).not.toBe(other.id);
+    evacuatedZone = undefined;
+    expect(choose(pool, main)).toBe(other.id);
+  });
+
   it('spreads conversations with the same shared prompt over all engines', async () => {
     const pool = await makePool();
     const counts = new Map<string | undefined, number>();
