--- a/packages/core/src/logging/logger.ts
+++ b/packages/core/src/logging/logger.ts
@@ -1,6 +1,7 @@
 import pino from 'pino';
 
-import { REDACTED, redactSecrets } from './redactSecrets.js';
+import { redactFields } from './redactFields.js';
+import { redactSecrets } from './redactSecrets.js';
 
 /** Fields of a log line. The type excludes fields that could contain keys or bodies. */
 export interface LogFields {
@@ -34,24 +35,6 @@
   write(line: string): void;
 }
 
-/** Fields whose values are redacted at the top level of a log line and one level below. */
-const SECRET_FIELDS = [
-  'answer',
-  'authorization',
-  'body',
-  'bearer',
-  'cookie',
-  'headers',
-  'history',
-  'input',
-  'key',
-  'password',
-  'payload',
-  'prompt',
-  'secret',
-  'token',
-];
-
 /**
  * Creates the logger of a process, which writes JSON lines to standard output unless a destination
  * is given. The types exclude keys and bodies from the fields; as a second line of defence, fields
@@ -65,22 +48,41 @@
   fields: LogFields = {},
   destination?: LogDestination,
 ): Logger {
-  const options: pino.LoggerOptions = {
-    base: { ...fields },
-    formatters: { log: redactStringFields },
-    hooks: {
-      logMethod(lineArguments, method) {
-        const [first, message] = lineArguments as [object, string];
-        method.apply(this, [first, redactSecrets(message)]);
-      },
-    },
-    level,
-    redact: {
-      censor: REDACTED,
-      paths: [...SECRET_FIELDS, ...SECRET_FIELDS.map(field => `*.${field}`)],
-    },
-  };
-  return destination === undefined ? pino(options) : pino(options, destination);
+  const options: pino.LoggerOptions = { base: redactFields(fields), level };
+  return new RedactingLogger(
+    destination === undefined ? pino(options) : pino(options, destination),
+  );
+}
+
+/** Redacts fields and messages before they are written. */
+class RedactingLogger implements Logger {
+  public constructor(private readonly inner: pino.Logger) {}
+
+  public debug(fields: LogFields, message: string): void {
+    this.write('debug', fields, message);
+  }
+
+  public info(fields: LogFields, message: string): void {
+    this.write('info', fields, message);
+  }
+
+  public warn(fields: LogFields, message: string): void {
+    this.write('warn', fields, message);
+  }
+
+  public error(fields: LogFields, message: string): void {
+    this.write('error', fields, message);
+  }
+
+  public child(fields: LogFields): Logger {
+    return new RedactingLogger(this.inner.child(redactFields(fields)));
+  }
+
+  private write(level: Exclude<LogLevel, 'silent'>, fields: LogFields, message: string): void {
+    if (this.inner.isLevelEnabled(level)) {
+      this.inner[level](redactFields(fields), redactSecrets(message));
+    }
+  }
 }
 
 /** Logger that writes nothing, for tests and embedding. */
@@ -95,12 +97,3 @@
 export function failureText(thrown: unknown): string {
   return thrown instanceof Error ? thrown.message : String(thrown);
 }
-
-function redactStringFields(fields: Record<string, unknown>): Record<string, unknown> {
-  return Object.fromEntries(
-    Object.entries(fields).map(([name, value]) => [
-      name,
-      typeof value === 'string' ? redactSecrets(value) : value,
-    ]),
-  );
-}
