perf(platform): client of the store and the instances without abort signals and iterators

A call to the store or to another instance made an abort signal, whose timer stayed until it fired, and iterated over the response. It now has a timer that ends with the exchange, and listeners. The test of the timeout is new; the behaviour is that of before.

--- a/packages/platform/src/http/httpClient.ts
+++ b/packages/platform/src/http/httpClient.ts
@@ -1,7 +1,7 @@
-import type { Result } from '@zincring/core';
+import type { Result, TimerService } from '@zincring/core';
 import type { IncomingMessage } from 'node:http';
 
-import { Err, failWithConnection, Ok } from '@zincring/core';
+import { Err, failWithConnection, Ok, SystemTimerService } from '@zincring/core';
 import { Agent, request } from 'node:http';
 
 import { PlatformError } from '../platformError.js';
@@ -12,6 +12,8 @@
   readonly address: string;
   /** Timeout for a complete response, in milliseconds. */
   readonly timeoutMilliseconds: number;
+  /** Defaults to those of the system. */
+  readonly timers?: TimerService;
 }
 
 /** HTTP request to the platform. */
@@ -45,8 +47,11 @@
  */
 export class HttpClient {
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 32 });
+  private readonly timers: TimerService;
 
-  public constructor(private readonly options: PlatformEndpointOptions) {}
+  public constructor(private readonly options: PlatformEndpointOptions) {
+    this.timers = options.timers ?? new SystemTimerService();
+  }
 
   /** Sends a request and reads the complete response. */
   public async send(
@@ -84,20 +89,27 @@
     return await new Promise((resolve, reject) => {
       const outgoing = request({
         agent: this.agent,
-        headers: { ...platformRequest.headers },
+        headers: platformRequest.headers,
         host,
         method: platformRequest.method,
         path: platformRequest.path,
         port,
-        signal: AbortSignal.timeout(
-          platformRequest.timeoutMilliseconds ?? this.options.timeoutMilliseconds,
-        ),
+      });
+      // A timer that ends with the exchange takes less time than an abort signal, which stays until it fires.
+      const timeout = this.timers.after(
+        platformRequest.timeoutMilliseconds ?? this.options.timeoutMilliseconds,
+        () => {
+          outgoing.destroy(new Error('the platform did not respond in time'));
+        },
+      );
+      outgoing.on('close', () => {
+        timeout.stop();
       });
       outgoing.on('error', reject);
       outgoing.on('response', response => {
         failWithConnection(outgoing, response);
         readBody(response).then(body => {
-          resolve({ status: response.statusCode ?? 0, body });
+          resolve({ body, status: response.statusCode ?? 0 });
         }, reject);
       });
       outgoing.end(platformRequest.body);
@@ -105,17 +117,28 @@
   }
 }
 
+/** Reads a complete body by listeners, which take much less time than iterating over the response. */
 async function readBody(response: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    receivedBytes += chunk.length;
-    if (receivedBytes > MAXIMUM_RESPONSE_BYTES) {
-      throw new Error('the answer of the platform is too large');
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
+  return await new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let receivedBytes = 0;
+    response.on('data', (chunk: Buffer) => {
+      receivedBytes += chunk.length;
+      chunks.push(chunk);
+      if (receivedBytes > MAXIMUM_RESPONSE_BYTES) {
+        response.destroy(new Error('the answer of the platform is too large'));
+      }
+    });
+    response.on('error', reject);
+    // A connection that fails after the last byte, but before the response closes, is an error too.
+    response.on('close', () => {
+      if (response.complete && response.readableEnded) {
+        resolve(Buffer.concat(chunks));
+        return;
+      }
+      reject(new Error('the answer of the platform broke off'));
+    });
+  });
 }
 
 function classifyFailure(failure: unknown, isRetrySafe: boolean): PlatformError {
--- a/packages/platform/tests/httpClient.test.ts
+++ b/packages/platform/tests/httpClient.test.ts
@@ -1,5 +1,6 @@
 import type { AddressInfo, Socket } from 'node:net';
 
+import { ManualTimerService } from '@zincring/core';
 import { createServer } from 'node:net';
 import { describe, expect, it } from 'vitest';
 
@@ -45,4 +46,34 @@
     server.close();
     expect(response.ok).toBe(isComplete);
   });
+
+  it.each([
+    ['no response', ''],
+    ['a part of a response', 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{'],
+  ])('gives up after its timeout when the platform sends %s', async (_name, text) => {
+    const server = createServer();
+    const hasSent = new Promise<void>(resolve => {
+      server.on('connection', socket => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => {
+          socket.write(text);
+          setTimeout(resolve, 5);
+        });
+      });
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const timers = new ManualTimerService();
+    const address = `127.0.0.1:${String(port)}`;
+    const client = new HttpClient({ address, timeoutMilliseconds: 5_000, timers });
+    const pending = client.send({ isRetrySafe: false, method: 'POST', path: '/' });
+    await hasSent;
+    await timers.advance(5_000);
+    const response = await pending;
+    client.close();
+    server.close();
+    expect(response.err && response.val.failure).toBe('outcome-unknown');
+  });
 });
