fix(gateway): a replica measured first is not taken for a fast one

Callers' requests to a plain service with one slow replica went nearly all to one of the two others: the mean of the service was raised by the slow one, so whichever was measured first looked fast and got the rest (in a run of slowReplicas.test.ts before, one of the two fast replicas got 3 of 60 calls). Slowness is 1 at least now. Streams of services without engines are measured by their first event; they were not measured.

--- a/packages/gateway/src/upstreams/load/exchangeTiming.ts
+++ b/packages/gateway/src/upstreams/load/exchangeTiming.ts
@@ -13,7 +13,7 @@
 
 /**
  * Measures one exchange with a replica: the time to the first event, the pace of the events after it,
- * or the time of a call. Streams that their caller reads slowly say nothing about the replica.
+ * or the time of a call. Of streams without a prompt only the time to the first event counts. Streams that their caller reads slowly say nothing about the replica.
  *
  * @example
  * const timing = new ExchangeTiming(timers, costs, request, ratio => slowness.record(ratio));
@@ -73,9 +73,8 @@
     const now = this.timers.now();
     const { kind, prompt } = this.request;
     if (prompt === undefined) {
-      if (this.events === 0) {
-        this.tell(this.costs.recordCall(kind, now - this.beganAt, now));
-      }
+      const answeredAt = this.events === 0 ? now : this.firstEventAt;
+      this.tell(this.costs.recordCall(kind, answeredAt - this.beganAt, now));
       return;
     }
     if (this.isHeldUp || this.events < 2) {
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -71,6 +71,8 @@
   readonly warmUp?: WarmUpDescription;
   /** Permitted regions of the workspace; any by default. */
   readonly workspaceRegions?: readonly Region[];
+  /** Random numbers of the instances; 0 by default. */
+  readonly random?: () => number;
   /** Rate of the workspace, in requests per second; no limit by default. */
   readonly ratePerSecond?: number;
   /** Service of the replicas and the slots of each; a plain service with 12 by default. */
@@ -127,6 +129,7 @@
   {
     logger = silentLogger,
     memoryBytes,
+    random = () => 0,
     ratePerSecond = 0,
     replicaService = { name: plainService.name, slots: 12 },
     softwareVersions = [],
@@ -172,13 +175,22 @@
       ],
     }),
   );
-  return await startInstance({ logger, memoryBytes, registrations, replicas, store, wrapTable });
+  return await startInstance({
+    logger,
+    memoryBytes,
+    random,
+    registrations,
+    replicas,
+    store,
+    wrapTable,
+  });
 }
 
 /** What the instances of a fixture share. */
 interface SharedParts {
   readonly logger: Logger;
   readonly memoryBytes: number | undefined;
+  readonly random: () => number;
   readonly registrations: readonly ReplicaEntry[];
   readonly replicas: readonly FakeReplica[];
   readonly store: RealTimeTable;
@@ -190,7 +202,7 @@
 }
 
 async function startInstance(parts: SharedParts): Promise<GatewayFixture> {
-  const { logger, memoryBytes, registrations, replicas, store, wrapTable } = parts;
+  const { logger, memoryBytes, random, registrations, replicas, store, wrapTable } = parts;
   const gateway = new Gateway(
     {
       availabilityZone: 'nelson' as AvailabilityZone,
@@ -213,7 +225,7 @@
       configurationSource: sampleConfigurationSource,
       logger,
       makeId: () => `id-${String(nextId++)}`,
-      random: () => 0,
+      random,
       replicaSource: sampleReplicaSource,
       table: wrapTable(store.client()),
       timers: new SystemTimerService(),
--- a/packages/scheduling/src/engines/replicaSlowness.ts
+++ b/packages/scheduling/src/engines/replicaSlowness.ts
@@ -7,7 +7,7 @@
 
 /** Time for which a computed estimate is used again, in milliseconds: many choices are made within it. */
 const ESTIMATE_REUSE_MILLISECONDS = 50;
-/** Slowness within which replicas count as equal, since samples of equal replicas differ as much. */
+/** Slowness below which replicas count as equal, since samples of equal replicas differ as much. */
 const EVEN_RATIO = 1.4;
 
 /**
@@ -46,11 +46,14 @@
     this.estimatedAt = -Infinity;
   }
 
-  /** Factor on what the service takes; 1 for a replica about as fast as the others. */
+  /**
+   * Factor on what the service takes; 1 for a replica about as fast as the others, or faster: requests
+   * would otherwise all go to the one that was measured first.
+   */
   public estimate(now: number): number {
     if (now - this.estimatedAt >= ESTIMATE_REUSE_MILLISECONDS) {
       const estimate = this.mean.estimate(now);
-      this.current = estimate < EVEN_RATIO && estimate > 1 / EVEN_RATIO ? 1 : estimate;
+      this.current = estimate < EVEN_RATIO ? 1 : estimate;
       this.estimatedAt = now;
     }
     return this.current;
