fix(gateway): leave conversations at their caches while the engines have little room

What callers would have seen: in a burst and near the limit of the engines, programs ended late or failed more often with learned costs than with the constants before.

Cause: turns take longer where prompts are read again or the batch is full. That was taken for a slow engine, its conversations moved, and their prompts were read again elsewhere.

Change: a sample above the mean of a replica counts about half of its distance, so a replica is as slow as its better answers; and slowness moves no turn while the engines are contended, or were in the last two seconds, by the count that program starts are admitted by.

Two new cases hold the burst and the limit within 0.03 of the constants.

--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -337,6 +337,7 @@
   private makeReplicaNetwork(): ReplicaNetwork {
     const { headerCodec, random, timers } = this.dependencies;
     return new ReplicaNetwork({
+      areEnginesContended: () => this.programAdmission.isContended,
       availabilityZone: this.options.availabilityZone,
       coldRateBound: this.options.coldRateBound,
       costs: this.replicaCosts,
--- a/packages/gateway/src/upstreams/load/programAdmission.ts
+++ b/packages/gateway/src/upstreams/load/programAdmission.ts
@@ -88,8 +88,12 @@
 
   /** Use of the engines by workspace at this instance; `undefined` while the engines have room. */
   public get ownCounts(): WorkspaceTurnCounts | undefined {
-    const { shares, timers } = this.dependencies;
-    return timers.now() < this.contendedUntil ? shares.ownCounts : undefined;
+    return this.isContended ? this.dependencies.shares.ownCounts : undefined;
+  }
+
+  /** Whether the engines have had little room of late. */
+  public get isContended(): boolean {
+    return this.dependencies.timers.now() < this.contendedUntil;
   }
 
   /** Takes in the use of the engines by workspace at another instance. */
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -44,6 +44,8 @@
   readonly timers: TimerService;
   readonly getMaximumConnections: (entry: ReplicaEntry) => number;
   readonly isStopping: () => boolean;
+  /** Whether the engines have little room. */
+  readonly areEnginesContended: () => boolean;
   readonly zones: Zones;
   readonly coldRateBound: ColdRateBound;
   /** Returns how the replicas of a service warm up; `undefined` if they take any rate at once. */
@@ -74,6 +76,7 @@
     const { coldRateBound, findWarmUp, zones } = dependencies;
     const isZoneEvacuated = (zone: AvailabilityZone): boolean => zones.isEvacuated(zone);
     this.pool = new ReplicaPool({
+      areEnginesContended: dependencies.areEnginesContended,
       availabilityZone,
       costs,
       directory,
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -54,6 +54,11 @@
     zone: AvailabilityZone,
     permittedRegions: ReadonlySet<Region> | undefined,
   ) => boolean;
+  /**
+   * Whether the engines have little room: turns then take longer everywhere, and moving conversations
+   * away from their caches takes what room is left.
+   */
+  readonly areEnginesContended: () => boolean;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
 }
@@ -137,9 +142,10 @@
   }
 
   private findCandidates(poolRequest: PoolRequest): readonly PoolCandidate[] {
-    const { directory, isPermitted, timers } = this.dependencies;
+    const { areEnginesContended, directory, isPermitted, timers } = this.dependencies;
     const now = timers.now();
-    const isUneven = this.costs.isUneven(now);
+    const mayMove = poolRequest.service.engine === undefined || !areEnginesContended();
+    const isUneven = mayMove && this.costs.isUneven(now);
     const candidates: PoolCandidate[] = [];
     const counts = { all: 0, avoided: 0, slow: 0 };
     const { permittedRegions, service } = poolRequest;
--- a/packages/gateway/tests/support/engineLoad/gatewayPolicy.ts
+++ b/packages/gateway/tests/support/engineLoad/gatewayPolicy.ts
@@ -70,6 +70,7 @@
     });
     const costs = new ReplicaCosts({ logger: silentLogger, metrics, timers });
     const pool = new ReplicaPool({
+      areEnginesContended: () => admission.isContended,
       availabilityZone: 'nelson' as AvailabilityZone,
       costs,
       directory: { findReplicas: () => replicas, listAll: () => replicas },
--- a/packages/gateway/tests/upstreams/load/replicaCosts.test.ts
+++ b/packages/gateway/tests/upstreams/load/replicaCosts.test.ts
@@ -59,6 +59,7 @@
       availabilityZone: 'nelson' as AvailabilityZone,
       costs,
       directory: { findReplicas: () => entries, listAll: () => entries },
+      areEnginesContended: () => false,
       isPermitted: () => true,
       loads: new ReplicaLoads(timers, () => 16),
       random: makeRandom(1),
--- a/packages/gateway/tests/upstreams/load/unevenEngines.test.ts
+++ b/packages/gateway/tests/upstreams/load/unevenEngines.test.ts
@@ -3,7 +3,11 @@
 import type { EngineLoad, LoadResult } from '../../support/engineLoad/playPrograms.js';
 
 import { makeGatewayPolicy } from '../../support/engineLoad/gatewayPolicy.js';
-import { ordinaryPrograms, playPrograms } from '../../support/engineLoad/playPrograms.js';
+import {
+  burstOfPrograms,
+  ordinaryPrograms,
+  playPrograms,
+} from '../../support/engineLoad/playPrograms.js';
 
 const SEEDS = [1, 2, 3];
 const PHASE_MILLISECONDS = 600;
@@ -23,9 +27,10 @@
 function play(
   learnsCosts: boolean,
   speedOf: EngineLoad['speedOf'],
-): { failed: number; onTime: number; tokensPerTurn: number } {
+  base = ordinaryPrograms,
+): { earned: number; failed: number; onTime: number; tokensPerTurn: number } {
   const results = SEEDS.map(seed => {
-    const load = { ...ordinaryPrograms, ...(speedOf && { speedOf }), seed };
+    const load = { ...base, ...(speedOf && { speedOf }), seed };
     const options = { learnsCosts, limitsStarts: true, ordersByStage: true };
     return playPrograms(load, makeGatewayPolicy(load, options));
   });
@@ -33,12 +38,29 @@
     results.reduce((total, result) => total + count(result), 0);
   const programs = sum(result => result.programs);
   return {
+    earned: sum(result => result.earnedShare) / SEEDS.length,
     failed: sum(result => result.failed) / programs,
     onTime: sum(result => result.onTime) / programs,
     tokensPerTurn: sum(result => result.computedTokensPerTurn) / SEEDS.length,
   };
 }
 
+/** Shared prompts that exceed the caches, at almost as many programs as the engines can serve. */
+const nearLimit: EngineLoad = {
+  ...ordinaryPrograms,
+  engines: 34,
+  programsPerSecond: () => 90,
+  sharedPrompts: 80,
+  sheet: {
+    ...ordinaryPrograms.sheet,
+    cacheTokens: 470_000,
+    prefillTokensPerMillisecond: 170,
+    slots: 16,
+  },
+};
+/** Worth that a decision may cost a load that it is not made for. */
+const TOLERATED_LOSS = 0.03;
+
 describe('placement by learned costs', () => {
   it('completes more programs in time on engines of uneven speeds', () => {
     const constant = play(false, uneven);
@@ -63,4 +85,13 @@
     expect(learned.onTime).toBeGreaterThan(constant.onTime - 0.01);
     expect(learned.tokensPerTurn).toBeLessThan(constant.tokensPerTurn * 1.15);
   });
+
+  it.each([
+    ['in a burst of programs', burstOfPrograms],
+    ['near the limit of the engines', nearLimit],
+  ])('leaves conversations at their caches %s', (_name, load) => {
+    const constant = play(false, undefined, load);
+    const learned = play(true, undefined, load);
+    expect(learned.earned).toBeGreaterThan(constant.earned - TOLERATED_LOSS);
+  });
 });
--- a/packages/gateway/tests/upstreams/replicaPool.test.ts
+++ b/packages/gateway/tests/upstreams/replicaPool.test.ts
@@ -60,6 +60,7 @@
     await timers.advance(100);
     const loads = new ReplicaLoads(timers, () => 16);
     return new ReplicaPool({
+      areEnginesContended: () => false,
       availabilityZone: 'nelson' as AvailabilityZone,
       costs: new ReplicaCosts({ logger: silentLogger, metrics: new GatewayMetrics(), timers }),
       directory,
--- a/packages/scheduling/src/engines/costOptions.ts
+++ b/packages/scheduling/src/engines/costOptions.ts
@@ -2,6 +2,8 @@
 export interface SampleOptions {
   /** Ratio to the mean above which, and below whose inverse, a sample counts as that ratio. */
   readonly clipRatio: number;
+  /** Share of its distance that a sample above the mean counts; below 1, the mean is drawn to the lower samples. */
+  readonly raiseShare: number;
   /** Time in which samples lose half of their weight, in milliseconds. */
   readonly halfLifeMilliseconds: number;
   /** Number of recent samples as which the fallback counts beside the mean. */
@@ -43,12 +45,15 @@
     fallbackSamples: 2,
     halfLifeMilliseconds: 2_500,
     maximumAgeMilliseconds: 15_000,
+    // A replica is as slow as its better answers: others are held up by the prompts of its neighbours.
+    raiseShare: 0.55,
   },
   service: {
     clipRatio: 2,
     fallbackSamples: 5,
     halfLifeMilliseconds: 6_000,
     maximumAgeMilliseconds: 60_000,
+    raiseShare: 1,
   },
   slowFrom: 1.5,
   turnMilliseconds: 350,
--- a/packages/scheduling/src/engines/robustMean.ts
+++ b/packages/scheduling/src/engines/robustMean.ts
@@ -40,7 +40,8 @@
     const difference = Math.log(Math.max(sample, Number.MIN_VALUE)) - this.logMean;
     const clipped = Math.min(this.logClip, Math.max(-this.logClip, difference));
     this.weight = Math.min(MAXIMUM_WEIGHT, weight + 1);
-    this.logMean += clipped / this.weight;
+    const counted = clipped > 0 ? clipped * this.options.raiseShare : clipped;
+    this.logMean += counted / this.weight;
     this.recordedAt = Math.max(this.recordedAt, now);
   }
 
