--- a/packages/gateway/tests/compatibility/formats.test.ts
+++ b/packages/gateway/tests/compatibility/formats.test.ts
@@ -46,10 +46,12 @@
   return JSON.parse(readFileSync(join(FOLDER, `${build}.json`), 'utf8')) as Recording;
 }
 
-/** Parses a reply as the part that makes it: the server adds the counts of turns. */
+/** Parses a reply as the part that makes it: the server adds the counts of turns and what it tells of replicas. */
 function parseWithoutCounts(reply: string): never {
   const fields = JSON.parse(reply) as Record<string, unknown>;
   delete fields['engineTurns'];
+  delete fields['replicaSlowness'];
+  delete fields['workspaceTurns'];
   return fields as never;
 }
 
@@ -178,7 +180,16 @@
         });
       });
       const counts: unknown[] = [];
-      const clients = new PeerClients(silentLogger, each => counts.push(each));
+      const uses: unknown[] = [];
+      const clients = new PeerClients(
+        silentLogger,
+        each => counts.push(each),
+        reports =>
+          uses.push(
+            reports.map(({ ageMilliseconds, ratio, run }) => [run, ratio, ageMilliseconds]),
+          ),
+        each => uses.push(Object.fromEntries(Object.entries(each))),
+      );
       const peer = clients.at(`127.0.0.1:${String(stranger.port)}`);
       const announced = { ageMilliseconds: 0, requestsPerSecond: 1 };
       const send: Readonly<Record<string, () => Promise<unknown>>> = {
@@ -189,12 +200,15 @@
         '/reserve-tokens': async () => await peer.reserveOwned(recordedDemand),
         '/settle-tokens': async () => await peer.settleOwned('run-1.7', 1),
       };
-      const { engineTurns, ...expected } = JSON.parse(reply) as {
+      const { engineTurns, replicaSlowness, workspaceTurns, ...expected } = JSON.parse(reply) as {
         readonly engineTurns?: object;
         readonly isRecorded?: boolean;
+        readonly replicaSlowness?: object;
+        readonly workspaceTurns?: object;
       };
       expect(await send[path]?.()).toEqual(expected.isRecorded ?? expected);
       expect(counts).toEqual(engineTurns === undefined ? [] : [engineTurns]);
+      expect(uses).toEqual([replicaSlowness, workspaceTurns].filter(use => use !== undefined));
       clients.close();
       stranger.close();
     },
--- a/packages/gateway/tests/compatibility/writeRecording.ts
+++ b/packages/gateway/tests/compatibility/writeRecording.ts
@@ -57,6 +57,8 @@
 
 /** Counts that each reply carries. */
 const engineTurns = { engines: 2 };
+/** What replies carry besides while replicas are uneven and the engines are busy. */
+const uses = { replicaSlowness: [['r1@17', 2.5, 40]], workspaceTurns: { clerks: 3 } };
 /** Replies of each kind; those of another instance have the same fields. */
 const replies = {
   acquireOwned: [
@@ -213,7 +215,7 @@
     body,
     path,
     replies: (known[path] ?? [{ isRecorded: true }]).map(reply =>
-      JSON.stringify({ ...reply, engineTurns }),
+      JSON.stringify({ ...reply, engineTurns, ...uses }),
     ),
   }));
 }
