--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -18,6 +18,7 @@
 import { HeldResponse } from './memory/heldResponse.js';
 import { listenOn, getPort } from '../util/listen.js';
 import { QueuedResponses } from './queuedResponses.js';
+import { MAXIMUM_PARSED_HEADER_BYTES } from '../util/httpLimits.js';
 import { readRequestBody } from './readRequestBody.js';
 
 /** Dependencies of a {@link GatewayServer}. */
@@ -36,8 +37,6 @@
   readonly zoneOutageDetector: ZoneOutageDetector;
 }
 
-/** Maximum size of request headers that Node's parser accepts, in bytes. The operator's limit is checked separately. */
-const MAXIMUM_PARSED_HEADER_BYTES = 65_536;
 /**
  * Time that idle connections stay open beyond the configured idle timeout, in milliseconds, so that
  * a connection is not closed while a caller still reuses it.
--- a/packages/gateway/src/configuration/review/reviewServices.ts
+++ b/packages/gateway/src/configuration/review/reviewServices.ts
@@ -1,8 +1,7 @@
 import type { GatewayConfiguration } from '../gatewayConfiguration.js';
 import type { Finding } from './finding.js';
 
-/** Size of headers above which the HTTP parser of an instance refuses a request, in bytes. */
-const MAXIMUM_PARSED_HEADER_BYTES = 65_536;
+import { MAXIMUM_PARSED_HEADER_BYTES } from '../../util/httpLimits.js';
 
 /**
  * Reviews the services of a configuration and its limits on callers.
