test(review): a run that ends early or hangs counts as one that could not run

Cause: an uncaught error of a stand-in would have ended a script with the exit code of a broken rule.

--- a/review/standins/bed.mjs
+++ b/review/standins/bed.mjs
@@ -373,8 +373,32 @@
   };
 }
 
+/** Time after which a run that hangs is given up. */
+const RUN_TIMEOUT_MILLISECONDS = 110_000;
+
+/** Makes each way in which a run can end early count as one that could not run, and end its processes. */
+function guard(bed) {
+  const giveUp = reason => {
+    process.stderr.write(`could not run: ${reason}\n`);
+    process.exit(EXIT.notRun);
+  };
+  process.on('exit', () => {
+    for (const { child, hasEnded } of bed.instances) {
+      if (child !== undefined && !hasEnded) {
+        child.kill('SIGKILL');
+      }
+    }
+  });
+  process.on('uncaughtException', failure => giveUp(failure.stack));
+  process.on('unhandledRejection', failure => giveUp(failure?.stack ?? failure));
+  process.on('SIGINT', () => giveUp('interrupted'));
+  process.on('SIGTERM', () => giveUp('terminated'));
+  setTimeout(() => giveUp('the run takes too long'), RUN_TIMEOUT_MILLISECONDS).unref();
+}
+
 /** Runs a case; the function returns whether the rule was broken, and throws if the case could not run. */
 export async function runCase(bed, play) {
+  guard(bed);
   let code = EXIT.notRun;
   try {
     code = (await play()) ? EXIT.broken : EXIT.held;
