--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -20,18 +20,20 @@
 const STREAMS_AT_ONCE = 130;
 /** Share of the engines, and of their answers, that have no length: the doses of `garble` "unframed". */
 const UNFRAMED = { engines: 0.5, share: 0.02 };
-/** Rounds in which processes are killed: share 0.6 of them at once, as in `herd_kill`. */
+/** Rounds in which processes are killed: two of three at once, as in `herd_kill`. */
 const KILLS = { downMilliseconds: 1_000, instances: 2, pauseMilliseconds: 4_500, rounds: 12 };
 
 const bed = new Bed(import.meta.url);
 const runs = [];
+/** Whether the affected engines omit lengths: in spells that end with the kill of each round. */
+let isOmitting = false;
 let unframed = 0;
 
 class UnframedEngine extends Engine {
   eventCount = EVENTS;
 
   chooseFraming({ id }) {
-    if (!this.isAffected || Math.random() >= UNFRAMED.share) {
+    if (!isOmitting || !this.isAffected || Math.random() >= UNFRAMED.share) {
       return 'chunked';
     }
     unframed++;
@@ -58,7 +60,9 @@
 
 async function killInRounds() {
   for (let round = 0; round < KILLS.rounds; round++) {
+    isOmitting = true;
     await pause(KILLS.pauseMilliseconds - KILLS.downMilliseconds);
+    isOmitting = false;
     if (!hasTrouble) {
       await pause(KILLS.downMilliseconds);
       continue;
