feat(gateway): log and count the request that a response of a replica names

Cause: the lines of an attempt said that a replica refused, and not whom. The hypotheses of docs/incidents/refusals-of-other-requests.md could not be told apart by them. Change: attempt-refused and attempt-lost carry the status, the request that the response names and whether its connection had been used before; zincring_foreign_responses_total counts responses that name another request, by refusal or answer. No decision changes.

--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -37,6 +37,12 @@
     name: 'zincring_attempts_total',
     registers: [this.registry],
   });
+  public readonly foreignResponses = new Counter({
+    help: 'Responses of replicas that answer another request than the one in progress, by kind: refusal or answer.',
+    labelNames: ['service', 'kind'] as const,
+    name: 'zincring_foreign_responses_total',
+    registers: [this.registry],
+  });
   /** Turns that did not start a program at once because the engines were busy. */
   public readonly admissions = new Counter({
     help: 'Decisions on program starts that were held, by reason and priority.',
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -56,9 +56,19 @@
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 1024 * 1024;
 
+/** What the head of a response says about the request that it answers, for the logs. */
+interface ResponseIdentity {
+  readonly answeredRequest: string | undefined;
+  readonly isConnectionReused: boolean;
+  readonly status: number;
+}
+
 type AttemptResult =
-  | { readonly kind: 'lost'; readonly reason: string }
-  | { readonly kind: 'not-run'; readonly reason: string }
+  | {
+      readonly kind: 'lost' | 'not-run';
+      readonly reason: string;
+      readonly identity?: ResponseIdentity | undefined;
+    }
   | { readonly kind: 'served'; readonly status: number; readonly body: ForwardedBody };
 
 /**
@@ -257,15 +267,31 @@
     }
     const { response } = outcome;
     const facts = this.dependencies.headerCodec.readResponse(response.status, response.headers);
-    if (facts.requestId !== this.request.facts.requestId && !facts.isNotExecuted) {
+    const identity = {
+      answeredRequest: facts.requestId,
+      isConnectionReused: response.isConnectionReused,
+      status: response.status,
+    };
+    const isForeign = facts.requestId !== this.request.facts.requestId;
+    if (isForeign) {
+      this.dependencies.metrics.foreignResponses.inc({
+        kind: facts.isNotExecuted ? 'refusal' : 'answer',
+        service: this.request.service.name,
+      });
+    }
+    if (isForeign && !facts.isNotExecuted) {
       response.discard();
-      return { kind: 'lost', reason: 'the answer belongs to another request' };
+      return { identity, kind: 'lost', reason: 'the answer belongs to another request' };
     }
     this.dependencies.announcements.record(entry, response.status, facts);
     if (facts.isNotExecuted) {
       discardBody(this.dependencies.timers, response.body);
       loads.recordEnd(entry, response.status === STATUS_MISDIRECTED ? 'misdirected' : 'full');
-      return { kind: 'not-run', reason: `the replica refused with ${String(response.status)}` };
+      return {
+        identity,
+        kind: 'not-run',
+        reason: `the replica refused with ${String(response.status)}`,
+      };
     }
     if (isSuccess(response.status) && (!facts.hasServerStamp || facts.isEncoded)) {
       response.discard();
@@ -409,10 +435,11 @@
 
   private logUnservedAttempt(
     entry: ReplicaEntry,
-    result: AttemptResult & { readonly reason?: string },
+    result: Exclude<AttemptResult, { readonly kind: 'served' }>,
   ): void {
     this.dependencies.logger.warn(
       {
+        ...result.identity,
         event: result.kind === 'lost' ? 'attempt-lost' : 'attempt-refused',
         events: this.forwardedEvents,
         reason: result.reason,
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -47,6 +47,8 @@
   readonly headers: readonly string[];
   readonly body: IncomingMessage;
   readonly framing: BodyFraming;
+  /** Whether the connection had been used by earlier requests. */
+  readonly isConnectionReused: boolean;
   /** Failure of the connection since the head was received; `undefined` if there was none. */
   readonly connectionFailure: () => string | undefined;
   /** Closes the connection, even if the response is complete. */
@@ -195,6 +197,7 @@
     },
     framing: findFraming(outgoing.method, incoming),
     headers: incoming.rawHeaders,
+    isConnectionReused: outgoing.reusedSocket,
     status: incoming.statusCode ?? 0,
   };
 }
