fix(gateway): a refusal counts only for the request that it names

Cause: a response was matched to its request by its place on the connection. Only answers were compared by id; a refusal that names another request was taken for one of this request, and the connection, now one response behind, stayed in use. An instance that relays for another one compared nothing. Change: ReplicaTransport, through which direct and relayed attempts go, matches each response by its id before anything is read from it. One that names another request, or none, ends the attempt as one that may have run, closes the connection, and is no evidence of a crash. Relays state it as an outcome of their own, which older builds read as lost. The fake replica's 421 now names its request, as replicas do. Why this works: nothing that a replica sends is attributed to a request before it names that request, and a connection that was out of step once is never used again. A foreign response still costs the attempt in progress its own response: 502 where the request may not run twice.

--- a/packages/gateway/src/peers/relayClient.ts
+++ b/packages/gateway/src/peers/relayClient.ts
@@ -5,7 +5,11 @@
 
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { ReplicaEntry } from '../upstreams/replica.js';
-import type { ExchangeOutcome, ReplicaRequest } from '../upstreams/replicaExchange.js';
+import type {
+  ExchangeOutcome,
+  ReplicaRequest,
+  UnansweredExchange,
+} from '../upstreams/replicaExchange.js';
 import type { RelayOutcome, ReplicaRelay } from '../upstreams/replicaTransport.js';
 import type { RelayCandidates } from './relayCandidates.js';
 
@@ -174,6 +178,6 @@
     : toExchangeOutcome(outcome.kind, outcome.reason);
 }
 
-function toExchangeOutcome(kind: 'lost' | 'not-sent', reason: string): ExchangeOutcome {
+function toExchangeOutcome(kind: UnansweredExchange['kind'], reason: string): ExchangeOutcome {
   return { isPathFault: false, kind, reason: `relayed: ${reason}` };
 }
--- a/packages/gateway/src/peers/relayProtocol.ts
+++ b/packages/gateway/src/peers/relayProtocol.ts
@@ -1,5 +1,6 @@
 import type { BodyFraming } from '../callers/responseSink.js';
 import type { ReplicaRunId } from '../upstreams/replica.js';
+import type { UnansweredExchange } from '../upstreams/replicaExchange.js';
 
 /**
  * Request that one instance relays to a replica for another one. It is a POST to {@link RELAY_PATH} with
@@ -17,7 +18,7 @@
 }
 
 /** How a relaying instance ends a request that no replica responded to; `unavailable` if another instance may relay it. */
-export type RelayFailure = 'lost' | 'not-sent' | 'unavailable';
+export type RelayFailure = UnansweredExchange['kind'] | 'unavailable';
 
 /** Prefix of the path of a relayed request, followed by the run of the replica. */
 export const RELAY_PATH = '/relay/';
@@ -29,7 +30,7 @@
 
 const LINE_FEED = 0x0a;
 const framings: readonly BodyFraming[] = ['chunked', 'connection', 'length'];
-const failures: readonly RelayFailure[] = ['lost', 'not-sent', 'unavailable'];
+const failures: readonly RelayFailure[] = ['foreign', 'lost', 'not-sent', 'unavailable'];
 
 /**
  * Encodes a relayed request: a line of JSON, then the body.
--- a/packages/gateway/src/peers/relayServer.ts
+++ b/packages/gateway/src/peers/relayServer.ts
@@ -15,7 +15,7 @@
 /** Whether this instance can relay requests to a replica now. */
 export type RelayAcceptance =
   | { readonly kind: 'accepted'; readonly entry: ReplicaEntry }
-  | { readonly kind: Exclude<RelayFailure, 'lost'>; readonly reason: string };
+  | { readonly kind: Extract<RelayFailure, 'not-sent' | 'unavailable'>; readonly reason: string };
 
 /** The replicas that this instance relays requests to. */
 export interface RelayTarget {
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -10,11 +10,13 @@
 import type { AdmittedReplica } from './chooseAdmittedReplica.js';
 import type { ExchangeTiming } from './load/exchangeTiming.js';
 import type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './replica.js';
-import type { ExchangeOutcome, ReplicaResponse } from './replicaExchange.js';
+import type { ReplicaResponse, UnansweredExchange } from './replicaExchange.js';
+import type { IdentifiedOutcome, ResponseIdentity } from './responseIdentity.js';
 import type { ForwardedBody, RunOutcome } from './runOutcome.js';
 
 import { chooseAdmittedReplica } from './chooseAdmittedReplica.js';
 import { readResponseBody } from './readResponseBody.js';
+import { describeIdentity } from './responseIdentity.js';
 import { relayStream } from './streamRelay.js';
 
 /** An admitted request that is ready to be sent to a replica. */
@@ -56,13 +58,6 @@
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 1024 * 1024;
 
-/** What the head of a response says about the request that it answers, for the logs. */
-interface ResponseIdentity {
-  readonly answeredRequest: string | undefined;
-  readonly isConnectionReused: boolean;
-  readonly status: number;
-}
-
 type AttemptResult =
   | {
       readonly kind: 'lost' | 'not-run';
@@ -226,6 +221,7 @@
         isRepeatable: this.isRepeatable,
         method: this.request.method,
         path: this.request.path,
+        requestId: facts.requestId,
         signal: this.control.signal,
       });
       const result = await this.evaluateOutcome(entry, outcome);
@@ -255,40 +251,24 @@
 
   private async evaluateOutcome(
     entry: ReplicaEntry,
-    outcome: ExchangeOutcome,
+    outcome: IdentifiedOutcome,
   ): Promise<AttemptResult> {
     const { loads } = this.dependencies.pool;
     if (outcome.kind !== 'answered') {
       this.recordUnanswered(entry, outcome);
       return {
-        kind: outcome.kind === 'lost' ? 'lost' : 'not-run',
+        identity: outcome.foreignResponse,
+        kind: outcome.kind === 'not-sent' ? 'not-run' : 'lost',
         reason: outcome.reason,
       };
     }
-    const { response } = outcome;
-    const facts = this.dependencies.headerCodec.readResponse(response.status, response.headers);
-    const identity = {
-      answeredRequest: facts.requestId,
-      isConnectionReused: response.isConnectionReused,
-      status: response.status,
-    };
-    const isForeign = facts.requestId !== this.request.facts.requestId;
-    if (isForeign) {
-      this.dependencies.metrics.foreignResponses.inc({
-        kind: facts.isNotExecuted ? 'refusal' : 'answer',
-        service: this.request.service.name,
-      });
-    }
-    if (isForeign && !facts.isNotExecuted) {
-      response.discard();
-      return { identity, kind: 'lost', reason: 'the answer belongs to another request' };
-    }
+    const { facts, response } = outcome;
     this.dependencies.announcements.record(entry, response.status, facts);
     if (facts.isNotExecuted) {
       discardBody(this.dependencies.timers, response.body);
       loads.recordEnd(entry, response.status === STATUS_MISDIRECTED ? 'misdirected' : 'full');
       return {
-        identity,
+        identity: describeIdentity(response, facts),
         kind: 'not-run',
         reason: `the replica refused with ${String(response.status)}`,
       };
@@ -303,12 +283,9 @@
   }
 
   /** Records a failed exchange against its replica, unless the path to it may have failed. */
-  private recordUnanswered(
-    entry: ReplicaEntry,
-    { isPathFault, kind }: Exclude<ExchangeOutcome, { kind: 'answered' }>,
-  ): void {
+  private recordUnanswered(entry: ReplicaEntry, { isPathFault, kind }: UnansweredExchange): void {
     const { crashes, pool } = this.dependencies;
-    if (isPathFault) {
+    if (isPathFault || kind === 'foreign') {
       return;
     }
     if (this.control.signal.aborted) {
--- a/packages/gateway/src/upstreams/directRelayTarget.ts
+++ b/packages/gateway/src/upstreams/directRelayTarget.ts
@@ -56,13 +56,14 @@
     }
     const load = loads.findOrAddState(entry);
     load.inFlight++;
-    const outcome = await transport.exchangeDirectly(entry, request);
+    const { requestId } = headerCodec.readFacts(request.headers);
+    const outcome = await transport.exchangeDirectly(entry, { ...request, requestId });
     if (outcome.kind !== 'answered') {
       load.inFlight--;
       return outcome;
     }
-    const { body, headers, status } = outcome.response;
-    announcements.record(entry, status, headerCodec.readResponse(status, headers));
+    const { body, status } = outcome.response;
+    announcements.record(entry, status, outcome.facts);
     body.once('close', () => {
       load.inFlight--;
     });
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -5,10 +5,12 @@
 import { endsWithConnection, failWithConnection } from '@zincring/core';
 import { request as startRequest } from 'node:http';
 
+import type { RequestId } from '../callers/requestFacts.js';
 import type { BodyFraming } from '../callers/responseSink.js';
 import type { ReplicaEntry } from './replica.js';
 import type { ExchangeWatch } from './reachability/exchangeWatch.js';
 import type { ReplicaAgent } from './replicaAgent.js';
+import type { ResponseIdentity } from './responseIdentity.js';
 
 /** Failure of an exchange that was ended because this instance has lost its links to the replicas. */
 export class PathLostError extends Error {}
@@ -28,18 +30,29 @@
   readonly permittedRegions?: ReadonlySet<Region> | undefined;
 }
 
-/**
- * Outcome of an attempt up to the head of the response. `not-sent` means that the replica certainly did
- * not run the request, `lost` that it may have run it. `isPathFault` says that the path to the replica failed,
- * which says nothing about the replica.
- */
+/** Request of one attempt whose id is known. */
+export interface IdentifiedRequest extends ReplicaRequest {
+  /** Id that the headers contain and that the response must name; `undefined` if they contain none. */
+  readonly requestId: RequestId | undefined;
+}
+
+/** Exchange without a response to its request. */
+export interface UnansweredExchange {
+  /**
+   * `not-sent` means that the replica certainly did not run the request, `lost` that it may have run it,
+   * and `foreign` that it may have run it and that the response on the connection answers another request.
+   */
+  readonly kind: 'foreign' | 'lost' | 'not-sent';
+  readonly reason: string;
+  /** Whether the path to the replica failed, which says nothing about the replica. */
+  readonly isPathFault: boolean;
+  /** Response that answers another request, if this instance has received it itself. */
+  readonly foreignResponse?: ResponseIdentity;
+}
+
+/** Outcome of an attempt up to the head of the response, which may answer another request. */
 export type ExchangeOutcome =
-  | { readonly kind: 'answered'; readonly response: ReplicaResponse }
-  | {
-      readonly kind: 'lost' | 'not-sent';
-      readonly reason: string;
-      readonly isPathFault: boolean;
-    };
+  UnansweredExchange | { readonly kind: 'answered'; readonly response: ReplicaResponse };
 
 /** Response of a replica whose head has been received and whose body has yet to be read. */
 export interface ReplicaResponse {
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -103,18 +103,19 @@
       timers,
     });
     this.announcements = new Announcements({ coldReplicas, loads, logger, permits: this.permits });
-    this.reachability = new ReplicaReachability({
-      listReplicas: () => directory.listAll(),
-      logger,
-      probe: async entry => await probeConnection(timers, entry),
-      random,
-      timers,
-    });
+    this.reachability = makeReachability(dependencies);
     const { reachability } = this;
     const { relay } = dependencies;
-    this.transport = new ReplicaTransport({ loads, reachability, relay, timers });
-    const { announcements, transport } = this;
     const { headerCodec, isStopping } = dependencies;
+    this.transport = new ReplicaTransport({
+      headerCodec,
+      loads,
+      metrics,
+      reachability,
+      relay,
+      timers,
+    });
+    const { announcements, transport } = this;
     this.relayTarget = new DirectRelayTarget({
       announcements,
       directory,
@@ -136,3 +137,18 @@
     this.reachability.stop();
   }
 }
+
+function makeReachability({
+  directory,
+  logger,
+  random,
+  timers,
+}: ReplicaNetworkDependencies): ReplicaReachability {
+  return new ReplicaReachability({
+    listReplicas: () => directory.listAll(),
+    logger,
+    probe: async entry => await probeConnection(timers, entry),
+    random,
+    timers,
+  });
+}
--- a/packages/gateway/src/upstreams/replicaTransport.ts
+++ b/packages/gateway/src/upstreams/replicaTransport.ts
@@ -1,11 +1,15 @@
 import type { TimerService } from '@zincring/core';
 
+import type { HeaderCodec } from '../callers/requestFacts.js';
+import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { ReplicaReachability } from './reachability/replicaReachability.js';
 import type { ReplicaEntry } from './replica.js';
-import type { ExchangeOutcome, ReplicaRequest } from './replicaExchange.js';
+import type { ExchangeOutcome, IdentifiedRequest, ReplicaRequest } from './replicaExchange.js';
 import type { ReplicaLoads } from './replicaLoads.js';
+import type { IdentifiedOutcome } from './responseIdentity.js';
 
 import { exchangeWithReplica } from './replicaExchange.js';
+import { identifyResponse } from './responseIdentity.js';
 
 /** Outcome of an exchange through another instance: `unavailable` if none can relay it. */
 export type RelayOutcome =
@@ -18,6 +22,8 @@
 
 /** Dependencies of a {@link ReplicaTransport}. */
 export interface ReplicaTransportDependencies {
+  readonly headerCodec: HeaderCodec;
+  readonly metrics: GatewayMetrics;
   readonly timers: TimerService;
   readonly loads: ReplicaLoads;
   readonly reachability: ReplicaReachability;
@@ -40,19 +46,24 @@
   }
 
   /** Sends an attempt by the path that is known to work. */
-  public async exchange(entry: ReplicaEntry, request: ReplicaRequest): Promise<ExchangeOutcome> {
+  public async exchange(
+    entry: ReplicaEntry,
+    request: IdentifiedRequest,
+  ): Promise<IdentifiedOutcome> {
     if (!this.isPathSuspect) {
       return await this.exchangeDirectly(entry, request);
     }
     const outcome = await this.dependencies.relay.exchange(entry, request);
-    return outcome.kind === 'unavailable' ? await this.exchangeDirectly(entry, request) : outcome;
+    return outcome.kind === 'unavailable'
+      ? await this.exchangeDirectly(entry, request)
+      : this.identify(entry, request, outcome);
   }
 
   /** Sends an attempt without other instances. */
   public async exchangeDirectly(
     entry: ReplicaEntry,
-    request: ReplicaRequest,
-  ): Promise<ExchangeOutcome> {
+    request: IdentifiedRequest,
+  ): Promise<IdentifiedOutcome> {
     const { loads, reachability, timers } = this.dependencies;
     const { agent } = loads.findOrAddState(entry);
     if (!request.isRepeatable && !reachability.hasEvidence) {
@@ -62,7 +73,21 @@
     const watch = reachability.watch(entry, request.isRepeatable);
     const outcome = await exchangeWithReplica(timers, { agent, entry, watch }, request);
     return outcome.kind === 'answered'
-      ? outcome
+      ? this.identify(entry, request, outcome)
       : { ...outcome, isPathFault: outcome.isPathFault || this.isPathSuspect };
   }
+
+  private identify(
+    { service }: ReplicaEntry,
+    { requestId }: IdentifiedRequest,
+    outcome: ExchangeOutcome,
+  ): IdentifiedOutcome {
+    const { headerCodec, metrics } = this.dependencies;
+    const identified = identifyResponse(headerCodec, requestId, outcome);
+    if (identified.kind === 'foreign' && identified.foreignResponse !== undefined) {
+      const kind = identified.foreignResponse.isRefusal ? 'refusal' : 'answer';
+      metrics.foreignResponses.inc({ kind, service });
+    }
+    return identified;
+  }
 }
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -96,15 +96,18 @@
   };
 }
 
+function readId(request: ReceivedRequest): string {
+  return request.headers.get('request-id') ?? '';
+}
+
 function formatHead(
   request: ReceivedRequest,
   status: string,
   headerLines: readonly string[],
 ): string {
-  const id = request.headers.get('request-id') ?? '';
   return [
     `HTTP/1.1 ${status}`,
-    `Request-Id: ${id}`,
+    `Request-Id: ${readId(request)}`,
     'Server-Stamp: s1',
     ...headerLines,
     '',
@@ -150,8 +153,10 @@
 };
 
 /** Responds as another replica that has taken over the address. */
-export const respondsMisdirected: Behaviour = socket => {
-  socket.write('HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n');
+export const respondsMisdirected: Behaviour = (socket, request) => {
+  socket.write(
+    `HTTP/1.1 421 Misdirected\r\nRequest-Id: ${readId(request)}\r\nContent-Length: 0\r\n\r\n`,
+  );
 };
 
 /** Resets the connection without a response. */
@@ -171,6 +176,28 @@
   );
 };
 
+/** Refuses another request than the one received, or none that can be told if its id is `undefined`. */
+export function refusesOtherRequest(id: string | undefined, status = '503 Full'): Behaviour {
+  return socket => {
+    const idLines = id === undefined ? '' : `Request-Id: ${id}\r\n`;
+    socket.write(`HTTP/1.1 ${status}\r\n${idLines}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
+  };
+}
+
+/** Refuses each request with the refusal of the one before it first, and runs it; the first one is only refused. */
+export function repeatsRefusal(): Behaviour {
+  let earlier: ReceivedRequest | undefined;
+  return (socket, request) => {
+    if (earlier === undefined) {
+      refuses(socket, request);
+    } else {
+      refuses(socket, earlier);
+      responds('done')(socket, request);
+    }
+    earlier ??= request;
+  };
+}
+
 /** Sends a complete response, followed by a surplus one. */
 export function respondsTwice(body: string, pauseMilliseconds: number): Behaviour {
   return (socket, request) => {
