fix(gateway): promise that a request has not run only if its replica guarantees it

Cause: a replica's own 408, 429 or 503 without the guarantee that nothing ran was copied to the caller, who reads these statuses as that guarantee (REFUSED). Change: for a request that may run only once such a response counts as one that may have run: 502 of our own. Safe requests get it unchanged.

--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -15,6 +15,7 @@
 import type { ForwardedBody, RunOutcome } from './runOutcome.js';
 
 import { chooseAdmittedReplica } from './chooseAdmittedReplica.js';
+import { promisesNotRun } from './promisesNotRun.js';
 import { readResponseBody } from './readResponseBody.js';
 import { describeIdentity } from './responseIdentity.js';
 import { relayStream } from './streamRelay.js';
@@ -279,6 +280,14 @@
     }
     loads.recordEnd(entry, response.status >= 500 ? 'failed' : 'answered');
     this.timing?.recordStatus(response.status);
+    if (!this.isRepeatable && promisesNotRun(response.status)) {
+      discardBody(this.dependencies.timers, response.body);
+      return {
+        identity: describeIdentity(response, facts),
+        kind: 'lost',
+        reason: `the replica answered ${String(response.status)} without a guarantee that nothing ran`,
+      };
+    }
     return await this.forwardResponse(entry, response);
   }
 
