--- a/packages/platform/tests/httpClient.test.ts
+++ b/packages/platform/tests/httpClient.test.ts
@@ -76,4 +76,33 @@
     server.close();
     expect(response.err && response.val.failure).toBe('outcome-unknown');
   });
+
+  it('never takes a surplus response on an idle connection for that of the next request', async () => {
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.on('data', chunk => {
+        const [, path = ''] = chunk.toString().split(' ');
+        socket.write(formatResponse(path));
+        if (path === '/first') {
+          setTimeout(() => socket.write(formatResponse('surplus')), 5);
+        }
+      });
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${String(port)}`;
+    const client = new HttpClient({ address, timeoutMilliseconds: 5_000 });
+    await client.send({ isRetrySafe: true, method: 'GET', path: '/first' });
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const response = await client.send({ isRetrySafe: true, method: 'GET', path: '/second' });
+    client.close();
+    server.close();
+    expect(response.ok && response.val.body.toString()).toBe('/second');
+  });
 });
+
+function formatResponse(body: string): string {
+  return `HTTP/1.1 200 OK\r\nContent-Length: ${String(body.length)}\r\n\r\n${body}`;
+}
