fix(upstreams): an address to which nothing can be sent breaks no caller's connection

Cause: Node.js throws where a request or connection to a port out of range, or with an id that is no header value, is started. One such entry among the replicas ended each request that chose it as an unexpected fault (request-fault), which closes the caller's connection; a relay through an instance with such an address did the same. A probe threw too, so the instance took its links for suspect until its next start. Change: runExchange (core) turns what cannot be started into a failure like any other; exchanges with replicas and relays use it and end as not-sent or unavailable. A probe of such an address ends as not open.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,8 @@
 export { discardBody } from './http/discardBody.js';
 export { endsWithConnection } from './http/endsWithConnection.js';
 export { failWithConnection } from './http/failWithConnection.js';
+export type { ExchangeHandlers } from './http/runExchange.js';
+export { runExchange } from './http/runExchange.js';
 export type { SessionCheckOptions } from './http2/sessionManager.js';
 export { SessionManager } from './http2/sessionManager.js';
 export type { TimerService, TimerSubscription } from './time/timerService.js';
--- a/packages/gateway/src/peers/relayClient.ts
+++ b/packages/gateway/src/peers/relayClient.ts
@@ -1,7 +1,8 @@
 import type { Logger, TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
-import { Agent, request as startRequest } from 'node:http';
+import { runExchange } from '@zincring/core';
+import { Agent } from 'node:http';
 
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { ReplicaEntry } from '../upstreams/replica.js';
@@ -31,6 +32,12 @@
   readonly metrics: GatewayMetrics;
 }
 
+/** Whether another instance has accepted a request. */
+interface Acceptance {
+  isAccepted(): boolean;
+  stop(): void;
+}
+
 /** Number of instances that are asked to relay one attempt. */
 const MAXIMUM_ASKED = 4;
 /** Time within which an instance must accept a request, in milliseconds: many round trips between instances. */
@@ -98,39 +105,36 @@
     const { body = Buffer.alloc(0), headers, isRepeatable, method, path } = request;
     const content = encodeRelayedRequest({ body, headers, isRepeatable, method, path });
     const [host, port] = address.split(':');
-    return await new Promise(resolve => {
-      const outgoing = startRequest({
-        agent: this.agent,
-        headers: { 'Content-Length': content.length, Expect: '100-continue' },
-        host,
-        method: 'POST',
-        path: makeRelayPath(entry.runId),
-        port,
-        signal: request.signal,
-      });
-      const acceptance = this.awaitAcceptance(outgoing, content);
-      outgoing.on('response', incoming => {
-        acceptance.stop();
-        resolve(readOutcome(request.method, outgoing, incoming));
-      });
-      outgoing.on('error', failure => {
-        acceptance.stop();
-        const { message: reason } = failure;
-        resolve(
-          acceptance.isAccepted()
-            ? { isPathFault: true, kind: 'lost', reason }
-            : { kind: 'unavailable', reason },
-        );
-      });
-      outgoing.flushHeaders();
+    const options = {
+      agent: this.agent,
+      headers: { 'Content-Length': content.length, Expect: '100-continue' },
+      host,
+      method: 'POST',
+      path: makeRelayPath(entry.runId),
+      port,
+      signal: request.signal,
+    };
+    let acceptance: Acceptance | undefined;
+    return await runExchange<RelayOutcome>(options, {
+      onFailure: ({ message: reason }) => {
+        acceptance?.stop();
+        return acceptance?.isAccepted() === true
+          ? { isPathFault: true, kind: 'lost', reason }
+          : { kind: 'unavailable', reason };
+      },
+      onResponse: (outgoing, incoming) => {
+        acceptance?.stop();
+        return readOutcome(request.method, outgoing, incoming);
+      },
+      onStarted: outgoing => {
+        acceptance = this.awaitAcceptance(outgoing, content);
+        outgoing.flushHeaders();
+      },
     });
   }
 
   /** Sends the content once the other instance has accepted it, and fails if it does not in time. */
-  private awaitAcceptance(
-    outgoing: ClientRequest,
-    content: Buffer,
-  ): { isAccepted(): boolean; stop(): void } {
+  private awaitAcceptance(outgoing: ClientRequest, content: Buffer): Acceptance {
     let isAccepted = false;
     const timeout = this.dependencies.timers.after(ACCEPT_TIMEOUT_MILLISECONDS, () => {
       outgoing.destroy(new Error('the instance did not accept the request in time'));
--- a/packages/gateway/src/upstreams/reachability/probeConnection.ts
+++ b/packages/gateway/src/upstreams/reachability/probeConnection.ts
@@ -1,6 +1,6 @@
 import type { TimerService } from '@zincring/core';
 
-import { connect } from 'node:net';
+import { Socket } from 'node:net';
 
 import type { ReplicaEntry } from '../replica.js';
 
@@ -8,7 +8,7 @@
 const PROBE_TIMEOUT_MILLISECONDS = 400;
 
 /**
- * Opens a connection to a replica and closes it; returns whether it opened in time.
+ * Opens a connection to a replica and closes it; returns whether it opened in time; never throws.
  *
  * @example
  * await probeConnection(timers, entry); // true
@@ -18,7 +18,7 @@
   { host, port }: ReplicaEntry,
 ): Promise<boolean> {
   return await new Promise(resolve => {
-    const socket = connect(port, host);
+    const socket = new Socket();
     const finish = (isOpen: boolean): void => {
       timeout.stop();
       socket.destroy();
@@ -33,5 +33,11 @@
     socket.once('error', () => {
       finish(false);
     });
+    try {
+      socket.connect(port, host);
+    } catch {
+      // Node.js throws for an address to which no connection can be opened.
+      finish(false);
+    }
   });
 }
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -2,8 +2,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
-import { endsWithConnection, failWithConnection } from '@zincring/core';
-import { request as startRequest } from 'node:http';
+import { endsWithConnection, failWithConnection, runExchange } from '@zincring/core';
 
 import type { RequestId } from '../callers/requestFacts.js';
 import type { BodyFraming } from '../callers/responseSink.js';
@@ -44,7 +43,7 @@
    */
   readonly kind: 'foreign' | 'lost' | 'not-sent';
   readonly reason: string;
-  /** Whether the path to the replica failed, which says nothing about the replica. */
+  /** Whether the path to the replica failed or no request could be made, which says nothing about the replica. */
   readonly isPathFault: boolean;
   /** Response that answers another request, if this instance has received it itself. */
   readonly foreignResponse?: ResponseIdentity;
@@ -82,7 +81,8 @@
 }
 
 /**
- * Sends one attempt to a replica and waits for the head of its response.
+ * Sends one attempt to a replica and waits for the head of its response. A request that cannot be sent, for
+ * instance to a port out of range, is `not-sent`.
  *
  * @example
  * const outcome = await exchangeWithReplica(timers, { agent, entry, watch }, request);
@@ -92,34 +92,29 @@
   { agent, entry, watch }: ExchangeTarget,
   { body, headers, method, path, signal }: ReplicaRequest,
 ): Promise<ExchangeOutcome> {
-  return await new Promise(resolve => {
-    const outgoing = startRequest({
-      agent,
-      headers,
-      host: entry.host,
-      method,
-      path,
-      port: entry.port,
-      signal,
-    });
-    const connection = observeConnection(timers, outgoing, watch);
-    outgoing.on('response', incoming => {
-      connection.stop();
-      resolve({ response: buildResponse(outgoing, incoming), kind: 'answered' });
-    });
-    outgoing.on('error', failure => {
-      connection.stop();
-      const isOpen = connection.isOpen();
-      if (!isOpen && !signal.aborted) {
+  let connection: ObservedConnection | undefined;
+  const options = { agent, headers, host: entry.host, method, path, port: entry.port, signal };
+  return await runExchange<ExchangeOutcome>(options, {
+    onFailure: failure => {
+      connection?.stop();
+      const isOpen = connection?.isOpen() === true;
+      if (connection !== undefined && !isOpen && !signal.aborted) {
         watch.onConnectionFailed();
       }
-      resolve({
-        isPathFault: failure instanceof PathLostError,
+      return {
+        isPathFault: connection === undefined || failure instanceof PathLostError,
         kind: isOpen ? 'lost' : 'not-sent',
         reason: failure.message,
-      });
-    });
-    outgoing.end(body);
+      };
+    },
+    onResponse: (outgoing, incoming) => {
+      connection?.stop();
+      return { kind: 'answered', response: buildResponse(outgoing, incoming) };
+    },
+    onStarted: outgoing => {
+      connection = observeConnection(timers, outgoing, watch);
+      outgoing.end(body);
+    },
   });
 }
 
