fix(platform): an entry that cannot be used names no replica

An unreadable entry is logged once by its id (it was not logged unless it replaced a known one), at most 1,000 are remembered.

--- a/packages/gateway/src/upstreams/replicaDirectory.ts
+++ b/packages/gateway/src/upstreams/replicaDirectory.ts
@@ -1,6 +1,8 @@
 import type { Logger, Result, ServiceName, TimerService, UpstreamId } from '@zincring/core';
 import type { PartitionedRow, PartitionedTable, RowChange } from '@zincring/platform';
 
+import { LRUCache } from 'lru-cache';
+
 import type { ReplicaEntry } from './replica.js';
 
 import { TableFollower } from '../store/tableFollower.js';
@@ -32,6 +34,9 @@
 /** Initial backoff after a failed poll, in milliseconds. */
 const INITIAL_BACKOFF_MILLISECONDS = 100;
 
+/** Maximum number of unreadable entries that are remembered. */
+const MAXIMUM_UNREADABLE = 1_000;
+
 /**
  * List of the registered replicas. Entries may expire while the store is unavailable; replicas that
  * are missing right after an outage are kept for a grace period in which they can register again.
@@ -45,6 +50,8 @@
   private readonly listeners: ((change: ReplicaChange) => void)[] = [];
   /** Entries missing since an outage, with the end of their grace period on the monotonic clock, in milliseconds. */
   private readonly missingUntil = new Map<UpstreamId, number>();
+  /** Entries that were logged as unreadable. */
+  private readonly unreadable = new LRUCache<UpstreamId, true>({ max: MAXIMUM_UNREADABLE });
   /** End of the grace period after the last outage, on the monotonic clock, in milliseconds. */
   private graceUntil = -Infinity;
   private hasSnapshot = false;
@@ -143,11 +150,10 @@
     const id = row.key as UpstreamId;
     const decoded = this.source.decode(row.key, row.value);
     if (decoded.err) {
-      if (this.entries.has(id)) {
-        this.drop(id, decoded.val);
-      }
+      this.recordUnreadable(id, decoded.val);
       return;
     }
+    this.unreadable.delete(id);
     this.missingUntil.delete(id);
     const known = this.entries.get(id);
     const entry = this.withColdEnd(decoded.val);
@@ -166,6 +172,20 @@
     }
   }
 
+  /** An entry that cannot be used names no replica, also if it replaces one that could. */
+  private recordUnreadable(id: UpstreamId, failure: string): void {
+    if (!this.unreadable.has(id)) {
+      this.unreadable.set(id, true);
+      this.logger.warn(
+        { event: 'row-unreadable', failure, row: id, table: this.source.table },
+        'the entry of a replica cannot be used, so it names none',
+      );
+    }
+    if (this.entries.has(id)) {
+      this.drop(id, failure);
+    }
+  }
+
   /** The remaining time counts from when it is read, so an entry that arrives late makes it longer, never shorter. */
   private withColdEnd(entry: ReplicaEntry): ReplicaEntry {
     return entry.coldMilliseconds > 0
--- a/packages/gateway/tests/upstreams/replicaDirectory.test.ts
+++ b/packages/gateway/tests/upstreams/replicaDirectory.test.ts
@@ -1,3 +1,5 @@
+import type { Logger } from '@zincring/core';
+
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
@@ -16,6 +18,7 @@
   let timers: ManualTimerService;
   let store: MemoryTable;
   let directory: ReplicaDirectory;
+  let unreadableRows: unknown[];
 
   const makeAddress = (id: string): { key: string; partition: string; table: string } => ({
     key: id,
@@ -26,7 +29,15 @@
   beforeEach(async () => {
     timers = new ManualTimerService();
     store = new MemoryTable(timers);
-    directory = new ReplicaDirectory(store.client(), sampleReplicaSource, timers, silentLogger, {
+    unreadableRows = [];
+    const logger: Logger = {
+      ...silentLogger,
+      info: () => undefined,
+      warn: ({ event, row }) => {
+        unreadableRows.push(...(event === 'row-unreadable' ? [row] : []));
+      },
+    };
+    directory = new ReplicaDirectory(store.client(), sampleReplicaSource, timers, logger, {
       minimumOutageMilliseconds: 2_500,
       pauseMilliseconds: 500,
       registrationGraceMilliseconds: 1_900,
@@ -49,6 +60,16 @@
     expect(findUsableReplicas()).toEqual(['r1', 'r2']);
   });
 
+  it('logs an unreadable entry once, and keeps the others', async () => {
+    for (let write = 0; write < 4; write++) {
+      store.put(makeAddress('r1'), `{"write":${String(write)}`);
+      store.put(makeAddress('r9'), 'no JSON');
+      await timers.advance(1_000);
+    }
+    expect(findUsableReplicas()).toEqual(['r2']);
+    expect(unreadableRows).toEqual(['r1', 'r9']);
+  });
+
   it('counts down the time for which an entry says that its replica is cold', async () => {
     const findColdEnd = (): number | undefined =>
       directory.findReplicas(engineService.name)[0]?.coldUntil;
