fix(store): a row that a listener cannot take keeps no other row from it

A machine would have stopped following the table, and a table of the operator would have aged until no key was accepted. No such row is known today: the decoders return failures. This closes the way for the next one. Change: after a failure the follower logs it (row-fault) and delivers each row by itself, as a change; all listeners take a row twice.

--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -12,7 +12,10 @@
 
 import { ContactAge, readClocks } from '../configuration/contactAge.js';
 
-/** Receives the rows and changes that a {@link TableFollower} reads. */
+/**
+ * Receives the rows and changes that a {@link TableFollower} reads. After a failure it gets the rows again, one by
+ * one, as changes.
+ */
 export interface TableListener {
   /**
    * Called with all rows as of one version: after the start, after a gap in the feed and on a refresh. A refresh may
@@ -155,7 +158,10 @@
     }
     this.snapshotVersion = version;
     this.appliedVersion = Math.max(version, this.appliedVersion ?? 0);
-    this.listener.onSnapshot(rows, version);
+    const changes = rows.map((row): RowChange => ({ kind: 'written', row }));
+    this.deliver(changes, () => {
+      this.listener.onSnapshot(rows, version);
+    });
     this.contact.confirm(sentAt);
     return true;
   }
@@ -193,11 +199,38 @@
     const newChanges = changes.filter(change => getVersion(change) > appliedVersion);
     if (newChanges.length > 0) {
       this.appliedVersion = Math.max(...newChanges.map(getVersion));
-      this.listener.onChanges(newChanges);
+      this.deliver(newChanges, () => {
+        this.listener.onChanges(newChanges);
+      });
     }
     this.contact.confirm(sentAt);
   }
 
+  /** Delivers rows together; if the listener fails, each by itself, so that a row that it cannot take keeps no other from it. */
+  private deliver(changes: readonly RowChange[], deliverTogether: () => void): void {
+    if (this.tryToDeliver(undefined, deliverTogether)) {
+      return;
+    }
+    for (const change of changes) {
+      this.tryToDeliver(change.row.key, () => {
+        this.listener.onChanges([change]);
+      });
+    }
+  }
+
+  private tryToDeliver(row: string | undefined, deliver: () => void): boolean {
+    try {
+      deliver();
+      return true;
+    } catch (failure) {
+      this.logger.error(
+        { event: 'row-fault', failure: failureText(failure), row, table: this.options.table },
+        'rows could not be applied; the others are',
+      );
+      return false;
+    }
+  }
+
   private resetFeed(result: Result<unknown, PlatformError>): void {
     this.appliedVersion = undefined;
     if (result.err) {
