fix(peers): a registration with an odd address or without an end names no instance

Cause: any text was taken for the address of another instance and any number for its end. One registration of another writer with port 70000 or an end of 1e999 stayed among the owners for good: its keys were asked of it first each time, and nothing swept its row. Change: an address needs a host and a port to which a connection can be opened, the end a finite number; what is not readable is swept as before. The readers of JSON fields are shared (util/jsonFields).

--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -14,6 +14,7 @@
 
 import { elapsedSince, readClocks } from '../configuration/contactAge.js';
 import { TableFollower } from '../store/tableFollower.js';
+import { isNumber, toFields } from '../util/jsonFields.js';
 
 /** Dependencies of a {@link PeerDirectory}. */
 export interface PeerDirectoryDependencies {
@@ -55,6 +56,8 @@
   partitions: [PEER_PARTITION],
   table: PEER_TABLE,
 };
+/** Highest port number. */
+const MAXIMUM_PORT = 65_535;
 /** Interval at which a registration is renewed, in milliseconds: a renewal is a write, and all instances read it. */
 const RENEWAL_INTERVAL_MILLISECONDS = 15_000;
 /** Time after which a registration that is not renewed expires, in milliseconds. */
@@ -255,12 +258,17 @@
   }
 }
 
+/** Whether a value is a host and a port to which a connection can be opened. */
+function isAddress(value: unknown): value is string {
+  const port = Number(/^[\w.-]+:(\d{1,5})$/.exec(String(value))?.[1]);
+  return typeof value === 'string' && port >= 1 && port <= MAXIMUM_PORT;
+}
+
 function parseRegistration(value: Buffer): PeerRegistration | undefined {
   try {
-    const { address, availabilityZone, expiresAt } = JSON.parse(
-      value.toString(),
-    ) as Partial<PeerRegistration>;
-    return typeof address === 'string' && typeof expiresAt === 'number'
+    const { address, availabilityZone: zone, expiresAt } = toFields(JSON.parse(value.toString()));
+    const availabilityZone = typeof zone === 'string' ? (zone as AvailabilityZone) : undefined;
+    return isAddress(address) && isNumber(expiresAt)
       ? { address, availabilityZone, expiresAt }
       : undefined;
   } catch {
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -7,6 +7,9 @@
 import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
 import type { SlownessReport } from '../upstreams/load/slownessReports.js';
 import type { ReplicaRunId } from '../upstreams/replica.js';
+import type { JsonFields } from '../util/jsonFields.js';
+
+import { isNumber, toFields } from '../util/jsonFields.js';
 
 /** Settlement of a reservation, as another instance sends it. */
 export interface Settlement {
@@ -17,9 +20,6 @@
 /** Maximum number of workspaces that are read from one reply. */
 const MAXIMUM_WORKSPACES = 16;
 
-/** A JSON value of any shape. */
-type JsonFields = Readonly<Record<string, unknown>>;
-
 /**
  * Reads the bucket of a call for credit; `undefined` if the text is no such message.
  *
@@ -176,11 +176,3 @@
     return {};
   }
 }
-
-function toFields(value: unknown): JsonFields {
-  return typeof value === 'object' && value !== null ? (value as JsonFields) : {};
-}
-
-function isNumber(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value);
-}
--- a/packages/gateway/tests/peers/peerDirectory.test.ts
+++ b/packages/gateway/tests/peers/peerDirectory.test.ts
@@ -138,6 +138,24 @@
     expect(listNames(observer)).toEqual(['sound']);
   });
 
+  it.each([
+    ['a port out of range', '{"address":"10.1.0.9:70000","expiresAt":9e15}'],
+    ['no port', '{"address":"10.1.0.9","expiresAt":9e15}'],
+    ['an address of another form', '{"address":"10.1.0.9:80/x:80","expiresAt":9e15}'],
+    ['no end', '{"address":"10.1.0.9:80","expiresAt":1e999}'],
+    ['a nested address', `{"address":${'['.repeat(5e4)}${']'.repeat(5e4)},"expiresAt":9e15}`],
+  ])('ignores a registration with %s', async (_name, value) => {
+    putRegistration('odd', value);
+    putRegistration('entry-2', {
+      address: '10.1.0.2:7780',
+      expiresAt: timers.wallClock() + 60_000,
+    });
+    const directory = makeDirectory('entry-1');
+    directory.start('10.1.0.1:7780');
+    await timers.advance(3_000);
+    expect(listNames(directory)).toEqual(['entry-2']);
+  });
+
   it('registers again after the store was away', async () => {
     store.faults.isRefusing = true;
     const directory = makeDirectory('entry-1');
