fix(store): an odd row of a turn, stream, budget or rate ends neither a process nor a request

Cause: rows of the instances' own tables were cast. The sweeper made a list as long as the number of rows that a turn's head states: with 4e9 the process ran out of memory and ended. A head or stream origin that is none threw in the request that read it, which closed its caller's connection without an answer. A reservation of "x" tokens made a sum that is no number, and every demand fit beside it; a budget of -1e999 spent never ended. Change: heads, origins, periods of versions, accounts and buckets are read field by field. A turn that cannot be read is store-unavailable, an origin unknown, an account or bucket unknown as other unreadable rows are. The recorded formats still read.

--- a/packages/gateway/src/limits/storeCreditSource.ts
+++ b/packages/gateway/src/limits/storeCreditSource.ts
@@ -12,6 +12,7 @@
 
 import { elapsedSince, readClocks } from '../configuration/contactAge.js';
 import { absentRow, editRow } from '../store/editRow.js';
+import { isNumber, toFields } from '../util/jsonFields.js';
 import { grantCredit, IMMEDIATE_GRANT_MILLISECONDS } from './workspaceBucket.js';
 import { WorkspaceCredit } from './workspaceCredit.js';
 
@@ -338,8 +339,15 @@
   if (value === undefined) {
     return undefined;
   }
-  const bucket = JSON.parse(value.toString()) as Partial<WorkspaceBucket>;
-  if (typeof bucket.tokens !== 'number' || bucket.held === undefined) {
+  const bucket: unknown = JSON.parse(value.toString());
+  const { held, tokens, updatedAt } = toFields(bucket);
+  const requests = Object.values(toFields(held)).map(credit => toFields(credit)['requests']);
+  if (
+    !isNumber(tokens) ||
+    !isNumber(updatedAt) ||
+    held === undefined ||
+    !requests.every(isNumber)
+  ) {
     throw new TypeError('the row holds no bucket');
   }
   return bucket as WorkspaceBucket;
--- a/packages/gateway/src/programs/programBudget.ts
+++ b/packages/gateway/src/programs/programBudget.ts
@@ -9,6 +9,7 @@
 
 import { computeBackoffMilliseconds } from '../store/backoff.js';
 import { absentRow, editRow, readRow } from '../store/editRow.js';
+import { isNumber, toFields } from '../util/jsonFields.js';
 import { emptyAccount, grantTokens, releaseTokens } from './budgetRow.js';
 
 /**
@@ -418,8 +419,15 @@
   if (value === undefined) {
     return emptyAccount;
   }
-  const account = JSON.parse(value.toString()) as Partial<BudgetAccount>;
-  if (typeof account.spent !== 'number' || account.holds === undefined) {
+  const account: unknown = JSON.parse(value.toString());
+  const { expiresAt, holds, spent } = toFields(account);
+  const reserved = Object.values(toFields(holds)).map(hold => toFields(hold)['tokens']);
+  if (
+    !isNumber(spent) ||
+    !isNumber(expiresAt) ||
+    holds === undefined ||
+    !reserved.every(isNumber)
+  ) {
     throw new TypeError('the row holds no account');
   }
   return account as BudgetAccount;
--- a/packages/gateway/src/programs/storedTurnRows.ts
+++ b/packages/gateway/src/programs/storedTurnRows.ts
@@ -4,6 +4,7 @@
 import type { SweptTable } from '../store/rowSweeper.js';
 
 import { PartitionSet } from '../store/partitionSet.js';
+import { isNumber, isTextList, toFields } from '../util/jsonFields.js';
 
 /** An ended turn with its input and output. */
 export interface StoredTurn {
@@ -40,6 +41,8 @@
 const CHUNK_SEPARATOR = '~';
 /** Space reserved in a row for the head, in bytes: enough for a few hundred ancestor ids. */
 const HEAD_BYTES = 8_192;
+/** Maximum number of rows of a turn: the store's own limit for a transaction. */
+const MAXIMUM_CHUNKS = 100;
 const LINE_FEED = 0x0a;
 
 /**
@@ -73,8 +76,21 @@
   return chunk === 0 ? id : `${id}${CHUNK_SEPARATOR}${String(chunk).padStart(4, '0')}`;
 }
 
+/** Reads the head of a turn; throws if the row holds none, since its numbers become sizes. */
 function readHead(value: Buffer): TurnHead {
-  return JSON.parse(value.subarray(0, value.indexOf(LINE_FEED)).toString()) as TurnHead;
+  const head: unknown = JSON.parse(value.subarray(0, value.indexOf(LINE_FEED)).toString());
+  const { ancestors, chunks, expiresAt, inputBytes, workspace } = toFields(head);
+  if (
+    !isTextList(ancestors) ||
+    !isNumber(chunks) ||
+    chunks > MAXIMUM_CHUNKS ||
+    !isNumber(expiresAt) ||
+    !isNumber(inputBytes) ||
+    (workspace !== null && typeof workspace !== 'string')
+  ) {
+    throw new TypeError('the row holds no turn');
+  }
+  return { ancestors, chunks, expiresAt, inputBytes, workspace };
 }
 
 /** Description of the stored turns for the removal of expired rows. */
@@ -87,7 +103,7 @@
 };
 
 /**
- * Restores a turn from its rows, sorted by key; `undefined` if the first row is missing.
+ * Restores a turn from its rows, sorted by key; `undefined` if the first row is missing. Throws if it cannot be read.
  *
  * @example
  * const turn = decodeTurn(id, rows);
--- a/packages/gateway/src/programs/turnStore.ts
+++ b/packages/gateway/src/programs/turnStore.ts
@@ -1,7 +1,7 @@
 import type { Logger, Result, TimerService } from '@zincring/core';
 import type { PartitionedRow, PlatformError } from '@zincring/platform';
 
-import { Err, Ok, sleep, ZincringError } from '@zincring/core';
+import { Err, failureText, Ok, sleep, ZincringError } from '@zincring/core';
 import { LRUCache } from 'lru-cache';
 
 import type { TurnId } from '../callers/requestFacts.js';
@@ -140,11 +140,7 @@
     ) {
       const rows = await this.readRows(id);
       if (rows.ok) {
-        const turn = decodeTurn(id, rows.val);
-        if (turn !== undefined) {
-          this.cache.set(id, turn);
-        }
-        return Ok(turn);
+        return this.decode(id, rows.val);
       }
       failure = rows.val.message;
       await this.pause(attempts + 1, signal);
@@ -152,6 +148,25 @@
     return Err(this.createStoreUnavailableError(failure));
   }
 
+  private decode(
+    id: TurnId,
+    rows: readonly PartitionedRow[],
+  ): Result<StoredTurn | undefined, ZincringError> {
+    try {
+      const turn = decodeTurn(id, rows);
+      if (turn !== undefined) {
+        this.cache.set(id, turn);
+      }
+      return Ok(turn);
+    } catch (failure) {
+      this.dependencies.logger.warn(
+        { event: 'row-unreadable', failure: failureText(failure), row: id, table: TURN_TABLE },
+        'a stored turn cannot be read, so it is kept',
+      );
+      return Err(this.createStoreUnavailableError('the turn cannot be read'));
+    }
+  }
+
   private async readRows(id: TurnId): Promise<Result<readonly PartitionedRow[], PlatformError>> {
     const page = await this.dependencies.table.read({
       from: id,
--- a/packages/gateway/src/upstreams/streamOrigins.ts
+++ b/packages/gateway/src/upstreams/streamOrigins.ts
@@ -15,6 +15,7 @@
 
 import { readRow } from '../store/editRow.js';
 import { PartitionSet } from '../store/partitionSet.js';
+import { toFields } from '../util/jsonFields.js';
 import { decideResumedVersion } from './decideResumedVersion.js';
 
 /** Dependencies of {@link StreamOrigins}. */
@@ -150,7 +151,8 @@
     }
     const value = read?.val.row.value;
     if (value !== undefined) {
-      return { kind: 'found', origin: decodeOrigin(value) };
+      const origin = decodeOrigin(value);
+      return origin === undefined ? { kind: 'unknown' } : { kind: 'found', origin };
     }
     if (needsVersions && !(await versionRecord.refresh())) {
       return { kind: 'unknown' };
@@ -184,7 +186,7 @@
     }
     // An earlier write whose answer was lost is in conflict with this one.
     const [row] = outcome.val.status === 'conflict' ? outcome.val.rows : [];
-    return row === undefined || decodeOrigin(row.value).version === softwareVersion;
+    return row === undefined || decodeOrigin(row.value)?.version === softwareVersion;
   }
 }
 
@@ -197,7 +199,15 @@
   return { key: id, partition: streamPartitions.of(id), table: STREAM_TABLE };
 }
 
-function decodeOrigin(value: Buffer): StreamOrigin {
-  const { service, version } = JSON.parse(value.toString()) as StoredOrigin;
-  return { service: service as ServiceName, version: version as SoftwareVersion };
+/** Reads the origin of a stream; `undefined` if the row holds none. */
+function decodeOrigin(value: Buffer): StreamOrigin | undefined {
+  try {
+    const { service, version } = toFields(JSON.parse(value.toString()));
+    return typeof service === 'string' && typeof version === 'string'
+      ? { service: service as ServiceName, version: version as SoftwareVersion }
+      : undefined;
+  } catch {
+    // Text that is no JSON is treated like any other row without an origin.
+    return undefined;
+  }
 }
--- a/packages/gateway/src/upstreams/versionRecord.ts
+++ b/packages/gateway/src/upstreams/versionRecord.ts
@@ -8,6 +8,7 @@
 import type { VersionHistory } from './versionHistory.js';
 import type { VersionPeriod } from './versionPeriods.js';
 
+import { isNumber, isTextList, toFields } from '../util/jsonFields.js';
 import { KEPT_PERIOD_MILLISECONDS } from './versionHistory.js';
 import { appendPeriod, isSameSet } from './versionPeriods.js';
 
@@ -215,11 +216,7 @@
   /** Returns the periods of a row; `undefined` for one that cannot be read, which another build may have written. */
   private decode(row: PartitionedRow): readonly VersionPeriod[] | undefined {
     try {
-      const { periods } = JSON.parse(row.value.toString()) as StoredVersions;
-      return periods.map(({ startedAt, versions }) => ({
-        startedAt,
-        versions: new Set(versions as readonly SoftwareVersion[]),
-      }));
+      return decodePeriods(row.value);
     } catch (failure) {
       this.dependencies.logger.warn(
         { event: 'row-unreadable', failure: failureText(failure), row: row.key, table: row.table },
@@ -234,6 +231,21 @@
   return { key: service, partition: VERSION_TABLE, table: VERSION_TABLE };
 }
 
+/** Reads the periods of a row; throws if it holds none. */
+function decodePeriods(value: Buffer): readonly VersionPeriod[] {
+  const { periods } = JSON.parse(value.toString()) as Partial<StoredVersions>;
+  if (!Array.isArray(periods)) {
+    throw new TypeError('the row holds no periods');
+  }
+  return periods.map((period: unknown) => {
+    const { startedAt, versions } = toFields(period);
+    if (!isNumber(startedAt) || !isTextList(versions)) {
+      throw new TypeError('the row holds an odd period');
+    }
+    return { startedAt, versions: new Set(versions as readonly SoftwareVersion[]) };
+  });
+}
+
 function encodePeriods(periods: readonly VersionPeriod[]): Buffer {
   const stored: StoredVersions = {
     periods: periods.map(({ startedAt, versions }) => ({
--- a/packages/gateway/tests/upstreams/streamOrigins.test.ts
+++ b/packages/gateway/tests/upstreams/streamOrigins.test.ts
@@ -96,6 +96,20 @@
     return origins;
   }
 
+  it.each(['no JSON', 'null', '[]', '{"service":7,"version":{}}'])(
+    'does not resume a stream whose row cannot be read: %s',
+    async value => {
+      const origins = await makeInstance(['v1', 'v2']);
+      const { partitions, table } = sweptStreams;
+      partitions.forEach(partition => {
+        store.put({ key: 'first', partition, table }, value);
+      });
+      const pending = origins.resolve(makeResumption('first'));
+      await timers.advance(400);
+      expect((await pending).err).toBe(true);
+    },
+  );
+
   /** Records the first event of a stream and returns whether it may be forwarded. */
   async function record(
     origins: StreamOrigins,
