fix(gateway): streams without a length never look whole when their instance is killed

Cause: the copy had the framing of the original, so it ended with the connection; the kernel closes the connections of a killed process in order.

A stream that ends inside an event, by a reset or before any event is broken off as before.

--- a/packages/gateway/src/callers/responseSink.ts
+++ b/packages/gateway/src/callers/responseSink.ts
@@ -8,12 +8,10 @@
 export interface ResponseSink {
   /** Whether the head of the response has been written. */
   readonly isStarted: boolean;
-  /** Framing of the response; `undefined` until its head has been written. */
-  readonly framing: BodyFraming | undefined;
   /** Sends a response. Its length is announced unless the framing is `connection`. */
   send(status: number, headers: readonly string[], body: Buffer, framing?: BodyFraming): void;
-  /** Starts a response whose body follows, in chunks unless the framing is `connection`. */
-  startStream(status: number, headers: readonly string[], framing: BodyFraming): void;
+  /** Starts a response whose body follows. Only {@link ResponseSink.end} makes that body look complete. */
+  startStream(status: number, headers: readonly string[]): void;
   /** Writes a chunk of the body and waits while the caller is so far behind that no more may be held for it. */
   write(bytes: Buffer): Promise<void>;
   /** Ends a complete body. */
@@ -24,8 +22,6 @@
 
 /** Observes the events of a stream as they are forwarded to the caller. */
 export interface StreamObserver {
-  /** Whether the caller may receive the whole stream only after {@link StreamObserver.beforeEnd}. */
-  readonly delaysEnd: boolean;
   onEvent(data: Buffer): void;
   /**
    * Called once the stream is complete, before the end of the body is written; `false` leaves the
--- a/packages/gateway/src/programs/turnRecorder.ts
+++ b/packages/gateway/src/programs/turnRecorder.ts
@@ -17,10 +17,6 @@
     private readonly signal: AbortSignal,
   ) {}
 
-  public get delaysEnd(): boolean {
-    return this.draft !== undefined;
-  }
-
   public onEvent(data: Buffer): void {
     this.eventCount++;
     this.draft?.addOutput(data);
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -340,22 +340,14 @@
     entry: ReplicaEntry,
     response: ReplicaResponse,
   ): Promise<AttemptResult> {
-    const isUnframed = (this.sink.framing ?? response.framing) === 'connection';
-    // Without framing the last event makes the stream look whole, so it waits until the observer is done.
-    const holdsLastEvent = isUnframed && this.observer?.delaysEnd === true;
-    let heldEvent: StreamEvent | undefined;
     const end = await relayStream(response, {
       onEvent: async event => {
         this.timing?.recordEvent();
         if (!(await this.recordVersion(entry))) {
           return false;
         }
-        const nextEvent = holdsLastEvent ? heldEvent : event;
-        heldEvent = holdsLastEvent ? event : undefined;
-        if (nextEvent !== undefined) {
-          this.observer?.onEvent(nextEvent.data);
-          await this.forwardEvent(response, nextEvent);
-        }
+        this.observer?.onEvent(event.data);
+        await this.forwardEvent(response, event);
         this.timing?.recordForwarded();
         return true;
       },
@@ -368,21 +360,9 @@
       const reason = `broke off after ${String(this.forwardedEvents)} events`;
       return { kind: 'lost', reason: describeBreak(reason, response) };
     }
-    if (end === 'unproven' && !isUnframed) {
-      return {
-        kind: 'lost',
-        reason: 'the end of the connection does not prove that of the stream',
-      };
-    }
-    if (heldEvent !== undefined) {
-      this.observer?.onEvent(heldEvent.data);
-    }
     if (!((await this.observer?.beforeEnd()) ?? true)) {
       return { kind: 'lost', reason: 'the turn could not be kept' };
     }
-    if (heldEvent !== undefined) {
-      await this.forwardEvent(response, heldEvent);
-    }
     this.startStream(response);
     this.sink.end();
     return this.describeServed(response);
@@ -405,10 +385,10 @@
   }
 
   /** Writes the head of the first replica's response; the streams of further ones continue it. */
-  private startStream({ framing, headers, status }: ReplicaResponse): void {
+  private startStream({ headers, status }: ReplicaResponse): void {
     if (!this.sink.isStarted) {
       const callerHeaders = this.dependencies.headerCodec.toCallerHeaders(headers);
-      this.sink.startStream(status, callerHeaders, framing);
+      this.sink.startStream(status, callerHeaders);
     }
   }
 
--- a/packages/gateway/src/upstreams/streamRelay.ts
+++ b/packages/gateway/src/upstreams/streamRelay.ts
@@ -14,10 +14,10 @@
 }
 
 /**
- * How a stream ended: `complete` if its framing proves it, `unproven` if its connection was closed
- * between two events, `stopped` if the receiver of the events did not want to go on, `broken` otherwise.
+ * How a stream ended: `complete` if its framing shows it, or its connection was closed between two
+ * events; `stopped` if the receiver of the events did not want to go on, `broken` otherwise.
  */
-export type StreamEnd = 'broken' | 'complete' | 'stopped' | 'unproven';
+export type StreamEnd = 'broken' | 'complete' | 'stopped';
 
 /**
  * Forwards the events of a stream as they arrive, each only when it is complete. A stream that
@@ -54,8 +54,5 @@
   if (!response.body.complete || eventSplitter.pendingBytes > 0) {
     return 'broken';
   }
-  if (response.framing !== 'connection') {
-    return 'complete';
-  }
-  return hasEvents ? 'unproven' : 'broken';
+  return hasEvents || response.framing !== 'connection' ? 'complete' : 'broken';
 }
--- /dev/null
+++ b/packages/gateway/tests/callers/endsOfResponses.test.ts
@@ -0,0 +1,133 @@
+import { Err } from '@zincring/core';
+import { PlatformError } from '@zincring/platform';
+import { describe, expect, it } from 'vitest';
+
+import type { GatewayRoute } from '../../src/configuration/gatewayConfiguration.js';
+import type { Behaviour } from '../support/fakeReplica.js';
+import type { RawResponse } from '../support/rawCaller.js';
+
+import { TURN_TABLE } from '../../src/programs/storedTurnRows.js';
+import {
+  inOrder,
+  responds,
+  respondsUnframed,
+  streamsEvents,
+  streamsUnframed,
+  truncatesBody,
+} from '../support/fakeReplica.js';
+import {
+  resumableRoute,
+  safeRoute,
+  startGateway,
+  streamRoute,
+  unsafeRoute,
+} from '../support/gatewayFixture.js';
+import { sendRaw } from '../support/rawCaller.js';
+
+type Expected = Partial<RawResponse>;
+
+const cut: Expected = { isWhole: false, status: 200 };
+const failed: Expected = { isWhole: true, mark: 'length', status: 502 };
+const chunks: Expected = { isWhole: true, mark: 'chunks', status: 200 };
+const length: Expected = { isWhole: true, mark: 'length', status: 200 };
+const unmarked: Expected = { isWhole: true, mark: 'none', status: 200 };
+
+const streams: readonly (readonly [string, Behaviour, Expected])[] = [
+  ['in chunks, whole', streamsEvents([1, 2], 'whole'), chunks],
+  ['in chunks, whole without events', streamsEvents([], 'whole'), chunks],
+  ['in chunks, closed between events', streamsEvents([1, 2], 'break'), cut],
+  ['in chunks, closed inside an event', streamsEvents([1, 2], 'half-event'), cut],
+  ['with a length, whole', responds('id: 1\ndata: x\n\n'), chunks],
+  ['unframed, closed between events', streamsUnframed([1, 2], 'close'), chunks],
+  ['unframed, closed inside an event', streamsUnframed([1, 2], 'half-event'), cut],
+  ['unframed, closed before an event', streamsUnframed([], 'close'), failed],
+  ['unframed, reset between events', streamsUnframed([1, 2], 'reset'), cut],
+  ['unframed, reset with an event', streamsUnframed([1, 2], 'immediate-reset'), cut],
+  ['unframed, reset before an event', streamsUnframed([], 'reset'), failed],
+];
+
+const bodies: readonly (readonly [string, Behaviour, Expected])[] = [
+  ['with a length, whole', responds('all'), length],
+  ['with a length, whole and empty', responds(''), length],
+  ['with a length, closed early', truncatesBody, failed],
+  ['in chunks, whole', streamsEvents([1], 'whole'), length],
+  ['in chunks, closed early', streamsEvents([1], 'break'), failed],
+  ['unframed, closed', respondsUnframed('all', 'close'), unmarked],
+  ['unframed, closed and empty', respondsUnframed('', 'close'), unmarked],
+  ['unframed, reset', respondsUnframed('all', 'reset'), failed],
+  ['unframed, reset with its bytes', respondsUnframed('all', 'immediate-reset'), failed],
+];
+
+const resumed: readonly (readonly [string, Behaviour, Expected])[] = [
+  ['in chunks, whole', streamsEvents([3], 'whole'), chunks],
+  ['unframed, closed between events', streamsUnframed([3], 'close'), chunks],
+  ['unframed, closed inside an event', streamsUnframed([3], 'half-event'), cut],
+  ['unframed, reset', streamsUnframed([3], 'reset'), cut],
+];
+
+async function receive(
+  route: GatewayRoute,
+  behaviours: readonly Behaviour[],
+  request: Parameters<typeof sendRaw>[1] = {},
+): Promise<RawResponse> {
+  const fixture = await startGateway(
+    route,
+    behaviours.map(behaviour => [behaviour]),
+  );
+  return await sendRaw(fixture.gateway.ports.callers, request);
+}
+
+describe('the end of a response', () => {
+  it.each(streams)('of a stream is as in the table: %s', async (_name, behaviour, expected) => {
+    expect(await receive(streamRoute, [behaviour])).toMatchObject(expected);
+  });
+
+  it.each(bodies)('of a body is as in the table: %s', async (_name, behaviour, expected) => {
+    expect(await receive(unsafeRoute, [behaviour])).toMatchObject(expected);
+  });
+
+  it.each(resumed)(
+    'of a stream that another replica goes on with is as in the table: %s',
+    async (_name, second, expected) => {
+      const behaviour = inOrder(streamsUnframed([1, 2], 'reset'), second);
+      const response = await receive(resumableRoute, [behaviour, behaviour]);
+      expect(response).toMatchObject(expected);
+      expect(response.body.match(/id: [1-3]/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
+    },
+  );
+
+  it.each([
+    ['a stream', streamRoute, streamsEvents([], 'whole'), 'HEAD'],
+    ['a body', safeRoute, respondsUnframed('', 'close'), 'HEAD'],
+    ['a status without a body', streamRoute, responds('', '204 No Content'), 'POST'],
+    ['a status without a body', unsafeRoute, responds('', '204 No Content'), 'POST'],
+  ])('is that of the head: %s', async (_name, route, behaviour, method) => {
+    const response = await receive(route, [behaviour], { method });
+    expect(response).toMatchObject({ body: '', isWhole: true });
+  });
+
+  it.each([
+    ['in chunks', streamsEvents([1, 2], 'stall')],
+    ['unframed', streamsUnframed([1, 2], 'stall')],
+  ])(
+    'is not there while a stream goes on, if the process is killed: %s',
+    async (_name, behaviour) => {
+      const response = await receive(streamRoute, [behaviour], { until: 'piece 2\n' });
+      expect(response).toMatchObject(cut);
+    },
+  );
+
+  it('is not there before a turn is stored', async () => {
+    const route = { ...streamRoute, storesTurns: true, timeoutMilliseconds: 300 };
+    const fixture = await startGateway(route, [[streamsUnframed([1, 2], 'close')]], {
+      wrapTable: table => ({
+        ...table,
+        transact: async transaction =>
+          transaction.writes[0]?.table === TURN_TABLE
+            ? Err(new PlatformError('unavailable', 'turns are refused'))
+            : await table.transact(transaction),
+      }),
+    });
+    expect(await sendRaw(fixture.gateway.ports.callers)).toMatchObject(cut);
+  });
+});
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -9,6 +9,7 @@
 import type { ReplicaEntry } from '../../src/upstreams/replica.js';
 import type { ReplicaRequest } from '../../src/upstreams/replicaExchange.js';
 import type { RelayOutcome } from '../../src/upstreams/replicaTransport.js';
+import type { StreamEnd } from '../../src/upstreams/streamRelay.js';
 import type { Behaviour } from '../support/fakeReplica.js';
 
 import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
@@ -18,6 +19,7 @@
 import { RelayServer } from '../../src/peers/relayServer.js';
 import { ReplicaAgent } from '../../src/upstreams/replicaAgent.js';
 import { exchangeWithReplica } from '../../src/upstreams/replicaExchange.js';
+import { relayStream } from '../../src/upstreams/streamRelay.js';
 import { getPort, listenOn } from '../../src/util/listen.js';
 import { readBoundedBody } from '../../src/util/readBoundedBody.js';
 import { makeOwner } from '../support/fakePeer.js';
@@ -31,6 +33,7 @@
   respondsUnframed,
   sendsMalformedResponse,
   streamsEvents,
+  streamsUnframed,
   truncatesBody,
 } from '../support/fakeReplica.js';
 import { waitUntil } from '../support/gatewayFixture.js';
@@ -153,6 +156,17 @@
   return body.ok ? body.val.toString() : body.val;
 }
 
+/** Reads the stream of an answered exchange to its end. */
+async function readStreamEnd(outcome: RelayOutcome): Promise<StreamEnd> {
+  if (outcome.kind !== 'answered') {
+    return 'broken';
+  }
+  return await relayStream(outcome.response, {
+    onEvent: async () => Promise.resolve(true),
+    signal: new AbortController().signal,
+  });
+}
+
 describe('a request that another instance relays', () => {
   it('reaches the replica unchanged', async () => {
     const { entry, replica } = await startReplica(responds('done'));
@@ -192,6 +206,33 @@
     expect(['broken', 'lost']).toContain(await readBody(outcome));
   });
 
+  it.each<[string, Behaviour, StreamEnd]>([
+    ['in chunks, whole', streamsEvents([1, 2], 'whole'), 'complete'],
+    ['in chunks, closed between events', streamsEvents([1, 2], 'break'), 'broken'],
+    ['unframed, closed between events', streamsUnframed([1, 2], 'close'), 'complete'],
+    ['unframed, closed inside an event', streamsUnframed([1, 2], 'half-event'), 'broken'],
+    ['unframed, closed before an event', streamsUnframed([], 'close'), 'broken'],
+    ['unframed, reset with an event', streamsUnframed([1, 2], 'immediate-reset'), 'broken'],
+  ])('ends a stream as if it came directly: %s', async (_name, behaviour, end) => {
+    const { entry } = await startReplica(behaviour);
+    const address = await startRelay(entry);
+    expect(await readStreamEnd(await makeClient([address]).exchange(entry, makeRequest()))).toBe(
+      end,
+    );
+  });
+
+  it('never ends a stream as complete when the relaying instance is killed', async () => {
+    const { entry } = await startReplica(neverResponds);
+    const killed = await startOther(socket => {
+      socket.write('HTTP/1.1 100 Continue\r\n\r\n');
+      socket.write('HTTP/1.1 200 OK\r\nZincring-Relay: answered connection\r\n');
+      socket.end('Transfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n');
+    });
+    expect(await readStreamEnd(await makeClient([killed]).exchange(entry, makeRequest()))).toBe(
+      'broken',
+    );
+  });
+
   it.each<[string, Behaviour]>([
     ['resets the connection', resetsConnection],
     ['sends something else', sendsMalformedResponse],
