fix(gateway): never send chunks to callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0, which has no chunks, got every stream in chunks and took their sizes for bytes of the body.

Cause: the head of a stream always announced chunks. Node.js leaves them out by itself, but not if the head that it is given names them.

Change: such a stream ends with its connection.

--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -1,4 +1,4 @@
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { HeldResponse } from './memory/heldResponse.js';
 import type { BodyFraming, ResponseSink } from './responseSink.js';
@@ -11,13 +11,16 @@
 /**
  * Writes the response to a caller through Node's HTTP server. A stream is sent in chunks, however its
  * replica framed it: if this process is killed, the kernel closes the connection in order, and only the
- * missing last chunk shows that the stream broke off.
+ * missing last chunk shows that the stream broke off. For callers of HTTP/1.0, which have no chunks, the
+ * last byte waits for the next event, so that such a stream ends inside an event.
  *
  * @example
  * new CallerResponse(response, held, () => isStopping).send(200, headers, body);
  */
 export class CallerResponse implements ResponseSink {
   private endsWithConnection = false;
+  /** Last byte of a stream without chunks; `undefined` for other responses. */
+  private lastByte: Buffer | undefined;
 
   public constructor(
     private readonly response: ServerResponse,
@@ -43,11 +46,17 @@
   }
 
   public startStream(status: number, headers: readonly string[]): void {
-    this.writeHead(status, headers, ['Transfer-Encoding', 'chunked']);
+    this.endsWithConnection = !acceptsChunks(this.response.req);
+    this.lastByte = this.endsWithConnection ? Buffer.alloc(0) : undefined;
+    this.writeHead(
+      status,
+      headers,
+      this.endsWithConnection ? [] : ['Transfer-Encoding', 'chunked'],
+    );
   }
 
   public async write(bytes: Buffer): Promise<void> {
-    if (this.response.destroyed || this.held.write(bytes)) {
+    if (this.response.destroyed || this.held.write(this.withholdLastByte(bytes))) {
       return;
     }
     await new Promise<void>(resolve => {
@@ -62,7 +71,7 @@
   }
 
   public end(): void {
-    this.held.end();
+    this.held.end(this.lastByte);
   }
 
   public abort(): void {
@@ -73,6 +82,15 @@
     this.response.destroy();
   }
 
+  private withholdLastByte(bytes: Buffer): Buffer {
+    if (this.lastByte === undefined) {
+      return bytes;
+    }
+    const unsent = Buffer.concat([this.lastByte, bytes]);
+    this.lastByte = unsent.subarray(-1);
+    return unsent.subarray(0, -1);
+  }
+
   private writeHead(
     status: number,
     headers: readonly string[],
@@ -86,3 +104,7 @@
     ]);
   }
 }
+
+function acceptsChunks({ httpVersionMajor, httpVersionMinor }: IncomingMessage): boolean {
+  return httpVersionMajor > 1 || (httpVersionMajor === 1 && httpVersionMinor >= 1);
+}
--- a/packages/gateway/tests/callers/endsOfResponses.test.ts
+++ b/packages/gateway/tests/callers/endsOfResponses.test.ts
@@ -32,18 +32,18 @@
 const length: Expected = { isWhole: true, mark: 'length', status: 200 };
 const unmarked: Expected = { isWhole: true, mark: 'none', status: 200 };
 
-const streams: readonly (readonly [string, Behaviour, Expected])[] = [
-  ['in chunks, whole', streamsEvents([1, 2], 'whole'), chunks],
-  ['in chunks, whole without events', streamsEvents([], 'whole'), chunks],
-  ['in chunks, closed between events', streamsEvents([1, 2], 'break'), cut],
-  ['in chunks, closed inside an event', streamsEvents([1, 2], 'half-event'), cut],
-  ['with a length, whole', responds('id: 1\ndata: x\n\n'), chunks],
-  ['unframed, closed between events', streamsUnframed([1, 2], 'close'), chunks],
-  ['unframed, closed inside an event', streamsUnframed([1, 2], 'half-event'), cut],
-  ['unframed, closed before an event', streamsUnframed([], 'close'), failed],
-  ['unframed, reset between events', streamsUnframed([1, 2], 'reset'), cut],
-  ['unframed, reset with an event', streamsUnframed([1, 2], 'immediate-reset'), cut],
-  ['unframed, reset before an event', streamsUnframed([], 'reset'), failed],
+const streams: readonly (readonly [string, Behaviour, Expected, Expected])[] = [
+  ['in chunks, whole', streamsEvents([1, 2], 'whole'), chunks, unmarked],
+  ['in chunks, whole without events', streamsEvents([], 'whole'), chunks, unmarked],
+  ['in chunks, closed between events', streamsEvents([1, 2], 'break'), cut, cut],
+  ['in chunks, closed inside an event', streamsEvents([1, 2], 'half-event'), cut, cut],
+  ['with a length, whole', responds('id: 1\ndata: x\n\n'), chunks, unmarked],
+  ['unframed, closed between events', streamsUnframed([1, 2], 'close'), chunks, unmarked],
+  ['unframed, closed inside an event', streamsUnframed([1, 2], 'half-event'), cut, cut],
+  ['unframed, closed before an event', streamsUnframed([], 'close'), failed, failed],
+  ['unframed, reset between events', streamsUnframed([1, 2], 'reset'), cut, cut],
+  ['unframed, reset with an event', streamsUnframed([1, 2], 'immediate-reset'), cut, cut],
+  ['unframed, reset before an event', streamsUnframed([], 'reset'), failed, failed],
 ];
 
 const bodies: readonly (readonly [string, Behaviour, Expected])[] = [
@@ -58,11 +58,11 @@
   ['unframed, reset with its bytes', respondsUnframed('all', 'immediate-reset'), failed],
 ];
 
-const resumed: readonly (readonly [string, Behaviour, Expected])[] = [
-  ['in chunks, whole', streamsEvents([3], 'whole'), chunks],
-  ['unframed, closed between events', streamsUnframed([3], 'close'), chunks],
-  ['unframed, closed inside an event', streamsUnframed([3], 'half-event'), cut],
-  ['unframed, reset', streamsUnframed([3], 'reset'), cut],
+const resumed: readonly (readonly [string, Behaviour, Expected, Expected])[] = [
+  ['in chunks, whole', streamsEvents([3], 'whole'), chunks, unmarked],
+  ['unframed, closed between events', streamsUnframed([3], 'close'), chunks, unmarked],
+  ['unframed, closed inside an event', streamsUnframed([3], 'half-event'), cut, cut],
+  ['unframed, reset', streamsUnframed([3], 'reset'), cut, cut],
 ];
 
 async function receive(
@@ -78,21 +78,29 @@
 }
 
 describe('the end of a response', () => {
-  it.each(streams)('of a stream is as in the table: %s', async (_name, behaviour, expected) => {
-    expect(await receive(streamRoute, [behaviour])).toMatchObject(expected);
+  it.each(streams)('of a stream is as in the table: %s', async (_name, behaviour, ...expected) => {
+    const fixture = await startGateway(streamRoute, [[behaviour]]);
+    const { callers } = fixture.gateway.ports;
+    expect(await sendRaw(callers)).toMatchObject(expected[0]);
+    expect(await sendRaw(callers, { version: '1.0' })).toMatchObject(expected[1]);
   });
 
   it.each(bodies)('of a body is as in the table: %s', async (_name, behaviour, expected) => {
-    expect(await receive(unsafeRoute, [behaviour])).toMatchObject(expected);
+    const fixture = await startGateway(unsafeRoute, [[behaviour]]);
+    const { callers } = fixture.gateway.ports;
+    expect(await sendRaw(callers)).toMatchObject(expected);
+    expect(await sendRaw(callers, { version: '1.0' })).toMatchObject(expected);
   });
 
   it.each(resumed)(
     'of a stream that another replica goes on with is as in the table: %s',
-    async (_name, second, expected) => {
-      const behaviour = inOrder(streamsUnframed([1, 2], 'reset'), second);
-      const response = await receive(resumableRoute, [behaviour, behaviour]);
-      expect(response).toMatchObject(expected);
-      expect(response.body.match(/id: [1-3]/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
+    async (_name, second, ...expected) => {
+      for (const [index, version] of (['1.1', '1.0'] as const).entries()) {
+        const behaviour = inOrder(streamsUnframed([1, 2], 'reset'), second);
+        const response = await receive(resumableRoute, [behaviour, behaviour], { version });
+        expect(response).toMatchObject(expected[index]!);
+        expect(response.body.match(/id: [1-3]/g)).toEqual(['id: 1', 'id: 2', 'id: 3']);
+      }
     },
   );
 
@@ -102,32 +110,36 @@
     ['a status without a body', streamRoute, responds('', '204 No Content'), 'POST'],
     ['a status without a body', unsafeRoute, responds('', '204 No Content'), 'POST'],
   ])('is that of the head: %s', async (_name, route, behaviour, method) => {
-    const response = await receive(route, [behaviour], { method });
-    expect(response).toMatchObject({ body: '', isWhole: true });
+    for (const version of ['1.1', '1.0'] as const) {
+      const response = await receive(route, [behaviour], { method, version });
+      expect(response).toMatchObject({ body: '', isWhole: true });
+    }
   });
 
-  it.each([
-    ['in chunks', streamsEvents([1, 2], 'stall')],
-    ['unframed', streamsUnframed([1, 2], 'stall')],
-  ])(
-    'is not there while a stream goes on, if the process is killed: %s',
-    async (_name, behaviour) => {
-      const response = await receive(streamRoute, [behaviour], { until: 'piece 2\n' });
-      expect(response).toMatchObject(cut);
+  it.each(['1.1', '1.0'] as const)(
+    'is not there while a stream goes on, if the process is killed (HTTP/%s)',
+    async version => {
+      for (const behaviour of [streamsEvents([1, 2], 'stall'), streamsUnframed([1, 2], 'stall')]) {
+        const request = { until: 'piece 2\n', version } as const;
+        expect(await receive(streamRoute, [behaviour], request)).toMatchObject(cut);
+      }
     },
   );
 
-  it('is not there before a turn is stored', async () => {
-    const route = { ...streamRoute, storesTurns: true, timeoutMilliseconds: 300 };
-    const fixture = await startGateway(route, [[streamsUnframed([1, 2], 'close')]], {
-      wrapTable: table => ({
-        ...table,
-        transact: async transaction =>
-          transaction.writes[0]?.table === TURN_TABLE
-            ? Err(new PlatformError('unavailable', 'turns are refused'))
-            : await table.transact(transaction),
-      }),
-    });
-    expect(await sendRaw(fixture.gateway.ports.callers)).toMatchObject(cut);
-  });
+  it.each(['1.1', '1.0'] as const)(
+    'is not there before a turn is stored (HTTP/%s)',
+    async version => {
+      const route = { ...streamRoute, storesTurns: true, timeoutMilliseconds: 300 };
+      const fixture = await startGateway(route, [[streamsUnframed([1, 2], 'close')]], {
+        wrapTable: table => ({
+          ...table,
+          transact: async transaction =>
+            transaction.writes[0]?.table === TURN_TABLE
+              ? Err(new PlatformError('unavailable', 'turns are refused'))
+              : await table.transact(transaction),
+        }),
+      });
+      expect(await sendRaw(fixture.gateway.ports.callers, { version })).toMatchObject(cut);
+    },
+  );
 });
--- a/packages/gateway/tests/support/rawCaller.ts
+++ b/packages/gateway/tests/support/rawCaller.ts
@@ -3,6 +3,7 @@
 /** Request line of a caller on a plain socket. */
 export interface RawRequest {
   readonly method?: string;
+  readonly version?: '1.0' | '1.1';
   /** Reads no further once this has been received, as if the connection had been closed in order then. */
   readonly until?: string;
 }
@@ -14,14 +15,14 @@
 export interface RawResponse {
   readonly status: number;
   readonly mark: EndMark;
-  /** Whether the response looks complete. */
+  /** Whether the response looks complete; without a mark, by its events if it has any. */
   readonly isWhole: boolean;
   readonly body: string;
 }
 
 /** Sends a request on a plain socket and reads until the connection ends. */
 export async function sendRaw(port: number, request: RawRequest = {}): Promise<RawResponse> {
-  const { method = 'POST', until } = request;
+  const { method = 'POST', until, version = '1.1' } = request;
   return await new Promise(resolve => {
     let text = '';
     let wasReset = false;
@@ -40,7 +41,7 @@
       resolve(readResponse(text, wasReset, method));
     });
     socket.write(
-      `${method} /summaries/7 HTTP/1.1\r\nHost: agents.example\r\nKey: key-of-clerks\r\n` +
+      `${method} /summaries/7 HTTP/${version}\r\nHost: agents.example\r\nKey: key-of-clerks\r\n` +
         'Request-Id: request-1\r\nConnection: close\r\n\r\n',
     );
   });
@@ -57,7 +58,9 @@
     const { body, isEnded } = readChunks(content);
     return { body, isWhole: isEnded || !hasBody, mark: 'chunks', status };
   }
-  const isWhole = length === undefined ? !wasReset : content.length === Number(length);
+  const endsInsideEvent = /^id: /m.test(content) && !content.endsWith('\n\n');
+  const isWhole =
+    length === undefined ? !wasReset && !endsInsideEvent : content.length === Number(length);
   return {
     body: content,
     isWhole: headEnd !== -1 && (isWhole || !hasBody),
