fix(gateway): announce no chunks for a status without a body

What callers saw: a 204 of a replica on a streaming route reached them with `Transfer-Encoding: chunked` and without any chunk, which HTTP forbids; a caller that goes by the header waits for chunks.

Cause: the head of a stream always announced chunks, whatever its status; Node.js sends it as it is given.

Change: a status without a body has no framing. The rows of HEAD now check the whole response; one of them had let a 502 pass, since its replica sent a chunk.

Result: the case of the stream in "is that of its head for a status without a body" failed before.

--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -7,6 +7,8 @@
 
 /** Headers that are not copied, since this instance frames the response itself. */
 const FRAMING_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+/** Statuses of responses without a body. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
 /**
  * Writes the response to a caller through Node's HTTP server. A stream is sent in chunks, however its
@@ -38,7 +40,7 @@
     body: Buffer,
     framing: BodyFraming = 'length',
   ): void {
-    const hasBody = status !== 204 && status !== 304;
+    const hasBody = !STATUSES_WITHOUT_BODY.has(status);
     this.endsWithConnection = hasBody && framing === 'connection';
     const announcesLength = hasBody && !this.endsWithConnection;
     this.writeHead(status, headers, announcesLength ? ['Content-Length', String(body.length)] : []);
@@ -46,13 +48,11 @@
   }
 
   public startStream(status: number, headers: readonly string[]): void {
-    this.endsWithConnection = !acceptsChunks(this.response.req);
+    const hasBody = !STATUSES_WITHOUT_BODY.has(status);
+    const isChunked = acceptsChunks(this.response.req);
+    this.endsWithConnection = hasBody && !isChunked;
     this.lastByte = this.endsWithConnection ? Buffer.alloc(0) : undefined;
-    this.writeHead(
-      status,
-      headers,
-      this.endsWithConnection ? [] : ['Transfer-Encoding', 'chunked'],
-    );
+    this.writeHead(status, headers, hasBody && isChunked ? ['Transfer-Encoding', 'chunked'] : []);
   }
 
   public async write(bytes: Buffer): Promise<void> {
--- a/packages/gateway/tests/callers/endsOfResponses.test.ts
+++ b/packages/gateway/tests/callers/endsOfResponses.test.ts
@@ -105,14 +105,22 @@
   );
 
   it.each([
-    ['a stream', streamRoute, streamsEvents([], 'whole'), 'HEAD'],
-    ['a body', safeRoute, respondsUnframed('', 'close'), 'HEAD'],
-    ['a status without a body', streamRoute, responds('', '204 No Content'), 'POST'],
-    ['a status without a body', unsafeRoute, responds('', '204 No Content'), 'POST'],
-  ])('is that of the head: %s', async (_name, route, behaviour, method) => {
+    ['stream', streamRoute],
+    ['body', unsafeRoute],
+  ])('is that of its head for a status without a body: %s', async (_name, route) => {
     for (const version of ['1.1', '1.0'] as const) {
-      const response = await receive(route, [behaviour], { method, version });
-      expect(response).toMatchObject({ body: '', isWhole: true });
+      const response = await receive(route, [responds('', '204 No Content')], { version });
+      expect(response).toEqual({ body: '', isWhole: true, mark: 'none', status: 204 });
+    }
+  });
+
+  it.each([
+    ['stream', streamRoute, streamsEvents([], 'stall'), ['chunks', 'none']],
+    ['body', safeRoute, respondsUnframed('', 'close'), ['length', 'length']],
+  ] as const)('is that of its head for HEAD: %s', async (_name, route, behaviour, marks) => {
+    for (const [index, version] of (['1.1', '1.0'] as const).entries()) {
+      const response = await receive(route, [behaviour], { method: 'HEAD', version });
+      expect(response).toEqual({ body: '', isWhole: true, mark: marks[index], status: 200 });
     }
   });
 
