fix(gateway): pass on the length of the replica in a response to HEAD

What callers saw: `Content-Length: 0` in responses to HEAD, whatever length the replica named. That header says how long the body of a GET is.

Cause: the length of a body was taken from the bytes that were received, and for HEAD there are none.

Change: a response to HEAD keeps the header of the replica and gets none of our own.

--- a/packages/gateway/src/callers/callerResponse.ts
+++ b/packages/gateway/src/callers/callerResponse.ts
@@ -40,7 +40,7 @@
     body: Buffer,
     framing: BodyFraming = 'length',
   ): void {
-    const hasBody = !STATUSES_WITHOUT_BODY.has(status);
+    const hasBody = this.hasBody(status);
     this.endsWithConnection = hasBody && framing === 'connection';
     const announcesLength = hasBody && !this.endsWithConnection;
     this.writeHead(status, headers, announcesLength ? ['Content-Length', String(body.length)] : []);
@@ -48,7 +48,7 @@
   }
 
   public startStream(status: number, headers: readonly string[]): void {
-    const hasBody = !STATUSES_WITHOUT_BODY.has(status);
+    const hasBody = this.hasBody(status);
     const isChunked = acceptsChunks(this.response.req);
     this.endsWithConnection = hasBody && !isChunked;
     this.lastByte = this.endsWithConnection ? Buffer.alloc(0) : undefined;
@@ -82,6 +82,14 @@
     this.response.destroy();
   }
 
+  private hasBody(status: number): boolean {
+    return !this.isHead && !STATUSES_WITHOUT_BODY.has(status);
+  }
+
+  private get isHead(): boolean {
+    return this.response.req.method === 'HEAD';
+  }
+
   private withholdLastByte(bytes: Buffer): Buffer {
     if (this.lastByte === undefined) {
       return bytes;
@@ -98,7 +106,8 @@
   ): void {
     this.response.useChunkedEncodingByDefault = !this.endsWithConnection;
     this.response.writeHead(status, [
-      ...withoutHeaders(headers, FRAMING_HEADERS),
+      // The length in a response to HEAD is that of the body of another request.
+      ...(this.isHead ? headers : withoutHeaders(headers, FRAMING_HEADERS)),
       ...framingHeaders,
       ...(this.endsWithConnection || this.shouldCloseConnection() ? ['Connection', 'close'] : []),
     ]);
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -122,6 +122,13 @@
   };
 }
 
+/** Sends the head of a response and nothing after it. */
+export function respondsWithHead(headerLines: readonly string[]): Behaviour {
+  return (socket, request) => {
+    socket.write(formatHead(request, '200 OK', headerLines));
+  };
+}
+
 /** Sends a complete response that announces the rate that the replica accepts, in requests per second. */
 export function respondsWithRate(
   requestsPerSecond: number,
