fix(gateway): reset, rather than close, a response that its caller does not read

What callers saw: nothing yet. A caller who read nothing of a complete response for the idle timeout, and read on later, got a part of a body without a length or chunks that looked whole. Found while looking for other places of the same class.

Cause: such a response was destroyed, which closes its connection in order, as the end of that body does.

Change: its connection is reset, as an aborted one is.

Result: the new case of heldResponse.test.ts, on a socket, failed before: the caller saw an orderly end.

--- a/packages/gateway/src/callers/memory/heldResponse.ts
+++ b/packages/gateway/src/callers/memory/heldResponse.ts
@@ -96,6 +96,8 @@
         return;
       }
       onUnread();
+      // An orderly close would mark the end of a body without a length or chunks.
+      this.response.socket.resetAndDestroy();
       this.response.destroy();
     });
   }
--- a/packages/gateway/tests/callers/memory/heldResponse.test.ts
+++ b/packages/gateway/tests/callers/memory/heldResponse.test.ts
@@ -1,7 +1,10 @@
 import type { ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 
 import { ManualTimerService } from '@zincring/core';
-import { EventEmitter } from 'node:events';
+import { EventEmitter, once } from 'node:events';
+import { createServer } from 'node:http';
+import { connect } from 'node:net';
 import { describe, expect, it } from 'vitest';
 
 import { HeldMemory } from '../../../src/callers/memory/heldMemory.js';
@@ -9,15 +12,22 @@
 
 const UNREAD_MILLISECONDS = 1_000;
 const piece = Buffer.alloc(100);
+/** More than the system takes over for a caller that reads nothing. */
+const LARGE_BYTES = 64 * 1024 * 1024;
+
+function makeConnection(writeQueueSize: number): {
+  readonly _handle: { readonly writeQueueSize: number };
+  readonly resetAndDestroy: () => void;
+} {
+  return { _handle: { writeQueueSize }, resetAndDestroy: () => undefined };
+}
 
 /** A response whose caller reads only what the test lets it read. */
 class UnreadResponse extends EventEmitter {
   public writableFinished = false;
   public isDestroyed = false;
   /** Connection of the response; null while it waits for an earlier one. */
-  public socket: { _handle: { writeQueueSize: number } } | null = {
-    _handle: { writeQueueSize: 100 },
-  };
+  public socket: ReturnType<typeof makeConnection> | null = makeConnection(100);
   private readonly unread: (() => void)[] = [];
 
   public write(_bytes: Buffer, onRead: () => void): boolean {
@@ -95,7 +105,7 @@
     const { countUnread, held, response, timers } = setUp();
     held.end(piece);
     for (const writeQueueSize of [60, 20]) {
-      response.socket = { _handle: { writeQueueSize } };
+      response.socket = makeConnection(writeQueueSize);
       await timers.advance(UNREAD_MILLISECONDS);
       expect(response.isDestroyed).toBe(false);
     }
@@ -112,6 +122,40 @@
     expect(response.isDestroyed).toBe(false);
   });
 
+  it('never looks complete when it has no length and is closed unread', async () => {
+    const timers = new ManualTimerService();
+    const unread = new EventEmitter();
+    const server = createServer((_request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, { connection: 'close' });
+      const held = new HeldResponse(response, {
+        getUnreadMilliseconds: () => UNREAD_MILLISECONDS,
+        memory: new HeldMemory(),
+        onUnread: () => unread.emit('closed'),
+        timers,
+      });
+      held.end(Buffer.alloc(LARGE_BYTES));
+      unread.emit('written');
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    let wasReset = false;
+    caller.prependOnceListener('end', () => caller.write('', failure => (wasReset ||= !!failure)));
+    caller.on('error', () => (wasReset = true));
+    caller.write('GET / HTTP/1.1\r\nHost: x\r\n\r\n');
+    await once(unread, 'written');
+    const closed = once(unread, 'closed');
+    // What the system has taken over by itself counts as read once.
+    const advancing = setInterval(() => void timers.advance(UNREAD_MILLISECONDS), 20);
+    await closed;
+    clearInterval(advancing);
+    caller.resume();
+    await new Promise(resolve => caller.on('close', resolve));
+    server.close();
+    expect(wasReset).toBe(true);
+  });
+
   it('stays open while the caller reads on, and is closed once it reads nothing', async () => {
     const { countUnread, held, response, timers } = setUp();
     held.write(piece);
