fix(instance): never send chunks to callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0, which has no chunks, got the response of a service route in chunks and took their sizes for bytes of the body.

Cause: chunks were chosen by the framing of the upstream alone.

Change: such a caller gets each body without a mark, ended with the connection, and a reset if it is broken off.

Result: the new case of serviceRoutes.test.ts failed before.

--- a/packages/instance/src/callers/forwardedResponse.ts
+++ b/packages/instance/src/callers/forwardedResponse.ts
@@ -8,7 +8,16 @@
 /** Status and content type of an upstream's response. */
 export type ResponseHead = Extract<UpstreamFrame, { kind: 'head' }>;
 
-/** Forwards the response of an upstream to a caller, with its end marked only if the upstream marked it. */
+/**
+ * Forwards the response of an upstream to a caller, with its end marked only if the upstream marked it. A caller
+ * of HTTP/1.0, which has no chunks, gets each one without a mark.
+ *
+ * @example
+ * const forwarded = new ForwardedResponse(response, 10_000);
+ * forwarded.setHead(head);
+ * await forwarded.write(data);
+ * forwarded.end();
+ */
 export class ForwardedResponse {
   private head: ResponseHead | undefined;
 
@@ -43,22 +52,27 @@
     if (!this.response.headersSent) {
       throw error;
     }
-    if (this.head?.endsWithConnection === true) {
+    if (!this.isMarked) {
       // An orderly close would mark the end of the body.
       this.response.socket?.resetAndDestroy();
     }
     this.response.destroy();
   }
 
+  /** Whether chunks show the caller where the body ends. */
+  private get isMarked(): boolean {
+    return this.head?.endsWithConnection !== true && this.response.req.httpVersion !== '1.0';
+  }
+
   private writeHead(): void {
     if (this.head === undefined || this.response.headersSent) {
       return;
     }
-    const { contentType, endsWithConnection, status } = this.head;
-    this.response.useChunkedEncodingByDefault = !endsWithConnection;
+    const { contentType, status } = this.head;
+    this.response.useChunkedEncodingByDefault = this.isMarked;
     this.response.writeHead(status, {
       'content-type': contentType,
-      ...(endsWithConnection ? { connection: 'close' } : {}),
+      ...(this.isMarked ? {} : { connection: 'close' }),
     });
   }
 }
--- a/packages/instance/tests/callers/serviceRoutes.test.ts
+++ b/packages/instance/tests/callers/serviceRoutes.test.ts
@@ -77,11 +77,11 @@
 }
 
 /** Sends a request on a new connection and returns the head and body as they were sent. */
-async function receive(port: number): Promise<string> {
+async function receive(port: number, version = '1.1'): Promise<string> {
   return await new Promise(resolve => {
     let received = '';
     const socket = connect(port, '127.0.0.1', () => {
-      socket.write('GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n');
+      socket.write(`GET / HTTP/${version}\r\nHost: x\r\nConnection: close\r\n\r\n`);
     });
     socket.on('data', chunk => (received += chunk.toString()));
     socket.on('close', () => {
@@ -99,4 +99,11 @@
     expect(received).toContain('answer');
     expect(/transfer-encoding|content-length/i.test(received)).toBe(isMarked);
   });
+
+  it('sends no chunks to callers of HTTP/1.0', async () => {
+    const replica = await startService('HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer');
+    const received = await receive(await startRoutes(replica), '1.0');
+    expect(received).toMatch(/\r\n\r\nanswer$/);
+    expect(received).not.toMatch(/transfer-encoding/i);
+  });
 });
