fix(instance): streams without a length never look whole when their instance is killed

The response of a service route without a length or chunks ends with the connection, and so does one whose instance is killed.

Cause: the framing of the upstream was copied towards the caller.

Change: a body of the type text/event-stream whose end is not marked is sent in chunks, and ended if it ended between two events; one that ended inside an event is broken off, one without any event is an error. Other bodies show no early end and stay as they were.

--- a/packages/instance/src/callers/forwardedResponse.ts
+++ b/packages/instance/src/callers/forwardedResponse.ts
@@ -1,6 +1,7 @@
-import type { ZincringError } from '@zincring/core';
 import type { ServerResponse } from 'node:http';
 
+import { ZincringError } from '@zincring/core';
+
 import type { UpstreamFrame } from '../upstreams/upstreamMessages.js';
 
 import { writeWithBackpressure } from './writeWithBackpressure.js';
@@ -8,9 +9,16 @@
 /** Status and content type of an upstream's response. */
 export type ResponseHead = Extract<UpstreamFrame, { kind: 'head' }>;
 
+/** A stream that ends so ends between two events. */
+const EVENT_END = /\n\r?\n$/;
+const EVENT_END_CHARACTERS = 3;
+const EVENT_STREAM = /^text\/event-stream\b/i;
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
+
 /**
- * Forwards the response of an upstream to a caller, with its end marked only if the upstream marked it. A caller
- * of HTTP/1.0, which has no chunks, gets each one without a mark.
+ * Forwards the response of an upstream to a caller, with its end marked if the upstream marked it. A stream of
+ * events without a mark is whole if it ends between two events, and is marked then, so that one whose
+ * instance is killed does not look whole. A caller of HTTP/1.0, which has no chunks, gets each without a mark.
  *
  * @example
  * const forwarded = new ForwardedResponse(response, 10_000);
@@ -20,6 +28,8 @@
  */
 export class ForwardedResponse {
   private head: ResponseHead | undefined;
+  /** Last characters of the body so far. */
+  private tail = '';
 
   public constructor(
     private readonly response: ServerResponse,
@@ -35,11 +45,18 @@
   /** Writes a part of the body. */
   public async write(data: Uint8Array): Promise<void> {
     this.writeHead();
+    this.tail = (
+      this.tail + Buffer.from(data.slice(-EVENT_END_CHARACTERS)).toString('latin1')
+    ).slice(-EVENT_END_CHARACTERS);
     await writeWithBackpressure(this.response, data, this.readerTimeoutMilliseconds);
   }
 
-  /** Ends the response. */
+  /** Ends the response; aborts it if it broke off inside an event. */
   public end(): void {
+    if (this.isUnmarkedStream && !EVENT_END.test(this.tail)) {
+      this.abort(new ZincringError('upstream-failed', { detail: 'the stream broke off' }));
+      return;
+    }
     this.writeHead();
     this.response.end();
   }
@@ -61,7 +78,16 @@
 
   /** Whether chunks show the caller where the body ends. */
   private get isMarked(): boolean {
-    return this.head?.endsWithConnection !== true && this.response.req.httpVersion !== '1.0';
+    const isKnown = this.head?.endsWithConnection !== true || this.isUnmarkedStream;
+    return isKnown && this.response.req.httpVersion !== '1.0';
+  }
+
+  /** Whether the body is a stream of events whose end the upstream does not mark. */
+  private get isUnmarkedStream(): boolean {
+    if (this.head?.endsWithConnection !== true || !EVENT_STREAM.test(this.head.contentType)) {
+      return false;
+    }
+    return this.response.req.method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(this.head.status);
   }
 
   private writeHead(): void {
--- a/packages/instance/tests/callers/forwardedResponse.test.ts
+++ b/packages/instance/tests/callers/forwardedResponse.test.ts
@@ -16,7 +16,7 @@
 type Forward = (response: ForwardedResponse, hasReceivedData: Promise<unknown>) => Promise<void>;
 
 /** Lets a server forward a response and returns what its caller receives. */
-async function receive(forward: Forward): Promise<Received> {
+async function receive(forward: Forward, method = 'GET'): Promise<Received> {
   const received = new EventEmitter();
   const server = createServer((_request, response) => {
     void forward(new ForwardedResponse(response, 1_000), once(received, 'data'));
@@ -29,7 +29,7 @@
     const chunks: Buffer[] = [];
     let wasReset = false;
     const socket = connect(port, '127.0.0.1', () => {
-      socket.write('GET / HTTP/1.1\r\nHost: x\r\n\r\n');
+      socket.write(`${method} / HTTP/1.1\r\nHost: x\r\n\r\n`);
     });
     socket.on('data', chunk => {
       chunks.push(chunk);
@@ -84,6 +84,48 @@
     expect(wasReset).toBe(endsWithConnection);
   });
 
+  it.each([
+    ['whole', 'id: 1\ndata: x\n\n', true],
+    ['whole, with carriage returns', 'data: x\r\n\r\n', true],
+    ['broken off inside an event', 'data: x\n\ndata: y\n', false],
+  ])('marks the end of a stream of events that is %s', async (_name, stream, isWhole) => {
+    const { text } = await receive(async response => {
+      response.setHead({ ...makeHead(true), contentType: 'text/event-stream; charset=utf-8' });
+      for (const character of stream) {
+        await response.write(Buffer.from(character));
+      }
+      response.end();
+    });
+    expect(text).toMatch(/transfer-encoding: chunked/i);
+    expect(text.endsWith('0\r\n\r\n')).toBe(isWhole);
+  });
+
+  it.each([
+    ['HEAD', 200],
+    ['GET', 204],
+  ])('ends a stream of events without a body as whole (%s, %i)', async (method, status) => {
+    const { text, wasReset } = await receive(async response => {
+      response.setHead({ ...makeHead(true), contentType: 'text/event-stream', status });
+      response.end();
+      await Promise.resolve();
+    }, method);
+    expect(text).toMatch(new RegExp(`^HTTP/1.1 ${String(status)} [^]*\r\n\r\n$`));
+    expect(wasReset).toBe(false);
+  });
+
+  it('fails a stream of events without a mark and without events', async () => {
+    const { text } = await receive(async response => {
+      response.setHead({ ...makeHead(true), contentType: 'text/event-stream' });
+      expect(() => {
+        response.end();
+      }).toThrow(ZincringError);
+      response.setHead(makeHead(false));
+      await response.write(Buffer.from('failed'));
+      response.end();
+    });
+    expect(text).toContain('failed');
+  });
+
   it('replaces the head of an attempt that failed before its first byte', async () => {
     const { text } = await receive(async response => {
       response.setHead(makeHead(true));
