fix(gateway): a replica has crashed when it refuses connections, not when an answer is lost

Cause: callers saw two things. And every request of a path was refused at all instances for two minutes after three of its answers were lost: any broken exchange counted as a crash, and requests without a body on one path are one request to the record. A broken connection tells neither case from the other. Change: CrashDetector suspects the replica of any exchange that broke off, before the head or after it, and opens one connection to it 100 ms later: refused is a crash, open is none, silence leaves the decision to its registration. Tests: on the code before, crashingRequests failed for both midway cases ("broken" where "refused" is expected) and for answers lost before the head ("refused" instead of "broken" and "served"). The test of gateway.test.ts that reset a connection four times at one replica that lived on asserted the fault; it is replaced by crashingRequests, where replicas stop to listen, with the same ends and count of runs, and midway too. crashRecord.test.ts recorded several crashes of one run, which crashes only once: now each crash is of a run of its own. The recording of formats gives crashes their former keys, which builds take from the rows.

--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -147,7 +147,7 @@
     const { makeId, random } = dependencies;
     const versionDependencies = { logger, random, table, timers, versions: this.versions };
     this.versionRecord = new VersionRecord(versionDependencies);
-    this.crashes = new CrashRecord({ logger, makeId, table: table.essential, timers });
+    this.crashes = new CrashRecord({ logger, table: table.essential, timers });
     this.holder = `${options.instance}/${makeId()}`;
     const ownership = { holder: this.holder, logger, random: dependencies.random, table, timers };
     this.credits = new StoreCreditSource(ownership);
@@ -341,6 +341,7 @@
       availabilityZone: this.options.availabilityZone,
       coldRateBound: this.options.coldRateBound,
       costs: this.replicaCosts,
+      crashRecord: this.crashes,
       directory: this.replicas,
       findWarmUp: service => this.configuration.current?.findService(service)?.warmUp,
       getMaximumConnections: entry => this.getMaximumConnections(entry),
@@ -398,7 +399,7 @@
       configuration: this.configuration,
       engineLoads: this.engineLoads,
       programAdmission: this.programAdmission,
-      crashes: this.crashes,
+      crashes: replicaNetwork.crashes,
       turnStore: new TurnStore({ logger, random, rowBytes: this.options.rowBytes, table, timers }),
       logger,
       memory: this.memory,
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -206,7 +206,7 @@
   }
 
   private async attempt(entry: ReplicaEntry): Promise<AttemptResult> {
-    const { engineLoads, pool } = this.dependencies;
+    const { crashes, engineLoads, pool, timers } = this.dependencies;
     const load = pool.loads.findOrAddState(entry);
     const { facts, route, service } = this.request;
     const endTurn = service.engine && engineLoads.begin(service.name);
@@ -214,6 +214,7 @@
     this.timing = pool.costs.begin(entry, { kind: route.name, prompt });
     load.inFlight++;
     this.possibleRuns++;
+    const sentAt = timers.now();
     try {
       const outcome = await this.dependencies.transport.exchange(entry, {
         permittedRegions: this.request.permittedRegions,
@@ -226,6 +227,8 @@
         signal: this.control.signal,
       });
       const result = await this.evaluateOutcome(entry, outcome);
+      const isAborted = this.control.signal.aborted;
+      crashes.recordEnd(this.request, { end: result.kind, entry, isAborted, outcome, sentAt });
       if (result.kind === 'not-run') {
         this.possibleRuns--;
         this.refusals++;
@@ -293,7 +296,7 @@
 
   /** Records a failed exchange against its replica, unless the path to it may have failed. */
   private recordUnanswered(entry: ReplicaEntry, { isPathFault, kind }: UnansweredExchange): void {
-    const { crashes, pool } = this.dependencies;
+    const { pool } = this.dependencies;
     if (isPathFault || kind === 'foreign') {
       return;
     }
@@ -305,9 +308,6 @@
       return;
     }
     pool.loads.recordEnd(entry, 'unreachable');
-    if (kind === 'lost') {
-      crashes.record(this.request, entry);
-    }
   }
 
   private async forwardResponse(
--- a/packages/gateway/src/upstreams/attemptLoopDependencies.ts
+++ b/packages/gateway/src/upstreams/attemptLoopDependencies.ts
@@ -3,7 +3,7 @@
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { Announcements } from './announcements.js';
-import type { CrashRecord } from './crashRecord.js';
+import type { CrashDetector } from './crashDetector.js';
 import type { EngineLoads } from './load/engineLoads.js';
 import type { ReplicaPermits } from './permits/replicaPermits.js';
 import type { ReplicaPool } from './replicaPool.js';
@@ -19,7 +19,7 @@
   readonly announcements: Announcements;
   readonly transport: ReplicaTransport;
   readonly headerCodec: HeaderCodec;
-  readonly crashes: CrashRecord;
+  readonly crashes: CrashDetector;
   readonly streamOrigins: StreamOrigins;
   readonly metrics: GatewayMetrics;
   readonly engineLoads: EngineLoads;
--- a/packages/gateway/src/upstreams/reachability/probeConnection.ts
+++ b/packages/gateway/src/upstreams/reachability/probeConnection.ts
@@ -4,40 +4,43 @@
 
 import type { ReplicaEntry } from '../replica.js';
 
+/** Outcome of a probe: `refused` if nothing listens at the address, `silent` if nothing answered in time. */
+export type ProbeOutcome = 'open' | 'refused' | 'silent';
+
 /** Timeout of a probe, in milliseconds: that of a connection for a request. */
 const PROBE_TIMEOUT_MILLISECONDS = 400;
 
 /**
- * Opens a connection to a replica and closes it; returns whether it opened in time; never throws.
+ * Opens a connection to a replica and closes it; never throws.
  *
  * @example
- * await probeConnection(timers, entry); // true
+ * await probeConnection(timers, entry); // 'open'
  */
 export async function probeConnection(
   timers: TimerService,
   { host, port }: ReplicaEntry,
-): Promise<boolean> {
+): Promise<ProbeOutcome> {
   return await new Promise(resolve => {
     const socket = new Socket();
-    const finish = (isOpen: boolean): void => {
+    const finish = (outcome: ProbeOutcome): void => {
       timeout.stop();
       socket.destroy();
-      resolve(isOpen);
+      resolve(outcome);
     };
     const timeout = timers.after(PROBE_TIMEOUT_MILLISECONDS, () => {
-      finish(false);
+      finish('silent');
     });
     socket.once('connect', () => {
-      finish(true);
+      finish('open');
     });
-    socket.once('error', () => {
-      finish(false);
+    socket.once('error', ({ code }: NodeJS.ErrnoException) => {
+      finish(code === 'ECONNREFUSED' ? 'refused' : 'silent');
     });
     try {
       socket.connect(port, host);
     } catch {
       // Node.js throws for an address to which no connection can be opened.
-      finish(false);
+      finish('silent');
     }
   });
 }
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -3,6 +3,7 @@
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { OwnerSelector } from '../peers/ownerSelector.js';
+import type { CrashRecord } from './crashRecord.js';
 import type { ReplicaEntry } from './replica.js';
 import type { ReplicaDirectory } from './replicaDirectory.js';
 import type { ColdRateBound, ReturnedZones } from './permits/coldReplicas.js';
@@ -11,6 +12,7 @@
 import type { ReplicaCosts } from './load/replicaCosts.js';
 
 import { Announcements } from './announcements.js';
+import { CrashDetector } from './crashDetector.js';
 import { DirectRelayTarget } from './directRelayTarget.js';
 import { ColdReplicas } from './permits/coldReplicas.js';
 import { OwnedPermits } from './permits/ownedPermits.js';
@@ -32,6 +34,7 @@
 export interface ReplicaNetworkDependencies {
   readonly availabilityZone: AvailabilityZone;
   readonly costs: ReplicaCosts;
+  readonly crashRecord: CrashRecord;
   readonly directory: ReplicaDirectory;
   readonly headerCodec: HeaderCodec;
   readonly logger: Logger;
@@ -62,6 +65,7 @@
  */
 export class ReplicaNetwork {
   public readonly announcements: Announcements;
+  public readonly crashes: CrashDetector;
   public readonly ownedPermits: OwnedPermits;
   public readonly permits: ReplicaPermits;
   public readonly pool: ReplicaPool;
@@ -116,6 +120,7 @@
       timers,
     });
     const { announcements, transport } = this;
+    this.crashes = makeCrashDetector(dependencies, loads, transport);
     this.relayTarget = new DirectRelayTarget({
       announcements,
       directory,
@@ -147,8 +152,24 @@
   return new ReplicaReachability({
     listReplicas: () => directory.listAll(),
     logger,
-    probe: async entry => await probeConnection(timers, entry),
+    probe: async entry => (await probeConnection(timers, entry)) === 'open',
     random,
     timers,
   });
 }
+
+function makeCrashDetector(
+  { crashRecord: record, directory, logger, timers }: ReplicaNetworkDependencies,
+  loads: ReplicaLoads,
+  transport: ReplicaTransport,
+): CrashDetector {
+  return new CrashDetector({
+    directory,
+    isLeaving: entry => loads.isLeaving(entry),
+    isPathSuspect: () => transport.isPathSuspect,
+    logger,
+    probe: async entry => await probeConnection(timers, entry),
+    record,
+    timers,
+  });
+}
--- a/packages/gateway/tests/support/memoryTable.ts
+++ b/packages/gateway/tests/support/memoryTable.ts
@@ -87,6 +87,11 @@
     this.oldestVersion = this.version;
   }
 
+  /** Returns the current rows of a table without a call of a client. */
+  public list(table: string): readonly PartitionedRow[] {
+    return [...this.rows.values()].filter(row => row.table === table);
+  }
+
   /** Returns the current row without a call of a client. */
   public get(address: RowAddress): PartitionedRow | undefined {
     return this.rows.get(formatAddress(address));
--- a/packages/scheduling/src/retries/quarantine.ts
+++ b/packages/scheduling/src/retries/quarantine.ts
@@ -19,6 +19,8 @@
   readonly upstream: UpstreamId;
   /** Time since the crash, in milliseconds. */
   readonly ageMilliseconds: number;
+  /** Time for which the upstream had processed the request, in milliseconds; 0 if absent. */
+  readonly ranMilliseconds?: number | undefined;
 }
 
 /** Limits of a {@link Quarantine}. */
@@ -40,6 +42,8 @@
 
 interface RecordedCrash {
   readonly upstream: UpstreamId;
+  /** Time at which the upstream received the request, by this instance's clock, in milliseconds. */
+  readonly sentAt: number;
   /** Time of the crash by this instance's clock, in milliseconds. */
   readonly crashedAt: number;
 }
@@ -67,9 +71,13 @@
     return this.bodies.size;
   }
 
-  /** Records a crash that this or another instance observed; recording it again has no effect. */
+  /**
+   * Records a crash that this or another instance observed; recording it again has no effect. Crashes of
+   * upstreams that processed a body at the same time count once: what takes several upstreams down together
+   * also hits requests that have nothing to do with it, while a poison request is sent again after each crash.
+   */
   public recordCrash(
-    { ageMilliseconds, body, death: crashId, upstream }: UpstreamCrash,
+    { ageMilliseconds, body, death: crashId, ranMilliseconds = 0, upstream }: UpstreamCrash,
     now: number,
   ): void {
     const crashedAt = now - Math.max(0, ageMilliseconds);
@@ -77,15 +85,36 @@
       return;
     }
     const suspect = this.bodies.get(body) ?? { crashes: new Map<CrashId, RecordedCrash>() };
-    if (suspect.crashes.has(crashId) || suspect.crashes.size >= this.options.maximumCrashes) {
+    const crash = { crashedAt, sentAt: crashedAt - ranMilliseconds, upstream };
+    if (
+      suspect.crashes.has(crashId) ||
+      suspect.crashes.size >= this.options.maximumCrashes ||
+      [...suspect.crashes.values()].some(known => areConcurrent(known, crash))
+    ) {
       return;
     }
-    suspect.crashes.set(crashId, { crashedAt, upstream });
+    suspect.crashes.set(crashId, crash);
     this.bodies.delete(body);
     this.bodies.set(body, suspect);
     this.trimBodies(now);
   }
 
+  /** Discards a crash of which it is known that no body caused it. */
+  public forgetCrash(crashId: CrashId): void {
+    for (const [body, { crashes }] of this.bodies) {
+      if (crashes.delete(crashId) && crashes.size === 0) {
+        this.bodies.delete(body);
+      }
+    }
+  }
+
+  /** Returns the crashes of upstreams that processed a body and crashed before a time. */
+  public findCrashesBefore(body: BodyDigest, time: number): readonly CrashId[] {
+    return [...(this.bodies.get(body)?.crashes ?? [])]
+      .filter(([, { crashedAt }]) => crashedAt < time)
+      .map(([crashId]) => crashId);
+  }
+
   /**
    * Returns the number of recorded crashes of upstreams that processed a body; 0 once they have
    * expired.
@@ -107,11 +136,13 @@
   public listRecentCrashes(now: number, limit: number): readonly UpstreamCrash[] {
     const recent: UpstreamCrash[] = [];
     for (const [body, suspect] of [...this.bodies].reverse()) {
-      for (const [crashId, { crashedAt, upstream }] of suspect.crashes) {
+      for (const [crashId, { crashedAt, sentAt, upstream }] of suspect.crashes) {
         if (recent.length >= limit) {
           return recent;
         }
-        recent.push({ ageMilliseconds: now - crashedAt, body, death: crashId, upstream });
+        const ageMilliseconds = now - crashedAt;
+        const ranMilliseconds = crashedAt - sentAt;
+        recent.push({ ageMilliseconds, body, death: crashId, ranMilliseconds, upstream });
       }
     }
     return recent;
@@ -135,3 +166,7 @@
     return Math.max(-Infinity, ...times);
   }
 }
+
+function areConcurrent(left: RecordedCrash, right: RecordedCrash): boolean {
+  return left.sentAt < right.crashedAt && right.sentAt < left.crashedAt;
+}
--- a/packages/scheduling/tests/windowsAndRetries.test.ts
+++ b/packages/scheduling/tests/windowsAndRetries.test.ts
@@ -131,6 +131,26 @@
     expect(localQuarantine.refusedUntil(body, 600_200)).toBeUndefined();
   });
 
+  test('crashes of upstreams that processed a body at the same time count once', () => {
+    const quarantine = new Quarantine();
+    quarantine.recordCrash({ ...createCrash('a'), ranMilliseconds: 500 }, 1_000);
+    quarantine.recordCrash({ ...createCrash('b'), ranMilliseconds: 500 }, 1_400);
+    expect(quarantine.countCrashes(body, 1_400)).toBe(1);
+    quarantine.recordCrash({ ...createCrash('c'), ranMilliseconds: 300 }, 1_400);
+    expect(quarantine.countCrashes(body, 1_400)).toBe(2);
+  });
+
+  test('crashes that are forgotten do not count, and only those before a time are found', () => {
+    const quarantine = new Quarantine();
+    quarantine.recordCrash(createCrash('a'), 1_000);
+    quarantine.recordCrash(createCrash('b'), 2_000);
+    expect(quarantine.findCrashesBefore(body, 2_000)).toEqual(['a']);
+    quarantine.forgetCrash('a' as CrashId);
+    expect(quarantine.countCrashes(body, 2_000)).toBe(1);
+    quarantine.forgetCrash('b' as CrashId);
+    expect(quarantine.size).toBe(0);
+  });
+
   test('crashes older than the duration do not count, and memory is bounded', () => {
     const quarantine = new Quarantine({ ...defaultQuarantineOptions, maximumBodies: 5 });
     quarantine.recordCrash(createCrash('a', 600_000), 600_000);
