fix(instance): a lost response is no crash of its upstream

Cause: every response that broke off counted as a crash of its upstream, so that callers of the stand-alone product had a request refused at all instances for ten minutes after two responses were lost on the way. Change: a CrashProbe opens a connection to the upstream before the crash is reported; only one that refuses it has crashed. Tests: "does not refuse a request whose responses were lost by replicas that run on" failed on the code before ("poison-request" instead of "done").

--- a/packages/gateway/src/upstreams/reachability/probeConnection.ts
+++ b/packages/core/src/http/probeConnection.ts
@@ -1,24 +1,22 @@
-import type { TimerService } from '@zincring/core';
-
 import { Socket } from 'node:net';
 
-import type { ReplicaEntry } from '../replica.js';
+import type { TimerService } from '../time/timerService.js';
 
 /** Outcome of a probe: `refused` if nothing listens at the address, `silent` if nothing answered in time. */
 export type ProbeOutcome = 'open' | 'refused' | 'silent';
 
-/** Timeout of a probe, in milliseconds: that of a connection for a request. */
+/** Timeout of a probe, in milliseconds: a process normally accepts within about one. */
 const PROBE_TIMEOUT_MILLISECONDS = 400;
 
 /**
- * Opens a connection to a replica and closes it; never throws.
+ * Opens a connection and closes it; never throws.
  *
  * @example
- * await probeConnection(timers, entry); // 'open'
+ * await probeConnection(timers, { host: '10.1.0.9', port: 8080 }); // 'open'
  */
 export async function probeConnection(
   timers: TimerService,
-  { host, port }: ReplicaEntry,
+  { host, port }: { readonly host: string; readonly port: number },
 ): Promise<ProbeOutcome> {
   return await new Promise(resolve => {
     const socket = new Socket();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export { failWithConnection } from './http/failWithConnection.js';
 export type { ExchangeHandlers } from './http/runExchange.js';
 export { runExchange } from './http/runExchange.js';
+export { probeConnection, type ProbeOutcome } from './http/probeConnection.js';
 export type { SessionCheckOptions } from './http2/sessionManager.js';
 export { SessionManager } from './http2/sessionManager.js';
 export type { TimerService, TimerSubscription } from './time/timerService.js';
--- a/packages/gateway/src/upstreams/crashDetector.ts
+++ b/packages/gateway/src/upstreams/crashDetector.ts
@@ -1,9 +1,8 @@
-import type { Logger, TimerService, ZincringError } from '@zincring/core';
+import type { Logger, ProbeOutcome, TimerService, ZincringError } from '@zincring/core';
 import type { BodyDigest } from '@zincring/scheduling';
 
 import type { RunnableRequest } from './attemptLoop.js';
 import type { CrashRecord } from './crashRecord.js';
-import type { ProbeOutcome } from './reachability/probeConnection.js';
 import type { ReplicaEntry, ReplicaRunId } from './replica.js';
 import type { ReplicaChange, ReplicaDirectory } from './replicaDirectory.js';
 import type { ExchangeOutcome } from './replicaExchange.js';
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -11,13 +11,14 @@
 import type { ReplicaRelay } from './replicaTransport.js';
 import type { ReplicaCosts } from './load/replicaCosts.js';
 
+import { probeConnection } from '@zincring/core';
+
 import { Announcements } from './announcements.js';
 import { CrashDetector } from './crashDetector.js';
 import { DirectRelayTarget } from './directRelayTarget.js';
 import { ColdReplicas } from './permits/coldReplicas.js';
 import { OwnedPermits } from './permits/ownedPermits.js';
 import { ReplicaPermits } from './permits/replicaPermits.js';
-import { probeConnection } from './reachability/probeConnection.js';
 import { ReplicaReachability } from './reachability/replicaReachability.js';
 import { isPermittedZone } from './regions/permittedRegions.js';
 import { ReplicaLoads } from './replicaLoads.js';
--- a/packages/gateway/tests/upstreams/crashDetector.test.ts
+++ b/packages/gateway/tests/upstreams/crashDetector.test.ts
@@ -1,7 +1,8 @@
+import type { ProbeOutcome } from '@zincring/core';
+
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
-import type { ProbeOutcome } from '../../src/upstreams/reachability/probeConnection.js';
 import type { ReplicaChange } from '../../src/upstreams/replicaDirectory.js';
 import type { ReplicaEntry, ReplicaRunId } from '../../src/upstreams/replica.js';
 import type { ExchangeOutcome } from '../../src/upstreams/replicaExchange.js';
--- a/packages/gateway/tests/upstreams/unreachableAddresses.test.ts
+++ b/packages/gateway/tests/upstreams/unreachableAddresses.test.ts
@@ -1,6 +1,6 @@
 import type { UpstreamId } from '@zincring/core';
 
-import { createLogger, silentLogger, SystemTimerService } from '@zincring/core';
+import { createLogger, probeConnection, silentLogger, SystemTimerService } from '@zincring/core';
 import { describe, expect, it } from 'vitest';
 
 import type { ReplicaEntry } from '../../src/upstreams/replica.js';
@@ -8,7 +8,6 @@
 import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
 import { RelayCandidates } from '../../src/peers/relayCandidates.js';
 import { RelayClient } from '../../src/peers/relayClient.js';
-import { probeConnection } from '../../src/upstreams/reachability/probeConnection.js';
 import { responds } from '../support/fakeReplica.js';
 import { plainService, replicaTable, sampleReplica } from '../support/samples.js';
 import { startGateway, unsafeRoute, waitUntil } from '../support/gatewayFixture.js';
--- a/packages/instance/src/lifecycle/instance.ts
+++ b/packages/instance/src/lifecycle/instance.ts
@@ -44,6 +44,7 @@
 import { OpenProgramCounts } from '../programs/openProgramCounts.js';
 import { ProgramHome } from '../programs/programHome.js';
 import { HttpEngineControlClient } from '../upstreams/engineControlClient.js';
+import { ConnectionCrashProbe } from '../upstreams/crashProbe.js';
 import { HttpReplicaSender } from '../upstreams/replicaSender.js';
 import { Upstreams } from '../upstreams/upstreams.js';
 import { splitAddress } from '../util/splitAddress.js';
@@ -388,6 +389,7 @@
         shardCount: settings.shardCount,
       }),
       configuration: () => this.configuration.current,
+      crashProbe: new ConnectionCrashProbe(timers),
       instances: () => new Set([settings.instance, ...this.membership.alive.map(peer => peer.id)]),
       logger,
       metrics,
--- a/packages/instance/src/upstreams/poisonGuard.ts
+++ b/packages/instance/src/upstreams/poisonGuard.ts
@@ -43,11 +43,16 @@
   }
 
   /** Records the crash of an upstream that ran a request, and reports it to the other instances. */
-  public async recordCrash(bodyDigest: BodyDigest, upstream: UpstreamId): Promise<void> {
+  public async recordCrash(
+    bodyDigest: BodyDigest,
+    upstream: UpstreamId,
+    ranMilliseconds: number,
+  ): Promise<void> {
     const crash: UpstreamCrash = {
       ageMilliseconds: 0,
       body: bodyDigest,
       death: randomUUID() as string as CrashId,
+      ranMilliseconds,
       upstream,
     };
     this.quarantine.recordCrash(crash, this.options.timers.now());
--- a/packages/instance/src/upstreams/queueingDispatcher.ts
+++ b/packages/instance/src/upstreams/queueingDispatcher.ts
@@ -6,8 +6,10 @@
 
 import type { CallUsage } from '../programs/programMessages.js';
 import type { EngineMemoryReleaser } from './engineMemoryReleaser.js';
+import type { CrashProbe } from './crashProbe.js';
 import type { PoisonGuard } from './poisonGuard.js';
 import type { ReplicaSender } from './replicaSender.js';
+import type { Replica } from './replicaTable.js';
 import type { ReplicaSlot, SlotReport, ServiceQueue } from './serviceQueue.js';
 import type { UpstreamDispatcher, UpstreamFrame, UpstreamWork } from './upstreamMessages.js';
 
@@ -20,6 +22,7 @@
   readonly timers: TimerService;
   readonly metrics: Metrics;
   readonly sender: ReplicaSender;
+  readonly crashProbe: CrashProbe;
   readonly poisonGuard: PoisonGuard;
   readonly memoryReleaser: EngineMemoryReleaser;
   /** Records tokens that were computed for a workspace. */
@@ -47,7 +50,14 @@
 /** Outcome of one attempt. */
 type AttemptOutcome =
   | { readonly kind: 'answered' }
-  | { readonly kind: 'failed'; readonly failure: UpstreamFailure; readonly hasData: boolean }
+  | {
+      readonly kind: 'failed';
+      readonly failure: UpstreamFailure;
+      readonly hasData: boolean;
+      readonly replica: Replica;
+      /** Time for which the replica had run the work, in milliseconds. */
+      readonly ranMilliseconds: number;
+    }
   | { readonly kind: 'refused'; readonly error: ZincringError };
 
 /**
@@ -127,6 +137,7 @@
     const { work } = state;
     const remainingMilliseconds = Math.max(1, state.deadline - this.options.timers.now());
     const limitedWork: UpstreamWork = { ...work, timeoutMilliseconds: remainingMilliseconds };
+    const sentAt = this.options.timers.now();
     const responseChunks: Uint8Array[] = [];
     let report: SlotReport = { end: 'cancelled', usedTokens: 0 };
     try {
@@ -151,7 +162,13 @@
       report = { end: isCancelled ? 'cancelled' : 'failed', usedTokens: 0 };
       state.excluded.add(slot.replica.id);
       state.mayHaveRun ||= failure.stage !== 'unsent';
-      return { failure, hasData: responseChunks.length > 0, kind: 'failed' };
+      return {
+        failure,
+        hasData: responseChunks.length > 0,
+        kind: 'failed',
+        ranMilliseconds: this.options.timers.now() - sentAt,
+        replica: slot.replica,
+      };
     } finally {
       queue.release(slot, report);
       if (report.usedTokens > 0) {
@@ -165,13 +182,10 @@
     state: DispatchState,
     outcome: Extract<AttemptOutcome, { kind: 'failed' }>,
   ): Promise<undefined | ZincringError> {
-    const { failure, hasData } = outcome;
+    const { failure, hasData, ranMilliseconds, replica } = outcome;
     const { digest, work } = state;
-    if (failure.stage === 'died') {
-      const crashedReplica = [...state.excluded].at(-1);
-      if (crashedReplica !== undefined) {
-        await this.options.poisonGuard.recordCrash(digest, crashedReplica);
-      }
+    if (failure.stage === 'died' && (await this.options.crashProbe.hasCrashed(replica))) {
+      await this.options.poisonGuard.recordCrash(digest, replica.id, ranMilliseconds);
     }
     const isExpired = work.signal.aborted || this.options.timers.now() >= state.deadline;
     if (failure.stage === 'unsent') {
--- a/packages/instance/src/upstreams/upstreams.ts
+++ b/packages/instance/src/upstreams/upstreams.ts
@@ -5,6 +5,7 @@
 import { preferredHolder, shardOf } from '@zincring/coordination';
 
 import type { GossipParticipant } from '../peers/gossipParticipant.js';
+import type { CrashProbe } from './crashProbe.js';
 import type { EngineControlClient } from './engineControlClient.js';
 import type { GoneProgramFinder } from './engineSweeper.js';
 import type { ReplicaSender } from './replicaSender.js';
@@ -38,6 +39,7 @@
   readonly zone: AvailabilityZone;
   readonly self: InstanceId;
   readonly sender: ReplicaSender;
+  readonly crashProbe: CrashProbe;
   readonly engineControl: EngineControlClient;
   readonly goneProgramFinder: GoneProgramFinder;
   readonly configuration: () => Configuration | undefined;
@@ -83,6 +85,7 @@
       recordUse: (service, workspace, tokens) => {
         workspaceUseGossip.add(service, workspace, tokens);
       },
+      crashProbe: options.crashProbe,
       poisonGuard,
       queueOf: service => this.serviceQueues.queueOf(service),
       memoryReleaser: this.memoryReleaser,
--- a/packages/instance/tests/upstreams/queueingDispatcher.test.ts
+++ b/packages/instance/tests/upstreams/queueingDispatcher.test.ts
@@ -37,6 +37,8 @@
 class FakeUpstreams implements ReplicaSender {
   public readonly sent: { readonly replica: UpstreamId; readonly call: CallId }[] = [];
   public react: (replica: Replica, work: UpstreamWork) => Reaction = () => 'answer';
+  /** Whether replicas that die have crashed, or their responses were lost on the way. */
+  public haveCrashed = true;
 
   public async *send(replica: Replica, work: UpstreamWork): AsyncGenerator<UpstreamFrame> {
     const reaction = this.react(replica, work);
@@ -77,6 +79,7 @@
     const instance: Upstreams = new Upstreams({
       goneProgramFinder: { findGone: async () => Promise.resolve([]) },
       configuration: () => configuration,
+      crashProbe: { hasCrashed: async () => Promise.resolve(upstreams.haveCrashed) },
       instances: () => new Set(names),
       logger: silentLogger,
       metrics: discardingMetrics,
@@ -267,6 +270,18 @@
     expect(ends.at(-1)).toBe('poison-request');
   });
 
+  it('does not refuse a request whose responses were lost by replicas that run on', async () => {
+    const fleet = startInstances(2);
+    await fleet.timers.advance(2_000);
+    fleet.upstreams.haveCrashed = false;
+    fleet.upstreams.react = () => 'die-after-data';
+    for (let resend = 0; resend < 4; resend++) {
+      await runToEnd(fleet, resend % 2, createWork(engineService, poisoned));
+    }
+    fleet.upstreams.react = () => 'answer';
+    expect(await runToEnd(fleet, 1, createWork(engineService))).toMatchObject({ end: 'done' });
+  });
+
   it('does not refuse other requests', async () => {
     const fleet = startInstances(2);
     await fleet.timers.advance(2_000);
