fix(upstreams): a stream whose row the store does not answer is refused

Cause: an instance that was cut off from the store, or that the store refused, took a stream up at the one version of its own list as long as that list had been confirmed within 2.5 s. Replicas of a new version can join within this time; streams that began there through other instances, with their row, went on at the old version (ORDER). Evidence: of the cases of instancesOutOfStep.test.ts the one in which the store refuses returned v1 for a stream of v2, 0.6 s after v2 joined. The case without an answer had passed: by then the list was too old. Result: a row that was written is either read or the stream does not go on.

--- a/packages/gateway/src/upstreams/decideResumedVersion.ts
+++ b/packages/gateway/src/upstreams/decideResumedVersion.ts
@@ -24,8 +24,6 @@
   readonly service: ServiceName;
   /** Version at which a stream without a record began, if that is certain. */
   readonly assumed: SoftwareVersion | undefined;
-  /** Version that this instance observed alone all the time. */
-  readonly constant: SoftwareVersion | undefined;
   /** Version that was alone all the time, as observed and as recorded. */
   readonly sole: SoftwareVersion | undefined;
 }
@@ -35,11 +33,11 @@
  * origin of a stream unless each of them would assume its version.
  *
  * @example
- * decideResumedVersion({ kind: 'absent' }, { assumed: 'v1', constant: undefined, service, sole: undefined }); // 'v1'
+ * decideResumedVersion({ kind: 'absent' }, { assumed: 'v1', service, sole: undefined }); // 'v1'
  */
 export function decideResumedVersion(
   lookup: OriginLookup,
-  { assumed, constant, service, sole }: ObservedVersions,
+  { assumed, service, sole }: ObservedVersions,
 ): SoftwareVersion | undefined {
   switch (lookup.kind) {
     case 'absent':
@@ -47,7 +45,7 @@
     case 'found':
       return lookup.origin.service === service ? lookup.origin.version : undefined;
     case 'unknown':
-      return constant;
+      return undefined;
     case 'unnamed':
       return sole;
     default:
--- a/packages/gateway/src/upstreams/streamOrigins.ts
+++ b/packages/gateway/src/upstreams/streamOrigins.ts
@@ -123,7 +123,6 @@
     const lookup = await this.lookUp(facts.resumedRequest, !hasObserved);
     const version = decideResumedVersion(lookup, {
       assumed: versions.findAssumedVersion(service.name, window),
-      constant: versions.findConstantVersion(service.name, window),
       service: service.name,
       sole: versions.findSoleVersion(service.name, window),
     });
