fix(upstreams): versions of unrecorded and unnamed streams are read from the store when they are taken up

Cause: an instance that took up a stream without a row, or one that its caller did not name, trusted its own list of replicas for the time in which that list counted as confirmed. A list can lag behind: another instance has seen replicas of a new version, begun a stream there and lost it. The record of versions could not help: it was read only where the list was not confirmed, it listed a new version up to 1.5 s after the first stream could begin, and a reader could share a read that was sent before the stream began. Change: the record lists a version before the first event of a stream that began there is forwarded, for which it is written without the usual delay; a taken-up stream without a row or a name always costs one read of the record that is sent after the request came, shared by all that wait. A stream without a name goes on only at the one version that the record lists. Tests: the assertions about findConstantVersion, which is gone, are made about findSoleVersion. The case of a stream that its caller does not name let one of its two instances see v2 for ever while it expected the other one to trust v1; there v2 now leaves for both, and what it expects is unchanged. Result: what the taker-up has not seen yet it finds in the store; a lagging list costs a refusal (503).

--- a/packages/gateway/src/upstreams/streamOrigins.ts
+++ b/packages/gateway/src/upstreams/streamOrigins.ts
@@ -17,12 +17,13 @@
 import { PartitionSet } from '../store/partitionSet.js';
 import { toFields } from '../util/jsonFields.js';
 import { decideResumedVersion } from './decideResumedVersion.js';
+import { isSameSet } from './versionPeriods.js';
 
 /** Dependencies of {@link StreamOrigins}. */
 export interface StreamOriginsDependencies {
   readonly table: MonitoredTable;
   readonly versions: VersionHistory;
-  readonly versionRecord: Pick<VersionRecord, 'refresh'>;
+  readonly versionRecord: Pick<VersionRecord, 'ensureListed' | 'isListed' | 'refresh'>;
   readonly timers: TimerService;
   readonly logger: Logger;
 }
@@ -66,26 +67,36 @@
    */
   public async record(request: RunnableRequest, entry: ReplicaEntry): Promise<boolean> {
     const { deadline, facts, route } = request;
-    const { timers, versions } = this.dependencies;
+    const { timers, versionRecord, versions } = this.dependencies;
     if (facts.requestId === undefined || !route.isResumable) {
       return true;
     }
     const window = computeWindowMilliseconds(route);
+    const isListed = versionRecord.isListed(entry.service, entry.softwareVersion);
     if (
+      isListed &&
       versions.findRecordedSingleVersion(entry.service) === entry.softwareVersion &&
       versions.findAssumedVersion(entry.service, window) === entry.softwareVersion
     ) {
       return true;
     }
     const write = this.write(facts.requestId, route, entry);
+    const timeout = sleep(
+      timers,
+      Math.min(WRITE_TIMEOUT_MILLISECONDS, deadline - timers.now()),
+    ).then(() => false);
+    // Who takes up a stream without its row, or its name, reads in the record which versions can have begun it.
+    const listing = isListed || versionRecord.ensureListed(entry.service, entry.softwareVersion);
+    if (!(await Promise.race([listing, timeout]))) {
+      return false;
+    }
     if (
       entry.softwareVersion === this.findPreferredVersion(request) ||
       !versions.mayFindOtherVersion(entry.service, entry.softwareVersion, window)
     ) {
       return true;
     }
-    const timeout = Math.min(WRITE_TIMEOUT_MILLISECONDS, deadline - timers.now());
-    return await Promise.race([write, sleep(timers, timeout).then(() => false)]);
+    return await Promise.race([write, timeout]);
   }
 
   /**
@@ -119,12 +130,11 @@
     }
     const { table, versions } = this.dependencies;
     const window = computeWindowMilliseconds(route);
-    const hasObserved = versions.findConstantVersion(service.name, window) !== undefined;
-    const lookup = await this.lookUp(facts.resumedRequest, !hasObserved);
+    const lookup = await this.lookUp(facts.resumedRequest);
     const version = decideResumedVersion(lookup, {
       assumed: versions.findAssumedVersion(service.name, window),
       service: service.name,
-      sole: versions.findSoleVersion(service.name, window),
+      sole: this.findSoleVersion(service.name, window),
     });
     if (version !== undefined) {
       return Ok(version);
@@ -141,8 +151,11 @@
     );
   }
 
-  /** Reads the row of a stream and, for a stream without one, which versions served while it can have begun. */
-  private async lookUp(id: RequestId | undefined, needsVersions: boolean): Promise<OriginLookup> {
+  /**
+   * Reads the row of a stream and, for a stream without one, which versions served while it can have begun:
+   * other instances may have seen replicas that this one has not seen yet.
+   */
+  private async lookUp(id: RequestId | undefined): Promise<OriginLookup> {
     const { table, versionRecord } = this.dependencies;
     const read = id === undefined ? undefined : await readRow(table, makeAddress(id));
     if (read?.err === true) {
@@ -153,12 +166,23 @@
       const origin = decodeOrigin(value);
       return origin === undefined ? { kind: 'unknown' } : { kind: 'found', origin };
     }
-    if (needsVersions && !(await versionRecord.refresh())) {
+    if (!(await versionRecord.refresh())) {
       return { kind: 'unknown' };
     }
     return { kind: id === undefined ? 'unnamed' : 'absent' };
   }
 
+  /** Returns the version that was alone as observed and as recorded, if the record lists it and nothing else. */
+  private findSoleVersion(
+    service: ServiceName,
+    windowMilliseconds: number,
+  ): SoftwareVersion | undefined {
+    const { versions } = this.dependencies;
+    const listed = versions.findRecordedVersions(service);
+    const sole = versions.findSoleVersion(service, windowMilliseconds);
+    return sole !== undefined && isSameSet(listed, new Set([sole])) ? sole : undefined;
+  }
+
   private async write(
     id: RequestId,
     { timeoutMilliseconds }: GatewayRoute,
--- a/packages/gateway/src/upstreams/versionHistory.ts
+++ b/packages/gateway/src/upstreams/versionHistory.ts
@@ -145,22 +145,6 @@
     );
   }
 
-  /** Returns the version of a service if this instance observed it alone during the whole window before now. */
-  public findConstantVersion(
-    service: ServiceName,
-    windowMilliseconds: number,
-  ): SoftwareVersion | undefined {
-    this.update();
-    const windowStart = this.timers.now() - windowMilliseconds;
-    const periods = listPeriodsSince(this.observed.get(service) ?? [], windowStart);
-    const [version, ...others] = listSingle(periods);
-    return this.hasObserved(windowStart) &&
-      others.length === 0 &&
-      periods.every(({ versions }) => versions.size === 1)
-      ? version
-      : undefined;
-  }
-
   private hasObserved(time: number): boolean {
     return this.observedSince <= time;
   }
--- a/packages/gateway/src/upstreams/versionRecord.ts
+++ b/packages/gateway/src/upstreams/versionRecord.ts
@@ -52,6 +52,8 @@
 const SPREAD_MILLISECONDS = 500;
 /** Maximum number of rows changed at a time: each is checked and written, and the store accepts 100 entries. */
 const MAXIMUM_ROWS_PER_TRANSACTION = 50;
+/** Maximum number of times that the record is read and written for one stream: its write may meet that of another instance. */
+const MAXIMUM_LISTING_TRIES = 2;
 /** Rows requested in one page: the store's own limit. */
 const ROWS_PER_PAGE = 500;
 
@@ -71,9 +73,14 @@
 export class VersionRecord {
   /** Observed versions for which no change of the record is due. */
   private readonly settled = new Map<ServiceName, ReadonlySet<SoftwareVersion>>();
+  /** Services whose rows cannot be read. */
+  private readonly unreadable = new Set<ServiceName>();
   private comparisonTimer: TimerSubscription | undefined;
   private spreadTimer: TimerSubscription | undefined;
-  private pendingRefresh: Promise<RecordSnapshot | undefined> | undefined;
+  private pendingRead: Promise<RecordSnapshot | undefined> | undefined;
+  /** Read that starts when the pending one has ended. */
+  private nextRead: Promise<RecordSnapshot | undefined> | undefined;
+  private pendingSettlement: Promise<void> | undefined;
   /** Whether the record was read since the last time in which changes may have been missed. */
   private isCurrent = false;
 
@@ -93,11 +100,37 @@
     this.spreadTimer?.stop();
   }
 
-  /** Reads the record; concurrent callers share one read. Returns whether it succeeded. */
+  /**
+   * Reads the record as of now or later; concurrent callers share reads. Returns whether it succeeded.
+   */
   public async refresh(): Promise<boolean> {
     return (await this.readShared()) !== undefined;
   }
 
+  /**
+   * Whether the record, as this instance knows it, lists a version of a service last; always for a row
+   * that cannot be read, on which nobody relies.
+   */
+  public isListed(service: ServiceName, version: SoftwareVersion): boolean {
+    const { versions } = this.dependencies;
+    const listed = versions.findRecordedVersions(service);
+    return listed?.has(version) ?? this.unreadable.has(service);
+  }
+
+  /** Makes the record list a version that serves, without the usual delay. Returns whether it does. */
+  public async ensureListed(service: ServiceName, version: SoftwareVersion): Promise<boolean> {
+    for (let tries = 0; tries < MAXIMUM_LISTING_TRIES; tries++) {
+      if (this.isListed(service, version)) {
+        return true;
+      }
+      this.pendingSettlement ??= this.settle().finally(() => {
+        this.pendingSettlement = undefined;
+      });
+      await this.pendingSettlement;
+    }
+    return this.isListed(service, version);
+  }
+
   private compare(): void {
     const { random, timers, versions } = this.dependencies;
     if (!versions.isObserving) {
@@ -179,10 +212,18 @@
   }
 
   private async readShared(): Promise<RecordSnapshot | undefined> {
-    this.pendingRefresh ??= this.read().finally(() => {
-      this.pendingRefresh = undefined;
+    if (this.pendingRead === undefined) {
+      this.pendingRead = this.read().finally(() => {
+        this.pendingRead = undefined;
+      });
+      return await this.pendingRead;
+    }
+    // What the pending read answers may be older than the call.
+    this.nextRead ??= this.pendingRead.then(async () => {
+      this.nextRead = undefined;
+      return await this.readShared();
     });
-    return await this.pendingRefresh;
+    return await this.nextRead;
   }
 
   private async read(): Promise<RecordSnapshot | undefined> {
@@ -198,11 +239,22 @@
     const { rows, storeTime } = page.val;
     this.isCurrent = true;
     for (const row of rows) {
-      this.adopt(row.key as ServiceName, this.decode(row) ?? [], storeTime);
+      this.adoptRow(row, storeTime);
     }
     return { rows: new Map(rows.map(row => [row.key, row])), storeTime };
   }
 
+  private adoptRow(row: PartitionedRow, storeTime: number): void {
+    const service = row.key as ServiceName;
+    const periods = this.decode(row);
+    if (periods === undefined) {
+      this.unreadable.add(service);
+    } else {
+      this.unreadable.delete(service);
+    }
+    this.adopt(service, periods ?? [], storeTime);
+  }
+
   /** Passes recorded periods on, with their starts on the clock of this instance. */
   private adopt(service: ServiceName, periods: readonly VersionPeriod[], storeTime: number): void {
     const { timers, versions } = this.dependencies;
--- a/packages/gateway/tests/compatibility/formats.test.ts
+++ b/packages/gateway/tests/compatibility/formats.test.ts
@@ -114,7 +114,11 @@
     const versions = new VersionHistory(source, timers);
     const origins = new StreamOrigins({
       ...makeCommon(),
-      versionRecord: { refresh: async () => await Promise.resolve(true) },
+      versionRecord: {
+        ensureListed: async () => await Promise.resolve(true),
+        isListed: () => true,
+        refresh: async () => await Promise.resolve(true),
+      },
       versions,
     });
     const resumption = sampleTurn(
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -51,6 +51,10 @@
   drainReplica(index: number): void;
   /** Removes the registration of a replica, and registers it again once all instances have forgotten it. */
   lapseReplica(index: number): Promise<void>;
+  /** Removes the registration of a replica. */
+  removeReplica(index: number): void;
+  /** Registers a replica again whose registration was removed. */
+  restoreReplica(index: number): void;
   /** Starts a further instance with the same store and replicas. */
   startInstance(): Promise<GatewayFixture>;
   /** Sends a request as a caller. */
@@ -237,6 +241,15 @@
     await gateway.stop();
   });
   await waitUntil(() => gateway.isReady);
+  const removeReplica = (index: number): void => {
+    store.remove({ key: `r${String(index)}`, partition: '', table: replicaTable });
+  };
+  const restoreReplica = (index: number): void => {
+    const registration = registrations[index];
+    if (registration !== undefined) {
+      registerReplica(store, registration);
+    }
+  };
   return {
     checkReadiness: async () => await send(gateway.ports.readiness, { method: 'GET' }),
     drainReplica: index => {
@@ -247,15 +260,14 @@
     },
     gateway,
     lapseReplica: async index => {
-      const registration = registrations[index];
-      if (registration !== undefined) {
-        store.remove({ key: registration.id, partition: '', table: replicaTable });
-        await new Promise(resolve => setTimeout(resolve, FORGET_MILLISECONDS));
-        registerReplica(store, registration);
-        await new Promise(resolve => setTimeout(resolve, FORGET_MILLISECONDS));
-      }
+      removeReplica(index);
+      await new Promise(resolve => setTimeout(resolve, FORGET_MILLISECONDS));
+      restoreReplica(index);
+      await new Promise(resolve => setTimeout(resolve, FORGET_MILLISECONDS));
     },
+    removeReplica,
     replicas,
+    restoreReplica,
     send: async options => await send(gateway.ports.callers, options),
     startInstance: async () => await startInstance(parts),
     store,
--- a/packages/gateway/tests/upstreams/instancesOutOfStep.test.ts
+++ b/packages/gateway/tests/upstreams/instancesOutOfStep.test.ts
@@ -104,8 +104,8 @@
     return await pending;
   }
 
-  async function takeUp({ origins }: TestInstance, resumedRequest: string): Promise<unknown> {
-    const facts = { lastEventId: '2', resumedRequest: resumedRequest as RequestId };
+  async function takeUp({ origins }: TestInstance, resumedRequest?: string): Promise<unknown> {
+    const facts = { lastEventId: '2', resumedRequest: resumedRequest as RequestId | undefined };
     const pending = origins.resolve(sampleTurn('second', facts, { route: resumableRoute }));
     await advance(450);
     const version = await pending;
@@ -132,4 +132,28 @@
     expect(await begin(inStep, 'v2')).toBe(true);
     expect(await takeUp(outOfStep, 'first')).toBe('v2');
   });
+
+  it.each([100, 1_000, 5_000])(
+    'refuses a stream without a name while it misses the changes of the last %d ms',
+    async milliseconds => {
+      const { inStep, outOfStep } = await startInstances();
+      outOfStep.faults.feedsMissChanges = true;
+      serve('v1', 'v2');
+      await advance(milliseconds);
+      expect(await begin(inStep, 'v2')).toBe(true);
+      expect(await takeUp(outOfStep)).toBe('upstream-unavailable');
+    },
+  );
+
+  it('refuses a stream without a row that began after a change that it missed', async () => {
+    const { inStep, outOfStep } = await startInstances();
+    outOfStep.faults.feedsMissChanges = true;
+    serve('v2');
+    await advance(2_000);
+    inStep.faults.isRefusing = true;
+    await begin(inStep, 'v2');
+    await begin(inStep, 'v2');
+    expect(await begin(inStep, 'v2')).toBe(true);
+    expect(await takeUp(outOfStep, 'first')).toBe('upstream-unavailable');
+  });
 });
--- a/packages/gateway/tests/upstreams/resumedStreams.test.ts
+++ b/packages/gateway/tests/upstreams/resumedStreams.test.ts
@@ -1,6 +1,6 @@
 import type { PartitionedTable } from '@zincring/platform';
 
-import { Err } from '@zincring/core';
+import { Err, Ok } from '@zincring/core';
 import { PlatformError } from '@zincring/platform';
 import { describe, expect, it } from 'vitest';
 
@@ -10,6 +10,7 @@
 import { sweptStreams } from '../../src/upstreams/streamOrigins.js';
 import { streamsEvents } from '../support/fakeReplica.js';
 import { resumableRoute, startGateway } from '../support/gatewayFixture.js';
+import { replicaTable } from '../support/samples.js';
 
 const breaksFirstRun: Behaviour = (socket, request) => {
   const isResumed = request.headers.has('last-event-id');
@@ -85,6 +86,19 @@
   };
 }
 
+/** Withholds from one instance the changes of the replicas while a condition holds. */
+function holdBackReplicas(table: PartitionedTable, isHeld: () => boolean): PartitionedTable {
+  return {
+    ...table,
+    changes: async request => {
+      const result = await table.changes(request);
+      return request.table === replicaTable && isHeld()
+        ? Ok({ changes: [], kind: 'changes' })
+        : result;
+    },
+  };
+}
+
 describe('streams while replicas of several software versions serve', () => {
   const softwareVersions = ['v1', 'v2', 'v1', 'v2'];
   const singleAttemptRoute = { ...resumableRoute, maximumAttempts: 1 };
@@ -139,6 +153,25 @@
     },
   );
 
+  it('never go on at an instance that has not heard of their version when the caller does not name them', async () => {
+    let instances = 0;
+    let isHeld = false;
+    const route = { ...singleAttemptRoute, timeoutMilliseconds: 1_000 };
+    const fixture = await startGateway(route, makeBehaviours(2), {
+      softwareVersions,
+      wrapTable: table => (++instances === 2 ? holdBackReplicas(table, () => isHeld) : table),
+    });
+    const outOfStep = await fixture.startInstance();
+    fixture.removeReplica(1);
+    await new Promise(resolve => setTimeout(resolve, 4_500));
+    isHeld = true;
+    fixture.restoreReplica(1);
+    await drainFirstReplica(fixture);
+    await beginStream(fixture, 'first');
+    expect((await takeUp(outOfStep, 'second', undefined)).status).toBe(503);
+    expect(listVersions(fixture, softwareVersions, ['first', 'second'])).toEqual(['v2']);
+  });
+
   it('go on without a recorded version once the store tells that a single one served, at an instance that has just started', async () => {
     const route = { ...resumableRoute, timeoutMilliseconds: 1_000 };
     const fixture = await startGateway(route, makeBehaviours(2));
--- a/packages/gateway/tests/upstreams/streamOrigins.test.ts
+++ b/packages/gateway/tests/upstreams/streamOrigins.test.ts
@@ -323,9 +323,12 @@
   });
 
   it('does not guess the version of a stream that its caller does not name', async () => {
-    const origins = await makeInstance(['v1', 'v2'], ['v1']);
+    const { observe, origins } = startInstance(['v1']);
+    await timers.advance(60_000);
+    observe(['v1', 'v2']);
     const unnamed = sampleTurn('second', { lastEventId: '2' }, { route: resumableRoute });
     expect(await resolve(origins, unnamed)).toBe('upstream-unavailable');
+    observe(['v1']);
     const alone = await makeInstance(['v1'], ['v1']);
     await timers.advance(60_000);
     expect(await resolve(alone, unnamed)).toBe('v1');
--- a/packages/gateway/tests/upstreams/versionHistory.test.ts
+++ b/packages/gateway/tests/upstreams/versionHistory.test.ts
@@ -101,12 +101,12 @@
       'v1',
       'v1',
     ],
-  ] as const)('tells which version is assumed: %s', async (_name, steps, assumed, constant) => {
+  ] as const)('tells which version is assumed: %s', async (_name, steps, assumed, sole) => {
     for (const [versions, seconds] of steps) {
       await serve(versions, seconds);
     }
     expect(history.findAssumedVersion(engineService.name, WINDOW_MILLISECONDS)).toBe(assumed);
-    expect(history.findConstantVersion(engineService.name, WINDOW_MILLISECONDS)).toBe(constant);
+    expect(history.findSoleVersion(engineService.name, WINDOW_MILLISECONDS)).toBe(sole);
   });
 
   it.each([
@@ -134,12 +134,12 @@
   it('does not vouch for a time in which the list was not confirmed', async () => {
     await serve(['v1'], 9);
     ageMilliseconds = 3_000;
-    expect(history.findConstantVersion(engineService.name, WINDOW_MILLISECONDS)).toBeUndefined();
+    expect(history.findSoleVersion(engineService.name, WINDOW_MILLISECONDS)).toBeUndefined();
     ageMilliseconds = 0;
     history.update();
     await timers.advance(WINDOW_MILLISECONDS - 1);
-    expect(history.findConstantVersion(engineService.name, WINDOW_MILLISECONDS)).toBeUndefined();
+    expect(history.findSoleVersion(engineService.name, WINDOW_MILLISECONDS)).toBeUndefined();
     await timers.advance(1);
-    expect(history.findConstantVersion(engineService.name, WINDOW_MILLISECONDS)).toBe('v1');
+    expect(history.findSoleVersion(engineService.name, WINDOW_MILLISECONDS)).toBe('v1');
   });
 });
--- a/packages/gateway/tests/upstreams/versionRecord.test.ts
+++ b/packages/gateway/tests/upstreams/versionRecord.test.ts
@@ -1,6 +1,8 @@
-import { ManualTimerService, silentLogger } from '@zincring/core';
+import { ManualTimerService, silentLogger, sleep } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
+import type { PartitionedTable } from '@zincring/platform';
+
 import type { ReplicaEntry, SoftwareVersion } from '../../src/upstreams/replica.js';
 
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
@@ -12,22 +14,25 @@
 
 const INSTANCES = 75;
 const WINDOW_MILLISECONDS = 6_000;
+const versionsAddress = { key: engineService.name, partition: 'versions', table: 'versions' };
 
 describe(VersionRecord, () => {
   let timers: ManualTimerService;
   let store: MemoryTable;
   let entries: readonly ReplicaEntry[];
   let notifiers: (() => void)[];
+  let records: VersionRecord[];
   let random: () => number;
 
   beforeEach(() => {
     timers = new ManualTimerService();
     store = new MemoryTable(timers);
     notifiers = [];
+    records = [];
     random = makeRandom(1);
   });
 
-  function startInstance(): VersionHistory {
+  function startInstance(client = store.client()): VersionHistory {
     const source = {
       ageMilliseconds: () => 0,
       listAll: () => entries,
@@ -36,9 +41,11 @@
       },
     };
     const versions = new VersionHistory(source, timers);
-    const table = new MonitoredTable(store.client(), timers);
+    const table = new MonitoredTable(client, timers);
     const common = { logger: silentLogger, random, table, timers, versions };
-    new VersionRecord(common).start();
+    const record = new VersionRecord(common);
+    record.start();
+    records.push(record);
     return versions;
   }
 
@@ -54,7 +61,7 @@
   it('costs few calls when many instances start, see a change, and start again', async () => {
     serve(['v1']);
     const startAll = (): void => {
-      Array.from({ length: INSTANCES }, startInstance);
+      Array.from({ length: INSTANCES }, () => startInstance());
     };
     const count = async (act: () => void): Promise<{ reads: number; writes: number }> => {
       const { calls, transactions } = store;
@@ -95,9 +102,30 @@
     expect(find()).toBe('v2');
   });
 
+  it('is never answered as it was before the call, although an earlier read is pending', async () => {
+    serve(['v1']);
+    const client = store.client();
+    const slowClient: PartitionedTable = {
+      ...client,
+      read: async request => {
+        const page = await client.read(request);
+        await sleep(timers, 400);
+        return page;
+      },
+    };
+    const versions = startInstance(slowClient);
+    const record = records.at(-1)!;
+    await timers.advance(100);
+    const periods = [{ startedAt: 0, versions: ['v2'] }];
+    store.put(versionsAddress, { periods });
+    const refreshed = record.refresh();
+    await timers.advance(1_000);
+    expect(await refreshed).toBe(true);
+    expect(versions.findRecordedVersions(engineService.name)).toEqual(new Set(['v2']));
+  });
+
   it('keeps a row that it cannot read, and does not rely on it', async () => {
-    const address = { key: engineService.name, partition: 'versions', table: 'versions' };
-    store.put(address, '{"eras":[]}');
+    store.put(versionsAddress, '{"eras":[]}');
     serve(['v1']);
     const versions = startInstance();
     await timers.advance(5_000);
@@ -105,6 +133,6 @@
     const callsBefore = store.calls;
     await timers.advance(60_000);
     expect(store.calls).toBe(callsBefore);
-    expect(store.get(address)?.value.toString()).toBe('{"eras":[]}');
+    expect(store.get(versionsAddress)?.value.toString()).toBe('{"eras":[]}');
   });
 });
