fix(upstreams): no stream begins by a list of replicas that is older than others allow for

Cause: who takes up a stream without a row allows for the life of the stream and for as long a lag of the list by which it began. That the lag is no longer was nowhere checked: an instance cut off from the store began streams at a version that had left the list long ago, whose replicas go on serving for a while; without a row they were taken for streams of the new version. Evidence: the case 'begins no stream at a version that may have left longer ago than others look back' on the code before: the stream began at v1 and was taken up at v2. Change: an instance whose list was confirmed longer ago than the timeout of the route, and at least 4 s ago, begins no resumable stream; such requests are refused with 503 before anything is sent. The window in which others look back is the timeout and this lag: as before for timeouts of 4 s or more, longer for shorter ones. Result: the case passes; streams still begin while the store has been away for a moment (a case of its own).

--- a/packages/gateway/src/upstreams/streamOrigins.ts
+++ b/packages/gateway/src/upstreams/streamOrigins.ts
@@ -41,6 +41,8 @@
 const streamPartitions = new PartitionSet(STREAM_TABLE, 16);
 /** Maximum time for which the first event of a stream waits until its version is recorded, in milliseconds. */
 const WRITE_TIMEOUT_MILLISECONDS = 300;
+/** Age of the list of replicas with which streams may always begin: instances without the store soon take no requests with a key. */
+const MINIMUM_LAG_MILLISECONDS = 4_000;
 /** Description of the streams for the removal of expired rows. */
 export const sweptStreams: SweptTable = {
   expiresAt: row => (JSON.parse(row.value.toString()) as StoredOrigin).expiresAt,
@@ -71,6 +73,9 @@
     if (facts.requestId === undefined || !route.isResumable) {
       return true;
     }
+    if (this.isOutOfStep(route)) {
+      return false;
+    }
     const window = computeWindowMilliseconds(route);
     const isListed = versionRecord.isListed(entry.service, entry.softwareVersion);
     if (
@@ -118,17 +123,25 @@
   /**
    * Finds the version at which a stream that its caller takes up must go on; `undefined` for other
    * requests. Fails with `upstream-unavailable` or `store-unavailable` if the version is not certain,
-   * since replicas do not check it.
+   * since replicas do not check it, and for streams that could not be taken up with certainty later.
    */
   public async resolve({
     facts,
     route,
     service,
   }: RunnableRequest): Promise<Result<SoftwareVersion | undefined, ZincringError>> {
+    const { table, versions } = this.dependencies;
+    if (route.isResumable && this.isOutOfStep(route)) {
+      return Err(
+        new ZincringError('store-unavailable', {
+          detail: 'the list of replicas is older than a stream may last',
+          retryAfterSeconds: table.retryAfterSeconds,
+        }),
+      );
+    }
     if (facts.lastEventId === undefined || route.kind !== 'streaming') {
       return Ok(undefined);
     }
-    const { table, versions } = this.dependencies;
     const window = computeWindowMilliseconds(route);
     const lookup = await this.lookUp(facts.resumedRequest);
     const version = decideResumedVersion(lookup, {
@@ -151,6 +164,11 @@
     );
   }
 
+  /** Whether the list of replicas is older than the lag that others allow for when they assume a version. */
+  private isOutOfStep(route: GatewayRoute): boolean {
+    return this.dependencies.versions.ageMilliseconds() > computeMaximumLagMilliseconds(route);
+  }
+
   /**
    * Reads the row of a stream and, for a stream without one, which versions served while it can have begun:
    * other instances may have seen replicas that this one has not seen yet.
@@ -213,9 +231,14 @@
   }
 }
 
-/** Time before now in which a stream that is taken up can have begun, the delay of the list of replicas included. */
-function computeWindowMilliseconds({ timeoutMilliseconds }: GatewayRoute): number {
-  return 2 * timeoutMilliseconds;
+/** Time before now in which a stream that is taken up can have begun, and before that the lag of the list by which it began. */
+function computeWindowMilliseconds(route: GatewayRoute): number {
+  return route.timeoutMilliseconds + computeMaximumLagMilliseconds(route);
+}
+
+/** Maximum age of the list of replicas with which an instance begins a stream. */
+function computeMaximumLagMilliseconds({ timeoutMilliseconds }: GatewayRoute): number {
+  return Math.max(timeoutMilliseconds, MINIMUM_LAG_MILLISECONDS);
 }
 
 function makeAddress(id: RequestId): RowAddress {
--- a/packages/gateway/src/upstreams/versionHistory.ts
+++ b/packages/gateway/src/upstreams/versionHistory.ts
@@ -84,6 +84,11 @@
     return latest;
   }
 
+  /** Time since the list of replicas was last confirmed by the store, in milliseconds. */
+  public ageMilliseconds(): number {
+    return this.source.ageMilliseconds();
+  }
+
   /** Whether the list of replicas was confirmed of late. */
   public get isObserving(): boolean {
     this.update();
