fix(upstreams): what served while an instance stood still is read from the store before streams begin

Cause: an interruption of the list of replicas was noticed only if its age was looked at before the list was confirmed again. After a suspension, whose time the monotonic clock does not count, a change that arrives within the next second confirms the list first: the instance then took its own list, and its copy of the record from before, for what had served all the time. Evidence: 'begins no stream that others mistake, as another version was alone meanwhile' on the code before, suspended: a stream began at v1 without its row, and another instance took it up at v2. The frozen case passed before: its timers are due at once and look at the age first. Result: both cases pass. Sources of lists in tests have one member more.

--- a/packages/gateway/src/store/tableFollower.ts
+++ b/packages/gateway/src/store/tableFollower.ts
@@ -81,6 +81,11 @@
     return this.contact.milliseconds();
   }
 
+  /** Number of interruptions of the contact in which changes may have been missed for some time. */
+  public interruptionCount(): number {
+    return this.contact.interruptionCount;
+  }
+
   /** Starts to follow the table. */
   public start(): void {
     this.follow();
--- a/packages/gateway/src/upstreams/replicaDirectory.ts
+++ b/packages/gateway/src/upstreams/replicaDirectory.ts
@@ -96,6 +96,11 @@
     return this.follower.contactMilliseconds();
   }
 
+  /** Number of times that the list was out of date for some time and then confirmed again. */
+  public interruptionCount(): number {
+    return this.follower.interruptionCount();
+  }
+
   /** Finds the replicas of a service, including draining ones. */
   public findReplicas(service: ServiceName): readonly ReplicaEntry[] {
     this.dropExpired();
--- a/packages/gateway/src/upstreams/versionHistory.ts
+++ b/packages/gateway/src/upstreams/versionHistory.ts
@@ -3,12 +3,15 @@
 import type { ReplicaEntry, SoftwareVersion } from './replica.js';
 import type { VersionPeriod } from './versionPeriods.js';
 
+import { MAXIMUM_CONTACT_GAP_MILLISECONDS } from '../configuration/contactAge.js';
 import { appendPeriod, findVersionsAt, listPeriodsSince } from './versionPeriods.js';
 
 /** Registered replicas, as far as their versions are concerned. */
 export interface VersionSource {
   /** Time since the list was last confirmed by the store, in milliseconds. */
   ageMilliseconds(): number;
+  /** Number of times that the list was out of date for some time and then confirmed again. */
+  interruptionCount(): number;
   /** Returns all registered replicas. */
   listAll(): readonly ReplicaEntry[];
   /** Calls the listener with each change. */
@@ -17,8 +20,6 @@
 
 /** Time for which ended periods are kept, in milliseconds: longer than a caller may go on with a stream. */
 export const KEPT_PERIOD_MILLISECONDS = 60_000;
-/** Age from which the list counts as interrupted, in milliseconds: changes in between may have been missed. */
-const MAXIMUM_AGE_MILLISECONDS = 2_500;
 
 /**
  * Remembers which software versions served each service of late, to tell at which version a
@@ -35,6 +36,8 @@
   /** Start of the uninterrupted observation, on the monotonic clock, in milliseconds. */
   private observedSince = Infinity;
   private isOutdated = true;
+  private knownInterruptions = 0;
+  private isRecordOutdated = false;
 
   public constructor(
     private readonly source: VersionSource,
@@ -48,8 +51,14 @@
   /** Takes in the registered replicas; to be called at intervals, so that each period is noticed. */
   public update(): void {
     const now = this.timers.now();
+    const interruptions = this.source.interruptionCount();
+    if (interruptions !== this.knownInterruptions) {
+      this.knownInterruptions = interruptions;
+      this.observedSince = Infinity;
+      this.isRecordOutdated = true;
+    }
     this.observedSince =
-      this.source.ageMilliseconds() > MAXIMUM_AGE_MILLISECONDS
+      this.source.ageMilliseconds() > MAXIMUM_CONTACT_GAP_MILLISECONDS
         ? Infinity
         : Math.min(this.observedSince, now);
     if (!this.isOutdated) {
@@ -64,6 +73,17 @@
     }
   }
 
+  /** Whether the record was read since the list was last interrupted: what served meanwhile is known only from it. */
+  public get isRecordCurrent(): boolean {
+    this.update();
+    return !this.isRecordOutdated;
+  }
+
+  /** Notes that the whole record was read. */
+  public confirmRecord(): void {
+    this.isRecordOutdated = false;
+  }
+
   /** Takes in the periods of a service that the store records. */
   public adoptRecord(service: ServiceName, periods: readonly VersionPeriod[]): void {
     this.recorded.set(service, periods);
@@ -160,8 +180,12 @@
   ): ReadonlySet<SoftwareVersion> | undefined {
     this.update();
     const windowStart = this.timers.now() - windowMilliseconds;
-    const periods = this.hasObserved(windowStart) ? this.observed : this.recorded;
-    return findVersionsAt(periods.get(service) ?? [], windowStart);
+    if (this.hasObserved(windowStart)) {
+      return findVersionsAt(this.observed.get(service) ?? [], windowStart);
+    }
+    return this.isRecordOutdated
+      ? undefined
+      : findVersionsAt(this.recorded.get(service) ?? [], windowStart);
   }
 
   /** Returns each version that was alone at some time of the window before now. */
--- a/packages/gateway/src/upstreams/versionRecord.ts
+++ b/packages/gateway/src/upstreams/versionRecord.ts
@@ -114,7 +114,7 @@
   public isListed(service: ServiceName, version: SoftwareVersion): boolean {
     const { versions } = this.dependencies;
     const listed = versions.findRecordedVersions(service);
-    return listed?.has(version) ?? this.unreadable.has(service);
+    return versions.isRecordCurrent && (listed?.has(version) ?? this.unreadable.has(service));
   }
 
   /** Makes the record list a version that serves, without the usual delay. Returns whether it does. */
@@ -137,7 +137,7 @@
       this.isCurrent = false;
       return;
     }
-    if (this.isCurrent && this.listUnsettled().length === 0) {
+    if (this.isCurrent && versions.isRecordCurrent && this.listUnsettled().length === 0) {
       return;
     }
     this.spreadTimer?.stop();
@@ -238,6 +238,7 @@
     }
     const { rows, storeTime } = page.val;
     this.isCurrent = true;
+    this.dependencies.versions.confirmRecord();
     for (const row of rows) {
       this.adoptRow(row, storeTime);
     }
--- a/packages/gateway/tests/compatibility/formats.test.ts
+++ b/packages/gateway/tests/compatibility/formats.test.ts
@@ -110,7 +110,12 @@
   });
 
   it('tell at which version a stream began', async () => {
-    const source = { ageMilliseconds: () => 0, listAll: () => [], subscribe: () => undefined };
+    const source = {
+      ageMilliseconds: () => 0,
+      interruptionCount: () => 0,
+      listAll: () => [],
+      subscribe: () => undefined,
+    };
     const versions = new VersionHistory(source, timers);
     const origins = new StreamOrigins({
       ...makeCommon(),
--- a/packages/gateway/tests/compatibility/writeRecording.ts
+++ b/packages/gateway/tests/compatibility/writeRecording.ts
@@ -177,6 +177,7 @@
   );
   const source = {
     ageMilliseconds: () => 0,
+    interruptionCount: () => 0,
     listAll: () => entries,
     subscribe: () => undefined,
   };
--- a/packages/gateway/tests/upstreams/instancesOutOfStep.test.ts
+++ b/packages/gateway/tests/upstreams/instancesOutOfStep.test.ts
@@ -8,7 +8,7 @@
 
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { ReplicaDirectory } from '../../src/upstreams/replicaDirectory.js';
-import { StreamOrigins } from '../../src/upstreams/streamOrigins.js';
+import { StreamOrigins, sweptStreams } from '../../src/upstreams/streamOrigins.js';
 import { VersionHistory } from '../../src/upstreams/versionHistory.js';
 import { VersionRecord } from '../../src/upstreams/versionRecord.js';
 import { MemoryTable } from '../support/memoryTable.js';
@@ -117,6 +117,12 @@
     return await resolve(instance, sampleTurn('second', facts, { route: resumableRoute }));
   }
 
+  function loseRow(): void {
+    for (const partition of sweptStreams.partitions) {
+      store.remove({ key: 'first', partition, table: sweptStreams.table });
+    }
+  }
+
   it.each(['isRefusing', 'isSilent'] as const)(
     'refuses a stream whose row it cannot read, although its list was confirmed of late: the store %s',
     async fault => {
@@ -162,6 +168,39 @@
     expect(await takeUp(outOfStep, 'first')).toBe('upstream-unavailable');
   });
 
+  describe.each([
+    ['frozen', false],
+    ['suspended with its monotonic clock', true],
+  ])('after it was %s', (_name, isSuspended) => {
+    it('refuses a stream whose row was lost', async () => {
+      const { inStep, outOfStep } = await startInstances();
+      outOfStep.process.pause();
+      serve('v1', 'v2');
+      await advance(5_000);
+      outOfStep.process.continue(isSuspended);
+      await advance(4_000);
+      expect(await begin(inStep, 'v2')).toBe(true);
+      loseRow();
+      expect(await takeUp(outOfStep, 'first')).toBe('upstream-unavailable');
+    });
+
+    it('begins no stream that others mistake, as another version was alone meanwhile', async () => {
+      const { inStep, outOfStep } = await startInstances();
+      outOfStep.process.pause();
+      serve('v2');
+      await advance(4_000);
+      serve('v1', 'v2');
+      await advance(5_000);
+      outOfStep.process.continue(isSuspended);
+      await advance(120);
+      serve('v1', 'v2');
+      await advance(60);
+      outOfStep.faults.isRefusing = true;
+      const hasBegun = await begin(outOfStep, 'v1');
+      expect([hasBegun, await takeUp(inStep, 'first')]).not.toEqual([true, 'v2']);
+    });
+  });
+
   it('begins no stream at a version that may have left longer ago than others look back', async () => {
     const { inStep, outOfStep } = await startInstances();
     outOfStep.faults.isRefusing = true;
--- a/packages/gateway/tests/upstreams/streamOrigins.test.ts
+++ b/packages/gateway/tests/upstreams/streamOrigins.test.ts
@@ -53,6 +53,7 @@
     let notify = (): void => undefined;
     const source = {
       ageMilliseconds: () => ageMilliseconds,
+      interruptionCount: () => 0,
       listAll: () => entries,
       subscribe: (listener: () => void) => {
         notify = listener;
--- a/packages/gateway/tests/upstreams/versionHistory.test.ts
+++ b/packages/gateway/tests/upstreams/versionHistory.test.ts
@@ -23,6 +23,7 @@
     history = new VersionHistory(
       {
         ageMilliseconds: () => ageMilliseconds,
+        interruptionCount: () => 0,
         listAll: () => entries,
         subscribe: listener => {
           notify = listener;
--- a/packages/gateway/tests/upstreams/versionRecord.test.ts
+++ b/packages/gateway/tests/upstreams/versionRecord.test.ts
@@ -35,6 +35,7 @@
   function startInstance(client = store.client()): VersionHistory {
     const source = {
       ageMilliseconds: () => 0,
+      interruptionCount: () => 0,
       listAll: () => entries,
       subscribe: (listener: () => void) => {
         notifiers.push(listener);
