fix(limits): buckets that take the place of others begin empty

Cause: the rows of a workspace's buckets are named by their number, which follows from its rate. A rate that was changed across a step went on with other rows: absent ones counted as full, and ones of an earlier change had refilled while they were not in use. A workspace had a second burst, or a third one with two changes. Change: instances note when the configuration changes the number, and a bucket refills for no longer than it has been in use; owners are told (a field that a build before ignores). No call to the store is added; a request costs one look-up in a map more.

--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -391,6 +391,17 @@
     });
   }
 
+  private makeRates(): WorkspaceRates {
+    const { timers } = this.dependencies;
+    const { credits: local, peers } = this;
+    const credits = new DelegatedCreditSource({ local, owners: peers.owners, timers });
+    const rates = new WorkspaceRates(this.options.instance, credits, timers);
+    this.configuration.subscribe(index => {
+      rates.recordWorkspaces(index.configuration.workspaces);
+    });
+    return rates;
+  }
+
   private makePipeline(): RequestPipeline {
     const { budgets, logger, replicaNetwork, table, versionRecord, versions } = this;
     const { headerCodec, random, timers } = this.dependencies;
@@ -408,14 +419,7 @@
       permits: replicaNetwork.permits,
       pool: replicaNetwork.pool,
       transport: replicaNetwork.transport,
-      rates: new WorkspaceRates(
-        this.options.instance,
-        new DelegatedCreditSource({
-          local: this.credits,
-          owners: this.peers.owners,
-          timers,
-        }),
-      ),
+      rates: this.makeRates(),
       streamOrigins: new StreamOrigins({ logger, table, timers, versionRecord, versions }),
       zoneOutageDetector: this.zoneOutageDetector,
       timers,
--- a/packages/gateway/src/limits/workspaceBucket.ts
+++ b/packages/gateway/src/limits/workspaceBucket.ts
@@ -25,6 +25,11 @@
   readonly burst: number;
   /** Share of the workspace's slack that belongs to the bucket: 1 by default, less where a workspace has several buckets. */
   readonly slackShare?: number;
+  /**
+   * Time since the workspace began to draw on buckets of this number instead of another one, in milliseconds; absent
+   * if it always has, as far as is known. A bucket does not refill while others serve its workspace.
+   */
+  readonly inUseMilliseconds?: number;
 }
 
 /** Request of an instance for credit from a bucket. */
@@ -164,14 +169,13 @@
 
 function computeRefilledTokens(
   storedBucket: WorkspaceBucket | undefined,
-  { burst, ratePerSecond }: RateLimit,
+  { burst, inUseMilliseconds = Infinity, ratePerSecond }: RateLimit,
   storeTime: number,
 ): number {
-  if (storedBucket === undefined) {
-    return burst;
-  }
-  const elapsedSeconds = Math.max(0, storeTime - storedBucket.updatedAt) / 1_000;
-  return Math.min(burst, storedBucket.tokens + elapsedSeconds * ratePerSecond);
+  const idleMilliseconds =
+    storedBucket === undefined ? Infinity : Math.max(0, storeTime - storedBucket.updatedAt);
+  const refillSeconds = Math.min(idleMilliseconds, inUseMilliseconds) / 1_000;
+  return Math.min(burst, (storedBucket?.tokens ?? 0) + refillSeconds * ratePerSecond);
 }
 
 function dropExpired(
--- a/packages/gateway/src/limits/workspaceRates.ts
+++ b/packages/gateway/src/limits/workspaceRates.ts
@@ -1,4 +1,10 @@
-import type { InstanceId, Result, ZincringError } from '@zincring/core';
+import type {
+  InstanceId,
+  Result,
+  TimerService,
+  WorkspaceName,
+  ZincringError,
+} from '@zincring/core';
 
 import { hash32, Ok } from '@zincring/core';
 
@@ -13,8 +19,16 @@
 const BUCKET_RATE_PER_SECOND = 80;
 /** Maximum number of buckets of one workspace. */
 const MAXIMUM_BUCKETS = 16;
+/** Time after which a changed number of buckets no longer matters, in milliseconds: longer than any burst takes to refill. */
+const MAXIMUM_IN_USE_MILLISECONDS = 600_000;
 const unlimitedAdmission: RateAdmission = { refund: () => undefined };
 
+/** Number of buckets of a workspace, and when this instance saw it change, on the monotonic clock, in milliseconds. */
+interface BucketLayout {
+  readonly bucketCount: number;
+  readonly changedAt: number | undefined;
+}
+
 /**
  * Admits requests within the rate and burst that a workspace has over all instances, from the token
  * buckets of the workspace.
@@ -25,12 +39,27 @@
 export class WorkspaceRates {
   /** Covers all workspaces together, since an instance sees few programs of each. */
   private readonly programSizeEstimator = new ProgramSizeEstimator();
+  private readonly layouts = new Map<WorkspaceName, BucketLayout>();
 
   public constructor(
     private readonly instance: InstanceId,
     private readonly credits: CreditSource,
+    private readonly timers: TimerService,
   ) {}
 
+  /** Takes in the workspaces of a new configuration: buckets that take the place of others begin empty. */
+  public recordWorkspaces(workspaces: readonly GatewayWorkspace[]): void {
+    for (const workspace of workspaces) {
+      const { name } = workspace;
+      const bucketCount = countBuckets(workspace);
+      const layout = this.layouts.get(name);
+      if (layout?.bucketCount !== bucketCount) {
+        const changedAt = layout === undefined ? undefined : this.timers.now();
+        this.layouts.set(name, { bucketCount, changedAt });
+      }
+    }
+  }
+
   /**
    * Acquires credit for one request, or returns why there is none. While a workspace is over its
    * rate, requests that start a program also need credit from a bucket of program starts: programs
@@ -78,12 +107,10 @@
    */
   private findBuckets(workspace: GatewayWorkspace): readonly [NamedRateLimit, NamedRateLimit?] {
     const { burst, name, ratePerSecond } = workspace;
-    const bucketCount = Math.max(
-      1,
-      Math.min(MAXIMUM_BUCKETS, Math.round(ratePerSecond / BUCKET_RATE_PER_SECOND)),
-    );
+    const bucketCount = countBuckets(workspace);
+    const use = this.describeUse(name, bucketCount);
     if (bucketCount === 1) {
-      return [{ burst, name, ratePerSecond }];
+      return [{ burst, name, ratePerSecond, ...use }];
     }
     const primaryIndex = hash32(this.instance) % bucketCount;
     const createBucket = (bucketIndex: number): NamedRateLimit => ({
@@ -91,10 +118,25 @@
       name: `${name}/${String(bucketCount)}.${String(bucketIndex)}`,
       ratePerSecond: ratePerSecond / bucketCount,
       slackShare: 1 / bucketCount,
+      ...use,
     });
     return [createBucket(primaryIndex), createBucket((primaryIndex + 1) % bucketCount)];
   }
 
+  /** Returns for how long a workspace has had this number of buckets, if that changed of late. */
+  private describeUse(
+    name: WorkspaceName,
+    bucketCount: number,
+  ): Pick<NamedRateLimit, 'inUseMilliseconds'> {
+    const layout = this.layouts.get(name);
+    if (layout !== undefined && layout.bucketCount !== bucketCount) {
+      // A request that was accepted under the configuration before.
+      return { inUseMilliseconds: 0 };
+    }
+    const inUseMilliseconds = this.timers.now() - (layout?.changedAt ?? -Infinity);
+    return inUseMilliseconds > MAXIMUM_IN_USE_MILLISECONDS ? {} : { inUseMilliseconds };
+  }
+
   /** Records the first turn of a program at this instance. */
   public recordProgramStart(): void {
     this.programSizeEstimator.recordProgramStart();
@@ -118,3 +160,7 @@
     return buckets.some(bucket => bucket !== undefined && this.credits.isOverRate(bucket));
   }
 }
+
+function countBuckets({ ratePerSecond }: GatewayWorkspace): number {
+  return Math.max(1, Math.min(MAXIMUM_BUCKETS, Math.round(ratePerSecond / BUCKET_RATE_PER_SECOND)));
+}
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -27,12 +27,18 @@
  * parseBucket('{"burst":20,"name":"clerks","ratePerSecond":10}');
  */
 export function parseBucket(text: string): NamedRateLimit | undefined {
-  const { burst, name, ratePerSecond, slackShare = 1 } = parseFields(text);
+  const { burst, inUseMilliseconds, name, ratePerSecond, slackShare = 1 } = parseFields(text);
   return isNumber(burst) &&
     isNumber(ratePerSecond) &&
     isNumber(slackShare) &&
     typeof name === 'string'
-    ? { burst, name, ratePerSecond, slackShare }
+    ? {
+        burst,
+        name,
+        ratePerSecond,
+        slackShare,
+        ...(isNumber(inUseMilliseconds) ? { inUseMilliseconds } : {}),
+      }
     : undefined;
 }
 
--- a/packages/gateway/tests/limits/delegatedCreditSource.test.ts
+++ b/packages/gateway/tests/limits/delegatedCreditSource.test.ts
@@ -3,12 +3,14 @@
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
+import type { GatewayWorkspace } from '../../src/configuration/gatewayConfiguration.js';
 import type { NamedRateLimit } from '../../src/limits/creditSource.js';
 import type { OwnedCreditReply } from '../../src/limits/ownedCredit.js';
 import type { PeerFaults } from '../support/faultyPeer.js';
 
 import { DelegatedCreditSource } from '../../src/limits/delegatedCreditSource.js';
 import { StoreCreditSource } from '../../src/limits/storeCreditSource.js';
+import { WorkspaceRates } from '../../src/limits/workspaceRates.js';
 import { OwnerSelector } from '../../src/peers/ownerSelector.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { makeOwner, makeOwnerDirectory } from '../support/fakePeer.js';
@@ -20,8 +22,10 @@
   computeMaximumRequestsPerWindow,
   countRequestsInBusiestWindow,
 } from '../support/rateWindow.js';
+import { sampleWorkspace } from '../support/samples.js';
 
 const INSTANCES = 12;
+const doesNotStartProgram = async (): Promise<boolean> => await Promise.resolve(false);
 
 describe(DelegatedCreditSource, () => {
   let timers: ManualTimerService;
@@ -219,4 +223,63 @@
     await finishWithin(timers, delegated.acquire(bucket, signal), 1_000);
     expect(asked).toBe(2);
   });
+
+  /** Changes the rate of a workspace every two seconds while owners are replaced. */
+  async function playChangedRates(
+    workspaces: readonly GatewayWorkspace[],
+    perSecond: number,
+  ): Promise<{ readonly admitted: readonly number[]; readonly refused: number }> {
+    startInstances();
+    const allRates = instances.map(
+      ({ delegated }, index) =>
+        new WorkspaceRates(`entry-${String(index)}` as InstanceId, delegated, timers),
+    );
+    const admitted: number[] = [];
+    let refused = 0;
+    const random = makeRandom(3);
+    for (const workspace of workspaces) {
+      allRates.forEach(rates => {
+        rates.recordWorkspaces([workspace]);
+      });
+      for (let elapsed = 0; elapsed < 2_000; elapsed += 10) {
+        for (let count = Math.floor(perSecond / 100 + random()); count > 0; count--) {
+          const rates = allRates[Math.floor(random() * INSTANCES)]!;
+          void rates.admit(workspace, signal, doesNotStartProgram).then(({ ok }) => {
+            if (ok) {
+              admitted.push(timers.now());
+            } else {
+              refused++;
+            }
+          });
+        }
+        await timers.advance(10);
+      }
+      startInstance(Math.floor(random() * INSTANCES));
+      startInstance(Math.floor(random() * INSTANCES));
+    }
+    await timers.advance(3_000);
+    return { admitted, refused };
+  }
+
+  describe.each([
+    ['raised across a step', [100, 130]],
+    ['lowered across a step', [130, 100]],
+    ['raised and lowered again within a window', [100, 130, 100]],
+    ['lowered and raised again within a window', [130, 100, 130]],
+    ['raised across several steps', [100, 300]],
+  ])('while owners change and the rate is %s', (_name, ratesPerSecond) => {
+    const limits = ratesPerSecond.map(ratePerSecond => ({ burst: 600, ratePerSecond }));
+    const workspaces = limits.map(sampleWorkspace);
+
+    it('keeps a workspace that asks for more within the bound of the greatest rate', async () => {
+      const { admitted } = await playChangedRates(workspaces, 800);
+      expect(countRequestsInBusiestWindow(admitted)).toBeLessThanOrEqual(
+        Math.max(...limits.map(computeMaximumRequestsPerWindow)),
+      );
+    });
+
+    it('refuses no request below the rate', async () => {
+      expect((await playChangedRates(workspaces, 65)).refused).toBe(0);
+    });
+  });
 });
--- a/packages/gateway/tests/limits/workspaceRates.test.ts
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -56,7 +56,7 @@
       table: new MonitoredTable(store.client(), timers),
       timers,
     });
-    return new WorkspaceRates(`entry-${String(number)}` as InstanceId, credits);
+    return new WorkspaceRates(`entry-${String(number)}` as InstanceId, credits, timers);
   }
 
   /** Sends requests to random instances; returns the admission times and the number of refused requests. */
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -13,7 +13,13 @@
 import { makeOwner, makeRelayServer } from '../support/fakePeer.js';
 import { startStranger } from '../support/startStranger.js';
 
-const bucket = { burst: 20, name: 'clerks', ratePerSecond: 10, slackShare: 0.5 };
+const bucket = {
+  burst: 20,
+  inUseMilliseconds: 700,
+  name: 'clerks',
+  ratePerSecond: 10,
+  slackShare: 0.5,
+};
 const demand = {
   budget: 1_725,
   expiresAt: 1_796_356_821_000,
--- a/packages/gateway/tests/support/programLoad.ts
+++ b/packages/gateway/tests/support/programLoad.ts
@@ -174,7 +174,7 @@
     const budgets = new TurnBudgets({ ...dependencies, accounts });
     return {
       budgets,
-      rates: new WorkspaceRates(self.instance, delegated),
+      rates: new WorkspaceRates(self.instance, delegated, timers),
       turns: new TurnStore({ ...dependencies, rowBytes: ROW_BYTES }),
     };
   });
