fix(upstreams): an exchange that gets no response ends, and what is in flight is taken back

Cause: Node.js closes a connection after a switch of protocols (101) that nobody listens for, without an event that the exchanges waited for. A request to a replica hung, its counts in flight stayed, and a call to the store or another instance hung too, since the close also stopped its timeout. A status of 000 or 099 was passed on as that of a response; Node.js refuses to write such a head, so the caller's connection closed without an answer. Change: runExchange ends an exchange whose connection closes without a response, and one with a status below 200, as a failure: lost for a replica. HttpClient and the stand-alone product use it too. A relayed response whose body closed before it was watched is counted down as well. The gauge zincring_in_flight shows the counts.

--- a/packages/core/src/http/runExchange.ts
+++ b/packages/core/src/http/runExchange.ts
@@ -2,19 +2,23 @@
 
 import { request as startRequest } from 'node:http';
 
-/** What becomes of an exchange; exactly one of `onResponse` and `onFailure` gives its outcome. */
+/** What becomes of an exchange; exactly one of `onResponse` and `onFailure` is called, once, and gives its outcome. */
 export interface ExchangeHandlers<Outcome> {
   /** Called with the request, which it must send; not called if no request can be made of the options. */
   onStarted(outgoing: ClientRequest): void;
   /** Called with the head of the response, before any of the body. */
-  onResponse(outgoing: ClientRequest, incoming: IncomingMessage): Outcome;
+  onResponse(outgoing: ClientRequest, incoming: IncomingMessage): Outcome | Promise<Outcome>;
   /** Called if there is no response. */
-  onFailure(failure: Error): Outcome;
+  onFailure(failure: Error): Outcome | Promise<Outcome>;
 }
 
+/** Lowest status of a response; lower ones are informational or none at all. */
+const MINIMUM_FINAL_STATUS = 200;
+
 /**
- * Runs an exchange up to the head of the response; it never throws. Node.js throws where it starts a request whose
- * address or headers cannot be sent.
+ * Runs an exchange up to the head of the response; it ends in one outcome and never throws. Node.js throws where it
+ * starts a request whose address or headers cannot be sent, and after a switch of protocols that nobody asked for it
+ * only closes the connection.
  *
  * @example
  * const status = await runExchange({ host, port }, {
@@ -33,11 +37,25 @@
       resolve(handlers.onFailure(outgoing));
       return;
     }
+    let hasEnded = false;
+    const fail = (failure: Error): void => {
+      if (!hasEnded) {
+        hasEnded = true;
+        resolve(handlers.onFailure(failure));
+      }
+    };
     outgoing.on('response', incoming => {
+      const status = incoming.statusCode ?? 0;
+      if (status < MINIMUM_FINAL_STATUS) {
+        outgoing.destroy(new Error(`the status ${String(status)} is none of a response`));
+        return;
+      }
+      hasEnded = true;
       resolve(handlers.onResponse(outgoing, incoming));
     });
-    outgoing.on('error', failure => {
-      resolve(handlers.onFailure(failure));
+    outgoing.on('error', fail);
+    outgoing.once('close', () => {
+      fail(new Error('the connection was closed without a response'));
     });
     handlers.onStarted(outgoing);
   });
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -222,6 +222,7 @@
       () => {
         this.replicaNetwork.sweep();
         this.metrics.heldBytes.set(this.memory.bytes);
+        this.reportInFlight();
       },
     );
     await this.server.listen(this.options.callers);
@@ -263,6 +264,14 @@
     this.logger.info({ event: 'stopped', underWay: this.server.requestsInFlight }, 'stopped');
   }
 
+  private reportInFlight(): void {
+    const { inFlight } = this.metrics;
+    inFlight.set({ counter: 'callers' }, this.server.requestsInFlight);
+    inFlight.set({ counter: 'engines' }, this.engineLoads.countInFlight());
+    inFlight.set({ counter: 'relays' }, this.peers.relaysInFlight);
+    inFlight.set({ counter: 'replicas' }, this.replicaNetwork.pool.loads.countInFlight());
+  }
+
   private instrumentStore(table: PartitionedTable, timers: TimerService): MonitoredTable {
     const onCall = (call: StoreCall): void => {
       const { kind, milliseconds, outcome, table: name } = call;
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -67,6 +67,12 @@
     name: 'zincring_relays_total',
     registers: [this.registry],
   });
+  public readonly inFlight = new Gauge({
+    help: 'Requests in flight, by what counts them: callers, replicas, engines or relays.',
+    labelNames: ['counter'] as const,
+    name: 'zincring_in_flight',
+    registers: [this.registry],
+  });
   public readonly heldBytes = new Gauge({
     help: 'Bytes of requests and responses that this instance holds.',
     name: 'zincring_held_bytes',
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -122,6 +122,11 @@
     return this.directory.owners.length;
   }
 
+  /** Number of requests that this instance relays for others. */
+  public get relaysInFlight(): number {
+    return this.relayServer.requestsInFlight;
+  }
+
   /** Port for other instances. */
   public get port(): number {
     return this.server.port;
--- a/packages/gateway/src/upstreams/directRelayTarget.ts
+++ b/packages/gateway/src/upstreams/directRelayTarget.ts
@@ -64,9 +64,14 @@
     }
     const { body, status } = outcome.response;
     announcements.record(entry, status, outcome.facts);
-    body.once('close', () => {
+    const end = (): void => {
       load.inFlight--;
-    });
+    };
+    if (body.closed) {
+      end();
+    } else {
+      body.once('close', end);
+    }
     return outcome;
   }
 }
--- a/packages/gateway/src/upstreams/load/engineLoads.ts
+++ b/packages/gateway/src/upstreams/load/engineLoads.ts
@@ -50,6 +50,11 @@
     };
   }
 
+  /** Number of turns of this instance in flight at all engines. */
+  public countInFlight(): number {
+    return [...this.services.values()].reduce((sum, { inFlight }) => sum + inFlight, 0);
+  }
+
   /** Counts of this instance, as another instance receives them. */
   public get ownCounts(): EngineTurnCounts {
     const busy = [...this.services].filter(([, { inFlight }]) => inFlight > 0);
--- a/packages/gateway/src/upstreams/replicaLoads.ts
+++ b/packages/gateway/src/upstreams/replicaLoads.ts
@@ -63,6 +63,11 @@
     return state;
   }
 
+  /** Number of requests of this instance in flight at all replicas. */
+  public countInFlight(): number {
+    return [...this.states.values()].reduce((sum, { inFlight }) => sum + inFlight, 0);
+  }
+
   /** Whether a replica is currently avoided. */
   public isAvoided(entry: ReplicaEntry): boolean {
     return this.findOrAddState(entry).avoidedUntil > this.timers.now();
--- a/packages/instance/src/upstreams/upstreamRequest.ts
+++ b/packages/instance/src/upstreams/upstreamRequest.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 
-import { failWithConnection } from '@zincring/core';
-import { Agent, request } from 'node:http';
+import { failWithConnection, runExchange } from '@zincring/core';
+import { Agent } from 'node:http';
 
 /** Pool of connections to upstreams, which are kept open between requests. */
 const agent = new Agent({ keepAlive: true, maxSockets: 512 });
@@ -23,22 +23,17 @@
  */
 export async function sendRequest(options: UpstreamRequest): Promise<IncomingMessage> {
   const [host, port] = options.address.split(':');
-  return await new Promise((resolve, reject) => {
-    const outgoing = request({
-      agent,
-      headers: { ...options.headers },
-      host,
-      method: options.method,
-      path: options.path,
-      port,
-      signal: options.signal,
-    });
-    outgoing.on('error', reject);
-    outgoing.on('response', incoming => {
+  const { body, headers, method, path, signal } = options;
+  const request = { agent, headers: { ...headers }, host, method, path, port, signal };
+  return await runExchange<IncomingMessage>(request, {
+    onFailure: async failure => await Promise.reject(failure),
+    onResponse: (outgoing, incoming) => {
       failWithConnection(outgoing, incoming);
-      resolve(incoming);
-    });
-    outgoing.end(options.body);
+      return incoming;
+    },
+    onStarted: outgoing => {
+      outgoing.end(body);
+    },
   });
 }
 
--- a/packages/instance/tests/upstreams/upstreamRequest.test.ts
+++ b/packages/instance/tests/upstreams/upstreamRequest.test.ts
@@ -13,12 +13,15 @@
   });
 });
 
-/** Starts an upstream that sends the head of an unframed response and then calls the function. */
-async function startUpstream(respond: (socket: Socket) => void): Promise<string> {
+/** Starts an upstream that sends a head, of an unframed response by default, and then calls the function. */
+async function startUpstream(
+  respond: (socket: Socket) => void,
+  head = 'HTTP/1.1 200 OK\r\n\r\n',
+): Promise<string> {
   const server = createServer(socket => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
-      socket.write('HTTP/1.1 200 OK\r\n\r\n');
+      socket.write(head);
       respond(socket);
     });
   });
@@ -85,4 +88,16 @@
       expect(await readAll(address, readLines)).toBe(lines);
     },
   );
+
+  it.each(['101 Switching\r\nConnection: Upgrade\r\nUpgrade: x', '000 None', '099 None'])(
+    'fails at once if the upstream sends no response but %j',
+    async status => {
+      const address = await startUpstream(() => undefined, `HTTP/1.1 ${status}\r\n\r\n`);
+      await expect(readAll(address, readText)).rejects.toThrow(/status|without a response/);
+    },
+  );
+
+  it('rejects an address that cannot be sent to', async () => {
+    await expect(readAll('127.0.0.1:70000', readText)).rejects.toThrow('70000');
+  });
 });
--- a/packages/platform/src/http/httpClient.ts
+++ b/packages/platform/src/http/httpClient.ts
@@ -1,8 +1,8 @@
 import type { Result, TimerService } from '@zincring/core';
 import type { IncomingMessage } from 'node:http';
 
-import { Err, failWithConnection, Ok, SystemTimerService } from '@zincring/core';
-import { Agent, request } from 'node:http';
+import { Err, failWithConnection, Ok, runExchange, SystemTimerService } from '@zincring/core';
+import { Agent } from 'node:http';
 
 import { PlatformError } from '../platformError.js';
 
@@ -86,33 +86,27 @@
 
   private async sendOnce(platformRequest: HttpClientRequest): Promise<HttpClientResponse> {
     const [host, port] = this.options.address.split(':');
-    return await new Promise((resolve, reject) => {
-      const outgoing = request({
-        agent: this.agent,
-        headers: platformRequest.headers,
-        host,
-        method: platformRequest.method,
-        path: platformRequest.path,
-        port,
-      });
-      // A timer that ends with the exchange takes less time than an abort signal, which stays until it fires.
-      const timeout = this.timers.after(
-        platformRequest.timeoutMilliseconds ?? this.options.timeoutMilliseconds,
-        () => {
-          outgoing.destroy(new Error('the platform did not respond in time'));
-        },
-      );
-      outgoing.on('close', () => {
-        timeout.stop();
-      });
-      outgoing.on('error', reject);
-      outgoing.on('response', response => {
+    const { body, headers, method, path } = platformRequest;
+    const options = { agent: this.agent, headers, host, method, path, port };
+    return await runExchange<HttpClientResponse>(options, {
+      onFailure: async failure => await Promise.reject(failure),
+      onResponse: async (outgoing, response) => {
         failWithConnection(outgoing, response);
-        readBody(response).then(body => {
-          resolve({ body, status: response.statusCode ?? 0 });
-        }, reject);
-      });
-      outgoing.end(platformRequest.body);
+        return { body: await readBody(response), status: response.statusCode ?? 0 };
+      },
+      onStarted: outgoing => {
+        // A timer that ends with the exchange takes less time than an abort signal, which stays until it fires.
+        const timeout = this.timers.after(
+          platformRequest.timeoutMilliseconds ?? this.options.timeoutMilliseconds,
+          () => {
+            outgoing.destroy(new Error('the platform did not respond in time'));
+          },
+        );
+        outgoing.on('close', () => {
+          timeout.stop();
+        });
+        outgoing.end(body);
+      },
     });
   }
 }
--- a/packages/platform/tests/httpClient.test.ts
+++ b/packages/platform/tests/httpClient.test.ts
@@ -77,6 +77,30 @@
     expect(response.err && response.val.failure).toBe('outcome-unknown');
   });
 
+  it.each([
+    [
+      'a switch of protocols',
+      'HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
+    ],
+    ['status 000', 'HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n'],
+    ['status 099', 'HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n'],
+  ])('never waits for more after %s', async (_name, text) => {
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => socket.write(text));
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${String(port)}`;
+    const client = new HttpClient({ address, timeoutMilliseconds: 2_000 });
+    const response = await client.send({ isRetrySafe: false, method: 'POST', path: '/' });
+    client.close();
+    server.close();
+    expect(response.err && response.val.failure).toBe('outcome-unknown');
+  });
+
   it('never takes a surplus response on an idle connection for that of the next request', async () => {
     const server = createServer(socket => {
       socket.on('error', () => undefined);
