fix(peers): a relayed request whose headers are no texts is none

Cause: any list was taken for the headers of a relayed request. Reading the request's id from a number throws after the request has been counted as in flight at its replica, and that count was not taken back. Change: headers are a list of texts, as decodeRelayedRequest promises. Two cases show that a relay which switches protocols (101) is lost after its acceptance and unavailable before it; they pass since the exchange ends in one outcome.

--- a/packages/gateway/src/peers/relayProtocol.ts
+++ b/packages/gateway/src/peers/relayProtocol.ts
@@ -1,5 +1,7 @@
 import type { BodyFraming } from '../callers/responseSink.js';
 import type { ReplicaRunId } from '../upstreams/replica.js';
+
+import { isTextList } from '../util/jsonFields.js';
 import type { UnansweredExchange } from '../upstreams/replicaExchange.js';
 
 /**
@@ -59,7 +61,7 @@
     return typeof method === 'string' &&
       typeof path === 'string' &&
       typeof isRepeatable === 'boolean' &&
-      Array.isArray(headers)
+      isTextList(headers)
       ? { body: content.subarray(lineEnd + 1), headers, isRepeatable, method, path }
       : undefined;
   } catch {
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -16,6 +16,7 @@
 import { PeerServer } from '../../src/peers/peerServer.js';
 import { RelayCandidates } from '../../src/peers/relayCandidates.js';
 import { RelayClient } from '../../src/peers/relayClient.js';
+import { decodeRelayedRequest } from '../../src/peers/relayProtocol.js';
 import { RelayServer } from '../../src/peers/relayServer.js';
 import { ReplicaAgent } from '../../src/upstreams/replicaAgent.js';
 import { exchangeWithReplica } from '../../src/upstreams/replicaExchange.js';
@@ -284,6 +285,28 @@
     expect(replica.receivedRequests).toHaveLength(0);
   });
 
+  it.each([
+    ['lost', 'after', 'HTTP/1.1 100 Continue\r\n\r\n'],
+    ['unavailable', 'before', ''],
+  ])('is %s if an instance switches protocols %s its acceptance', async (kind, _when, head) => {
+    const { entry } = await startReplica(responds('done'));
+    const other = await startOther(socket => {
+      socket.once('data', () => {
+        socket.write(`${head}HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n`);
+      });
+    });
+    expect(await makeClient([other]).exchange(entry, makeRequest())).toMatchObject({ kind });
+  });
+
+  it.each([
+    ['numbers', '[7]'],
+    ['lists', '[["a"],"b"]'],
+    ['nested deeply', `${'['.repeat(60_000)}${']'.repeat(60_000)}`],
+  ])('is none with headers that are %s', (_name, headers) => {
+    const head = `{"headers":${headers},"isRepeatable":true,"method":"GET","path":"/7"}\n`;
+    expect(decodeRelayedRequest(Buffer.from(head))).toBeUndefined();
+  });
+
   it('cannot be relayed without other instances', async () => {
     const { entry } = await startReplica(responds('done'));
     expect(await makeClient([]).exchange(entry, makeRequest())).toMatchObject({
