fix(peers): a reply of another instance that is none counts as unreachable

Cause: replies were cast. A permit without the rate that it was granted at threw in the request that asked for it, which closed its caller's connection; a denial without a time made the next request wait for a time that is no number. Change: each reply is checked for its kind and numbers; one that cannot be read is logged (peer-failed) and is the same as no reply.

--- a/packages/gateway/src/peers/peerClients.ts
+++ b/packages/gateway/src/peers/peerClients.ts
@@ -9,10 +9,14 @@
 import type { PermitReply } from '../upstreams/permits/permitOwner.js';
 import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
 import type { SlownessReport } from '../upstreams/load/slownessReports.js';
+import type { JsonFields } from '../util/jsonFields.js';
 import type { GatewayPeer } from './gatewayPeer.js';
+import type { ReplyCheck } from './peerReplies.js';
 
+import { toFields } from '../util/jsonFields.js';
 import { parseEngineTurns, parseSlownessReports, parseWorkspaceTurns } from './peerMessages.js';
 import { PEER_PATHS } from './peerPaths.js';
+import { isCreditReply, isPermitReply, isTokensReply } from './peerReplies.js';
 
 /** Timeout of a call to another instance, in milliseconds: longer than an owner waits for the store, shorter than callers notice. */
 const CALL_TIMEOUT_MILLISECONDS = 150;
@@ -42,17 +46,32 @@
   public at(address: string): GatewayPeer {
     return {
       acquireOwned: async bucket =>
-        (await this.call<OwnedCreditReply>(address, PEER_PATHS.acquireCredit, bucket)) ?? {
+        (await this.call<OwnedCreditReply>(
+          address,
+          PEER_PATHS.acquireCredit,
+          bucket,
+          isCreditReply,
+        )) ?? {
           kind: 'unreachable',
         },
       acquirePermit: async request =>
-        (await this.call<PermitReply>(address, PEER_PATHS.acquirePermit, request)) ?? {
+        (await this.call<PermitReply>(
+          address,
+          PEER_PATHS.acquirePermit,
+          request,
+          isPermitReply,
+        )) ?? {
           kind: 'unreachable',
         },
       reportRate: async report =>
         (await this.call(address, PEER_PATHS.reportRate, report)) !== undefined,
       reserveOwned: async demand =>
-        (await this.call<OwnedTokensReply>(address, PEER_PATHS.reserveTokens, demand)) ?? {
+        (await this.call<OwnedTokensReply>(
+          address,
+          PEER_PATHS.reserveTokens,
+          demand,
+          isTokensReply,
+        )) ?? {
           kind: 'unreachable',
         },
       settleOwned: async (reservation, deliveredTokens) => {
@@ -77,11 +96,12 @@
     this.retain(new Set());
   }
 
-  /** Calls an instance; returns `undefined` if it does not respond. */
+  /** Calls an instance; returns `undefined` if it does not respond or its reply is none. */
   private async call<Reply>(
     address: string,
     path: string,
     message: unknown,
+    isReply: ReplyCheck = () => true,
   ): Promise<Reply | undefined> {
     const body = JSON.stringify(message);
     const response = await this.findOrAddClient(address).send({
@@ -103,18 +123,21 @@
       return undefined;
     }
     try {
-      return this.readReply(response.val.body.toString()) as Reply;
+      const reply = this.readReply(response.val.body.toString());
+      if (isReply(reply)) {
+        return reply as Reply;
+      }
+      this.logFailure(address, 'the reply cannot be read');
+      return undefined;
     } catch (failure) {
       this.logFailure(address, failureText(failure));
       return undefined;
     }
   }
 
-  private readReply(text: string): unknown {
-    const { engineTurns, replicaSlowness, workspaceTurns, ...reply } = JSON.parse(text) as Record<
-      string,
-      unknown
-    >;
+  private readReply(text: string): JsonFields {
+    const fields = toFields(JSON.parse(text));
+    const { engineTurns, replicaSlowness, workspaceTurns, ...reply } = fields;
     const counts = parseEngineTurns(engineTurns);
     if (counts !== undefined) {
       this.onEngineTurns(counts);
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -100,7 +100,7 @@
  */
 export function parseRateReport(text: string): RateReport | undefined {
   const { announced, replica } = parseFields(text);
-  const rate = readAnnouncedRate(toFields(announced));
+  const rate = readAnnouncedRate(announced);
   return rate !== undefined && typeof replica === 'string'
     ? { announced: rate, replica: replica as ReplicaRunId }
     : undefined;
@@ -168,8 +168,14 @@
   return counts && Object.fromEntries(Object.entries(counts).slice(0, MAXIMUM_WORKSPACES));
 }
 
-function readAnnouncedRate(fields: JsonFields): AnnouncedRate | undefined {
-  const { ageMilliseconds, requestsPerSecond } = fields;
+/**
+ * Reads the rate of a replica as another instance observed it; `undefined` if the value is none.
+ *
+ * @example
+ * readAnnouncedRate({ ageMilliseconds: 40, requestsPerSecond: 3 });
+ */
+export function readAnnouncedRate(value: unknown): AnnouncedRate | undefined {
+  const { ageMilliseconds, requestsPerSecond } = toFields(value);
   const isRate =
     requestsPerSecond === undefined || (isNumber(requestsPerSecond) && requestsPerSecond >= 0);
   return isNumber(ageMilliseconds) && isRate ? { ageMilliseconds, requestsPerSecond } : undefined;
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -226,6 +226,25 @@
     expect(received).toEqual(expected);
   });
 
+  it.each([
+    ['nothing', '{}'],
+    ['null', 'null'],
+    ['an unknown kind', '{"kind":"maybe"}'],
+    ['no numbers', '{"kind":"denied","announced":{"ageMilliseconds":1}}'],
+    ['a number without end', '{"kind":"denied","retryAfterMilliseconds":1e999}'],
+    ['an odd rate', '{"kind":"granted?","announced":{"ageMilliseconds":[]},"delayMilliseconds":0}'],
+    ['deep nesting', `${'['.repeat(50_000)}${']'.repeat(50_000)}`],
+  ])('treats a reply of %s as none', async (_name, text) => {
+    const port = await startOther(socket => {
+      const head = `HTTP/1.1 200 OK\r\nContent-Length: ${String(text.length)}\r\n\r\n`;
+      socket.on('data', () => socket.write(`${head}${text}`));
+    });
+    const peer = connect(port);
+    expect(await peer.acquireOwned(bucket)).toEqual({ kind: 'unreachable' });
+    expect(await peer.acquirePermit(permitRequest)).toEqual({ kind: 'unreachable' });
+    expect(await peer.reserveOwned(demand)).toEqual({ kind: 'unreachable' });
+  });
+
   it('carries a settlement', async () => {
     const received: unknown[] = [];
     const server = await startServer({
