fix(core): a timer with a very long delay does not run at once

Cause: Node.js takes a delay beyond 2^31-1 ms for 1 ms, so a time-out or wait that was stored or sent as too large a number would end at once, or repeat each millisecond. Change: SystemTimerService bounds delays by the longest one.

--- a/packages/core/src/time/systemTimerService.ts
+++ b/packages/core/src/time/systemTimerService.ts
@@ -2,6 +2,9 @@
 
 import type { TimerService, TimerSubscription } from './timerService.js';
 
+/** Longest delay of a timer, in milliseconds; Node.js runs a timer with a longer one at once. */
+const MAXIMUM_DELAY_MILLISECONDS = 2 ** 31 - 1;
+
 /**
  * Timers and clocks of the running process.
  *
@@ -19,7 +22,7 @@
   }
 
   public after(delayMilliseconds: number, callback: () => void): TimerSubscription {
-    const timer = setTimeout(callback, Math.max(0, delayMilliseconds));
+    const timer = setTimeout(callback, toDelay(delayMilliseconds, 0));
     return {
       stop: () => {
         clearTimeout(timer);
@@ -28,7 +31,7 @@
   }
 
   public every(intervalMilliseconds: number, callback: () => void): TimerSubscription {
-    const timer = setInterval(callback, Math.max(1, intervalMilliseconds));
+    const timer = setInterval(callback, toDelay(intervalMilliseconds, 1));
     return {
       stop: () => {
         clearInterval(timer);
@@ -36,3 +39,7 @@
     };
   }
 }
+
+function toDelay(milliseconds: number, minimum: number): number {
+  return Math.min(MAXIMUM_DELAY_MILLISECONDS, Math.max(minimum, milliseconds));
+}
