fix(lifecycle): signals after the first one change nothing

Cause: callers of a stopping instance saw their connections close without an answer after a second SIGTERM. Gateway.stop returned at once when it was called again, and the handler of the second signal then ended the process. SIGINT ended it without a stop; SIGHUP ended the stand-alone product. Change: one function of core handles the signals of both programs: the first SIGTERM or SIGINT begins the stop, and further ones are logged only. A SIGHUP is logged only, in both.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,6 +33,8 @@
 export { BackgroundOutput, createBackgroundOutput } from './logging/backgroundOutput.js';
 export { createLogger, failureText, silentLogger } from './logging/logger.js';
 export { redactSecrets } from './logging/redactSecrets.js';
+export type { ProcessSignalOptions } from './signals/handleProcessSignals.js';
+export { handleProcessSignals } from './signals/handleProcessSignals.js';
 export type { Metrics, MetricTags, StatsdOptions } from './metrics/metrics.js';
 export { createStatsdMetrics, discardingMetrics } from './metrics/metrics.js';
 export type {
--- a/packages/instance/src/bin.ts
+++ b/packages/instance/src/bin.ts
@@ -7,6 +7,7 @@
   discardingMetrics,
   Err,
   failureText,
+  handleProcessSignals,
   SystemTimerService,
 } from '@zincring/core';
 import { connectPlatform } from '@zincring/platform';
@@ -53,14 +54,12 @@
     settings,
     timers: new SystemTimerService(),
   });
-  const stop = (): void => {
-    instance.stop().then(
-      () => process.exit(0),
-      () => process.exit(1),
-    );
-  };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+  handleProcessSignals({
+    logger,
+    stop: async () => {
+      await instance.stop();
+    },
+  });
   await instance.start();
 }
 
--- a/packages/stand-ins/tests/plannedStop.process.test.ts
+++ b/packages/stand-ins/tests/plannedStop.process.test.ts
@@ -74,7 +74,9 @@
       await waitUntil(async () =>
         Promise.resolve(load.failures.length > 0 || load.finished.length >= finished + 6),
       );
-      instance.process.signal('SIGTERM');
+      for (const signal of ['SIGHUP', 'SIGTERM', 'SIGHUP', 'SIGTERM', 'SIGINT'] as const) {
+        instance.process.signal(signal);
+      }
       exitCodes.push(await instance.process.waitForExit());
       fleet.restart(instance);
       await fleet.waitUntilReady();
