fix(lifecycle): a stopping instance accepts only what it can finish

Cause: callers saw streams cut that a stopping instance had accepted seconds after SIGTERM. It accepted requests for 0.45 of its grace period and ended at 0.9 of it, whatever time the route of a request allowed. A signal during the start could stop parts that started afterwards. Change: from the signal on, a request that no replica has got is refused with 503 and a short Retry-After unless the time that its route and its caller allow ends before the process may; this is checked after its body and again before its first attempt. Idle connections are closed once the load balancer has redirected callers (2.5 s), so that few callers meet a refusal. Requests still in flight at 0.9 of the grace period get the response that their state allows: 503 if none of them ran, 502, or a broken stream; before, their connections were closed without one. A stop waits for a start that is under way. The steps are a class of their own, which runs once.

--- a/packages/core/src/errors/errorKinds.ts
+++ b/packages/core/src/errors/errorKinds.ts
@@ -84,6 +84,12 @@
     retryAfterSeconds: 2,
     text: 'The instance has no configuration yet.',
   },
+  'instance-stopping': {
+    status: 503,
+    ran: 'no',
+    retryAfterSeconds: 1,
+    text: 'The instance is stopping and may not finish the call.',
+  },
   internal: { status: 500, ran: 'maybe', retryAfterSeconds: null, text: 'An unexpected fault.' },
   'key-missing': { status: 401, ran: 'no', retryAfterSeconds: null, text: 'A key is required.' },
   'key-rejected': {
--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -1,4 +1,4 @@
-import type { Logger, TimerService } from '@zincring/core';
+import type { Logger, TimerService, TimerSubscription } from '@zincring/core';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 
@@ -56,6 +56,7 @@
   private readonly server: Server;
   private readonly queuedResponses = new QueuedResponses();
   private isClosing = false;
+  private idleConnectionTimer: TimerSubscription | undefined;
   private inFlightCount = 0;
   private maximumHeaderBytes = MAXIMUM_PARSED_HEADER_BYTES;
 
@@ -101,25 +102,31 @@
     this.isClosing = true;
   }
 
+  /** Closes all connections without a request, and each further one once it has none. */
+  public closeIdleConnections(): void {
+    this.server.closeIdleConnections();
+    this.idleConnectionTimer ??= this.dependencies.timers.every(
+      CLOSE_IDLE_INTERVAL_MILLISECONDS,
+      () => {
+        this.server.closeIdleConnections();
+      },
+    );
+  }
+
   /** Stops listening and waits until all responses are complete or the timeout has passed. */
   public async close(timeoutMilliseconds: number): Promise<void> {
     this.announceClose();
+    this.closeIdleConnections();
     const closed = new Promise<void>(resolve => {
       this.server.close(() => {
         resolve();
       });
     });
-    const idleConnectionTimer = this.dependencies.timers.every(
-      CLOSE_IDLE_INTERVAL_MILLISECONDS,
-      () => {
-        this.server.closeIdleConnections();
-      },
-    );
     const timeout = new Promise<void>(resolve => {
       this.dependencies.timers.after(timeoutMilliseconds, resolve);
     });
     await Promise.race([closed, timeout]);
-    idleConnectionTimer.stop();
+    this.idleConnectionTimer?.stop();
   }
 
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/gateway/src/callers/requestLifetime.ts
+++ b/packages/gateway/src/callers/requestLifetime.ts
@@ -28,6 +28,7 @@
   private readonly controller = new AbortController();
   private readonly deadlineTimer: TimerSubscription;
   private hasCallerDisconnected = false;
+  private isStopInterruption = false;
   private recordedAdmissionMilliseconds = 0;
 
   public constructor(timers: TimerService, request: TimedRequest, route: GatewayRoute) {
@@ -62,6 +63,17 @@
     this.recordedAdmissionMilliseconds = Math.round(now - this.receivedAt);
   }
 
+  /** Whether the request was ended because the instance stops. */
+  public get isInterrupted(): boolean {
+    return this.isStopInterruption;
+  }
+
+  /** Aborts the request since the instance stops. */
+  public interrupt(): void {
+    this.isStopInterruption = !this.controller.signal.aborted;
+    this.controller.abort();
+  }
+
   public isCallerWaiting(): boolean {
     return !this.hasCallerDisconnected;
   }
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import type { BudgetReservation, TurnBudgets } from '../programs/turnBudgets.js';
 import type { TurnDraft, TurnStore } from '../programs/turnStore.js';
+import type { PlannedStop } from '../lifecycle/plannedStop.js';
 import type { ZoneOutageDetector } from '../lifecycle/zoneOutageDetector.js';
 import type { WorkspaceRates } from '../limits/workspaceRates.js';
 import type { ProgramAdmission, ProgramTurn } from '../upstreams/load/programAdmission.js';
@@ -16,13 +17,15 @@
 import type { Admission } from './admitByConfiguration.js';
 import type { ResponseSink } from './responseSink.js';
 import type { RequestFacts } from './requestFacts.js';
+import type { RequestLifetime } from './requestLifetime.js';
 
 import { AttemptLoop } from '../upstreams/attemptLoop.js';
 import { computeEngineUrgency } from '../upstreams/load/engineUrgency.js';
 import { findProgramStage } from '../programs/programStage.js';
 import { TurnRecorder } from '../programs/turnRecorder.js';
 import { admitByConfiguration, findPriority } from './admitByConfiguration.js';
-import { RequestLifetime } from './requestLifetime.js';
+import { RequestLifetimes } from './requestLifetimes.js';
+import { chooseAbortError, findStopRefusal } from './stopRefusals.js';
 
 /** A request whose headers have been received. */
 export interface IncomingRequest {
@@ -48,6 +51,7 @@
   readonly metrics: GatewayMetrics;
   readonly budgets: TurnBudgets;
   readonly memory: HeldMemory;
+  readonly plannedStop: Pick<PlannedStop, 'allows'>;
   readonly programAdmission: ProgramAdmission;
   readonly turnStore: TurnStore;
   readonly zoneOutageDetector: ZoneOutageDetector;
@@ -75,9 +79,11 @@
 export class RequestPipeline {
   private readonly timers: TimerService;
   private readonly logger: Logger;
+  private readonly lifetimes: RequestLifetimes;
 
   public constructor(private readonly dependencies: RequestPipelineDependencies) {
     this.timers = dependencies.timers;
+    this.lifetimes = new RequestLifetimes(dependencies.timers);
     this.logger = dependencies.logger;
   }
 
@@ -99,15 +105,22 @@
       this.refuse(incoming, sink, body.val);
       return;
     }
-    const lifetime = new RequestLifetime(this.timers, incoming, admission.val.route);
+    const lifetime = this.lifetimes.begin(incoming, admission.val.route);
     try {
-      const outcome = await this.serve(incoming, admission.val, body.val, sink, lifetime);
+      const outcome =
+        findStopRefusal(this.dependencies.plannedStop, lifetime) ??
+        (await this.serve(incoming, admission.val, body.val, sink, lifetime));
       this.finish(incoming, sink, lifetime, outcome);
     } finally {
-      lifetime.stop();
+      this.lifetimes.end(lifetime);
     }
   }
 
+  /** Ends all requests in flight, each with the response that its state allows. */
+  public interruptAll(): void {
+    this.lifetimes.interruptAll();
+  }
+
   private async admit(incoming: IncomingRequest): Promise<Result<Admission, ZincringError>> {
     const { configuration } = this.dependencies;
     const isFresh = configuration.isFresh() || (await this.refreshConfiguration());
@@ -254,7 +267,7 @@
       request.route.storesTurns ? request.body.length : 0,
     );
     try {
-      return await loop.run();
+      return findStopRefusal(this.dependencies.plannedStop, lifetime) ?? (await loop.run());
     } finally {
       releaseMemory();
       recorder.settle();
@@ -329,12 +342,11 @@
       return;
     }
     if (sink.isStarted) {
-      this.recordEnd(incoming, 'cut', { reason: 'deadline' });
+      this.recordEnd(incoming, 'cut', { reason: lifetime.isInterrupted ? 'stop' : 'deadline' });
       sink.abort();
       return;
     }
-    const kind = mayHaveRun ? 'deadline-exceeded' : 'deadline-exceeded-in-queue';
-    this.refuse(incoming, sink, new ZincringError(kind));
+    this.refuse(incoming, sink, chooseAbortError(lifetime, mayHaveRun));
   }
 
   private refuse(incoming: IncomingRequest, sink: ResponseSink, error: ZincringError): void {
@@ -359,7 +371,8 @@
 
   private computeRetryAfterSeconds({ kind, retryAfterSeconds }: ZincringError): number | undefined {
     const defaultSeconds = retryAfterSeconds ?? undefined;
-    const isOutage = kind === 'instance-not-ready' || kind === 'store-unavailable';
+    const isOutage =
+      kind === 'instance-not-ready' || kind === 'instance-stopping' || kind === 'store-unavailable';
     return isOutage
       ? this.dependencies.zoneOutageDetector.retryAfterSeconds(defaultSeconds)
       : defaultSeconds;
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -1,7 +1,6 @@
 import type { Logger, TimerService, TimerSubscription } from '@zincring/core';
 import type { PartitionedTable } from '@zincring/platform';
 
-import { sleep } from '@zincring/core';
 import { WorkspaceShares } from '@zincring/scheduling';
 
 import type { HeaderCodec } from '../callers/requestFacts.js';
@@ -47,6 +46,8 @@
 import { VersionHistory } from '../upstreams/versionHistory.js';
 import { VersionRecord } from '../upstreams/versionRecord.js';
 import { deriveGatewayTimes, deriveHeldMemoryOptions } from './gatewayOptions.js';
+import { GatewayStopSteps } from './gatewayStopSteps.js';
+import { PlannedStop } from './plannedStop.js';
 import { ReadinessServer } from './readinessServer.js';
 import { ZoneOutageDetector } from './zoneOutageDetector.js';
 
@@ -82,8 +83,6 @@
 const REPLICA_SWEEP_INTERVAL_MILLISECONDS = 1_000;
 /** Time without an answer of the store after which callers should use another instance, in milliseconds: longer than one wait for changes. */
 const MAXIMUM_STORE_SILENCE_MILLISECONDS = 1_600;
-/** Timeout for the release of reserved tokens during shutdown, in milliseconds: fits the remainder of the grace period. */
-const BUDGET_RELEASE_TIMEOUT_MILLISECONDS = 400;
 /** Maximum number of connections from one instance to one replica. */
 const MAXIMUM_CONNECTIONS_PER_REPLICA = 16;
 
@@ -123,7 +122,10 @@
   private readonly holder: string;
   private readonly rowSweeper: RowSweeper;
   private replicaSweepTimer: TimerSubscription | undefined;
-  private isStopping = false;
+  private readonly pipeline: RequestPipeline;
+  private readonly plannedStop: PlannedStop;
+  /** Resolves when the start has ended, successfully or not. */
+  private completedStart: Promise<void> = Promise.resolve();
 
   public constructor(
     private readonly options: GatewayOptions,
@@ -140,6 +142,7 @@
     this.table = this.instrumentStore(dependencies.table, timers);
     const { table } = this;
     this.times = deriveGatewayTimes(options);
+    this.plannedStop = new PlannedStop(timers, this.times);
     this.memory = new HeldMemory(deriveHeldMemoryOptions(options));
     this.configuration = this.makeConfiguration();
     this.replicas = this.makeReplicas();
@@ -165,12 +168,13 @@
       sweptPeers,
       sweptStreams,
     ]);
+    this.pipeline = this.makePipeline();
     this.server = new GatewayServer({
       hasStoreContact: () => this.hasStoreContact,
       logger,
       memory: this.memory,
       metrics: this.metrics,
-      pipeline: this.makePipeline(),
+      pipeline: this.pipeline,
       zoneOutageDetector: this.zoneOutageDetector,
       timers,
       headerCodec: dependencies.headerCodec,
@@ -183,7 +187,7 @@
 
   /** Whether the load balancer should send callers to this instance. */
   public get isReady(): boolean {
-    return !this.isStopping && this.hasStoreContact;
+    return !this.plannedStop.isBegun && this.hasStoreContact;
   }
 
   /**
@@ -225,6 +229,39 @@
         this.reportInFlight();
       },
     );
+    const start = this.listen();
+    // The caller of this function gets the failure.
+    this.completedStart = start.catch(() => undefined);
+    await start;
+  }
+
+  /** Reports itself unready, completes the requests in flight within the grace period, and stops. */
+  public async stop(): Promise<void> {
+    const { logger, peers, pipeline, server, tokenAccounts } = this;
+    const { timers } = this.dependencies;
+    await this.plannedStop.run(
+      new GatewayStopSteps({
+        close: () => {
+          this.close();
+        },
+        finishStart: async () => {
+          await this.completedStart;
+        },
+        logger,
+        peers,
+        pipeline,
+        server,
+        stopReplicas: () => {
+          this.replicaSweepTimer?.stop();
+          this.replicaNetwork.stop();
+        },
+        timers,
+        tokenAccounts,
+      }),
+    );
+  }
+
+  private async listen(): Promise<void> {
     await this.server.listen(this.options.callers);
     await this.readiness.listen(this.options.readiness);
     await this.metricsServer.listen(this.options.metrics);
@@ -232,26 +269,7 @@
     this.logger.info({ event: 'started', ...this.ports }, 'listening for callers');
   }
 
-  /** Reports itself unready, completes the requests in flight within the grace period, and stops. */
-  public async stop(): Promise<void> {
-    if (this.isStopping) {
-      return;
-    }
-    this.isStopping = true;
-    const stopEndsAt = this.dependencies.timers.now() + this.times.stopMilliseconds;
-    this.logger.info({ event: 'stopping', underWay: this.server.requestsInFlight }, 'stopping');
-    this.server.announceClose();
-    void this.peers.leave();
-    this.tokenAccounts.stopReservingAhead();
-    await sleep(this.dependencies.timers, this.times.acceptingMilliseconds);
-    await this.server.close(this.times.stopMilliseconds - this.times.acceptingMilliseconds);
-    await this.peers.finishRelays(stopEndsAt - this.dependencies.timers.now());
-    this.replicaSweepTimer?.stop();
-    this.replicaNetwork.stop();
-    await Promise.race([
-      this.tokenAccounts.releaseAll(),
-      sleep(this.dependencies.timers, BUDGET_RELEASE_TIMEOUT_MILLISECONDS),
-    ]);
+  private close(): void {
     this.configuration.stop();
     this.replicas.stop();
     this.crashes.stop();
@@ -261,7 +279,6 @@
     this.peers.close();
     this.readiness.close();
     this.metricsServer.close();
-    this.logger.info({ event: 'stopped', underWay: this.server.requestsInFlight }, 'stopped');
   }
 
   private reportInFlight(): void {
@@ -355,7 +372,7 @@
       findWarmUp: service => this.configuration.current?.findService(service)?.warmUp,
       getMaximumConnections: entry => this.getMaximumConnections(entry),
       headerCodec,
-      isStopping: () => this.isStopping,
+      isStopping: () => this.plannedStop.isBegun,
       logger: this.logger,
       metrics: this.metrics,
       owners: this.peers.owners,
@@ -391,7 +408,7 @@
         this.replicas
           .findReplicas(service)
           .filter(({ availabilityZone: zone }) => !evacuatedZones.isEvacuated(zone)),
-      isStopping: () => this.isStopping,
+      isStopping: () => this.plannedStop.isBegun,
       logger,
       metrics,
       random,
@@ -424,6 +441,7 @@
       logger,
       memory: this.memory,
       metrics: this.metrics,
+      plannedStop: this.plannedStop,
       announcements: replicaNetwork.announcements,
       permits: replicaNetwork.permits,
       pool: replicaNetwork.pool,
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -50,9 +50,11 @@
   readonly configurationPollTimeoutMilliseconds: number;
   /** Interval between reads of the list of replicas. */
   readonly replicaPollIntervalMilliseconds: number;
+  /** Time after a request to stop at which the load balancer sends no more new connections. */
+  readonly noticeMilliseconds: number;
   /** Time during which new connections are still accepted after a request to stop. */
   readonly acceptingMilliseconds: number;
-  /** Time after a request to stop at which the process ends even if requests are in flight. */
+  /** Time after a request to stop at which requests that are still in flight are interrupted. */
   readonly stopMilliseconds: number;
 }
 
@@ -66,9 +68,11 @@
 const POLLS_WHILE_FRESH = 3;
 /** Number of reads of the list of replicas within the time that a draining one may receive new requests. */
 const POLLS_WHILE_REPLICA_DRAINS = 4;
-/** Fraction of the grace period in which new connections are accepted: the load balancer needs two seconds to redirect callers. */
+/** Time that the load balancer needs to redirect callers, in milliseconds: two checks, one a second, and their responses. */
+const BALANCER_NOTICE_MILLISECONDS = 2_500;
+/** Fraction of the grace period in which new connections are accepted: longer than the load balancer needs, since it may find few other instances. */
 const ACCEPTING_SHARE = 0.45;
-/** Fraction of the grace period after which the process ends. */
+/** Fraction of the grace period in which requests may be in flight; the remainder is for what the instance holds in the store. */
 const STOP_SHARE = 0.9;
 
 /** Share of the memory of an instance that may hold requests and responses; code and caches take the remainder. */
@@ -93,10 +97,12 @@
 export function deriveGatewayTimes(options: GatewayOptions): GatewayTimes {
   const freshMilliseconds =
     Math.min(options.revocationMilliseconds, options.evacuationMilliseconds) * FRESH_SHARE;
+  const acceptingMilliseconds = options.graceMilliseconds * ACCEPTING_SHARE;
   return {
     configurationPollTimeoutMilliseconds: freshMilliseconds / POLLS_WHILE_FRESH,
-    acceptingMilliseconds: options.graceMilliseconds * ACCEPTING_SHARE,
+    acceptingMilliseconds,
     freshMilliseconds,
+    noticeMilliseconds: Math.min(BALANCER_NOTICE_MILLISECONDS, acceptingMilliseconds),
     replicaPollIntervalMilliseconds: options.drainMilliseconds / POLLS_WHILE_REPLICA_DRAINS,
     stopMilliseconds: options.graceMilliseconds * STOP_SHARE,
   };
--- /dev/null
+++ b/packages/gateway/tests/lifecycle/stoppingGateway.test.ts
@@ -0,0 +1,118 @@
+import { request as startRequest } from 'node:http';
+import { describe, expect, it } from 'vitest';
+
+import type { Behaviour } from '../support/fakeReplica.js';
+
+import { neverResponds, responds, streamsEvents } from '../support/fakeReplica.js';
+import {
+  countRuns,
+  safeRoute,
+  startGateway,
+  streamRoute,
+  unsafeRoute,
+  waitUntil,
+} from '../support/gatewayFixture.js';
+
+/** Time of a caller that ends before the grace period of the fixture. */
+const SHORT_TIME = { remaining: '500' };
+/** Time of a caller that ends after it. */
+const LONG_TIME = { remaining: '3000' };
+
+const refusal = {
+  body: expect.stringContaining('instance-stopping') as string,
+  isComplete: true,
+  status: 503,
+};
+
+describe('a gateway that stops', () => {
+  it.each([
+    ['an unsafe request', unsafeRoute],
+    ['a safe request', safeRoute],
+    ['a stream', streamRoute],
+  ])(
+    'refuses %s that may last longer than the gateway and does not send it',
+    async (_name, route) => {
+      const fixture = await startGateway(route, [[responds('done')]]);
+      const stopped = fixture.gateway.stop();
+      const response = await fixture.send({ headers: { ...LONG_TIME, connection: 'keep-alive' } });
+      expect(response).toMatchObject(refusal);
+      expect(response.headers).toMatchObject({ connection: 'close', 'retry-after': '0.03' });
+      expect(countRuns(fixture)).toBe(0);
+      await stopped;
+    },
+  );
+
+  it('serves a request whose time ends before the gateway', async () => {
+    const fixture = await startGateway(unsafeRoute, [[responds('done')]]);
+    const stopped = fixture.gateway.stop();
+    const response = await fixture.send({ headers: { ...SHORT_TIME, connection: 'keep-alive' } });
+    expect(response).toMatchObject({ body: 'done', status: 200 });
+    expect(response.headers.connection).toBe('close');
+    await stopped;
+  });
+
+  it('refuses a request whose body arrives after the stop began', async () => {
+    const fixture = await startGateway(unsafeRoute, [[responds('done')]]);
+    const outgoing = startRequest({
+      headers: {
+        ...LONG_TIME,
+        'content-length': 5,
+        host: 'agents.example',
+        key: 'key-of-clerks',
+        'request-id': 'request-1',
+      },
+      host: '127.0.0.1',
+      method: 'POST',
+      path: '/summaries/7',
+      port: fixture.gateway.ports.callers,
+    });
+    const status = new Promise(resolve => {
+      outgoing.on('response', response => {
+        response.resume();
+        resolve(response.statusCode);
+      });
+    });
+    outgoing.write('inp');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const stopped = fixture.gateway.stop();
+    outgoing.end('ut');
+    expect(await status).toBe(503);
+    expect(countRuns(fixture)).toBe(0);
+    await stopped;
+  });
+
+  it('answers a request that is still in flight at its end', async () => {
+    const fixture = await startGateway(unsafeRoute, [[neverResponds]]);
+    const response = fixture.send({ headers: LONG_TIME });
+    await waitUntil(() => countRuns(fixture) === 1);
+    await fixture.gateway.stop();
+    expect(await response).toMatchObject({ isComplete: true, status: 502 });
+  });
+
+  it('breaks off a stream that is still in flight at its end', async () => {
+    const fixture = await startGateway(streamRoute, [[streamsEvents([1, 2], 'stall')]]);
+    const response = fixture.send({ headers: LONG_TIME });
+    await waitUntil(() => countRuns(fixture) === 1);
+    await fixture.gateway.stop();
+    expect(await response).toMatchObject({ isComplete: false, status: 200 });
+  });
+
+  it('completes a stop that is requested again', async () => {
+    const delayed: Behaviour = (socket, request) => {
+      setTimeout(() => {
+        responds('late')(socket, request);
+      }, 300);
+    };
+    const fixture = await startGateway(unsafeRoute, [[delayed]]);
+    const response = fixture.send({ headers: SHORT_TIME });
+    await waitUntil(() => countRuns(fixture) === 1);
+    let isAnswered = false;
+    void response.then(() => {
+      isAnswered = true;
+    });
+    void fixture.gateway.stop();
+    await fixture.gateway.stop();
+    expect(isAnswered).toBe(true);
+    expect(await response).toMatchObject({ body: 'late', status: 200 });
+  });
+});
