fix(callers): a connection closes after its last accepted request

Cause: a caller that sends requests behind each other on one connection lost the later ones when the instance stopped or had lost the store: the answer to the first one closed the connection although the others were with replicas already, and requests that came after such an answer had begun were still sent to replicas. Change: only the last response of a connection announces that it closes, and what arrives after that is not handled.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -1,5 +1,6 @@
 import type { Logger, TimerService, TimerSubscription } from '@zincring/core';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 import { createServer } from 'node:http';
@@ -55,6 +56,8 @@
 export class GatewayServer {
   private readonly server: Server;
   private readonly queuedResponses = new QueuedResponses();
+  /** Connections whose last response has been announced. */
+  private readonly closingConnections = new WeakSet<Socket>();
   private isClosing = false;
   private idleConnectionTimer: TimerSubscription | undefined;
   private inFlightCount = 0;
@@ -130,10 +133,13 @@
   }
 
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
-    const callerResponse = new CallerResponse(
-      response,
-      this.holdResponse(response),
-      () => this.isClosing || !this.dependencies.hasStoreContact(),
+    if (this.closingConnections.has(request.socket)) {
+      // Its response could not be sent any more.
+      request.resume();
+      return;
+    }
+    const callerResponse = new CallerResponse(response, this.holdResponse(response), () =>
+      this.shouldClose(response, request.socket),
     );
     request.on('error', () => undefined);
     response.on('error', () => undefined);
@@ -160,6 +166,16 @@
     });
   }
 
+  /** Whether a connection ends with a response; those of requests that were sent behind it come first. */
+  private shouldClose(response: ServerResponse, connection: Socket): boolean {
+    const isClosing = this.isClosing || !this.dependencies.hasStoreContact();
+    if (!isClosing || !this.queuedResponses.isLast(response, connection)) {
+      return false;
+    }
+    this.closingConnections.add(connection);
+    return true;
+  }
+
   private holdResponse(response: ServerResponse): HeldResponse {
     const { logger, memory, metrics, timers } = this.dependencies;
     return new HeldResponse(response, {
--- a/packages/gateway/src/callers/queuedResponses.ts
+++ b/packages/gateway/src/callers/queuedResponses.ts
@@ -21,6 +21,14 @@
     response.once('socket', () => queue.delete(response));
   }
 
+  /** Whether a response is the last one of its connection so far. */
+  public isLast(response: ServerResponse, connection: Socket): boolean {
+    const queue = this.responses.get(connection);
+    return (
+      queue === undefined || [...queue].at(-1) === (queue.has(response) ? response : undefined)
+    );
+  }
+
   private watch(connection: Socket): Set<ServerResponse> {
     const queue = new Set<ServerResponse>();
     this.responses.set(connection, queue);
--- a/packages/gateway/tests/lifecycle/stoppingGateway.test.ts
+++ b/packages/gateway/tests/lifecycle/stoppingGateway.test.ts
@@ -1,4 +1,5 @@
 import { request as startRequest } from 'node:http';
+import { connect } from 'node:net';
 import { describe, expect, it } from 'vitest';
 
 import type { Behaviour } from '../support/fakeReplica.js';
@@ -115,4 +116,50 @@
     expect(isAnswered).toBe(true);
     expect(await response).toMatchObject({ body: 'late', status: 200 });
   });
+
+  it('answers each request that a connection sent before its last response', async () => {
+    const delayed: Behaviour = (socket, request) => {
+      setTimeout(() => {
+        responds(`to ${request.path}`)(socket, request);
+      }, 200);
+    };
+    const fixture = await startGateway(safeRoute, [[delayed], [delayed]]);
+    const connection = connect(fixture.gateway.ports.callers, '127.0.0.1');
+    let received = '';
+    connection.setEncoding('utf8').on('data', (text: string) => (received += text));
+    const closed = new Promise(resolve => connection.once('close', resolve));
+    connection.write(formatRequest('/summaries/1') + formatRequest('/summaries/2'));
+    await waitUntil(() => countRuns(fixture) === 2);
+    const stopped = fixture.gateway.stop();
+    await closed;
+    expect(received.match(/to \/summaries\/\d/g)).toEqual(['to /summaries/1', 'to /summaries/2']);
+    expect(received.match(/Connection: close/g)).toHaveLength(1);
+    await stopped;
+  });
+
+  it('sends no request to a replica that its connection sent after its last response began', async () => {
+    const fixture = await startGateway(streamRoute, [[streamsEvents([1], 'stall')]]);
+    const stopped = fixture.gateway.stop();
+    const connection = connect(fixture.gateway.ports.callers, '127.0.0.1');
+    let received = '';
+    connection.setEncoding('utf8').on('data', (text: string) => (received += text));
+    connection.write(formatRequest('/summaries/1'));
+    await waitUntil(() => received.includes('Connection: close'));
+    connection.write(formatRequest('/summaries/2'));
+    await stopped;
+    expect(countRuns(fixture)).toBe(1);
+    connection.destroy();
+  });
 });
+
+function formatRequest(path: string): string {
+  return [
+    `GET ${path} HTTP/1.1`,
+    'host: agents.example',
+    'key: key-of-clerks',
+    `request-id: of-${path}`,
+    'remaining: 500',
+    '',
+    '',
+  ].join('\r\n');
+}
