fix(peers): registrations are written under conditions

Cause: two instances granted the full rate of a cold engine. The removal that a stopping process had sent was performed after the next process had registered under the same name; that one ignored its own row in the feed and counted itself as registered until its next renewal. Registrations and renewals had no condition either: one that was performed late brought back an instance that had left. Change: a registration names the run that wrote it, and each write holds only at the version of the row that the run knew. A run ends its registration by a row that has expired, so that its first write fails when it is performed late. Ruled out: other unconditional writes; only crashes have none, with a new key each and the time in the value.

--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -20,7 +20,7 @@
 import { DelegatedCreditSource } from '../limits/delegatedCreditSource.js';
 import { StoreCreditSource } from '../limits/storeCreditSource.js';
 import { WorkspaceRates } from '../limits/workspaceRates.js';
-import { sweptPeers } from '../peers/peerDirectory.js';
+import { sweptPeers } from '../peers/registrationRow.js';
 import { PeerNetwork } from '../peers/peerNetwork.js';
 import { TurnStore } from '../programs/turnStore.js';
 import { sweptTurns } from '../programs/storedTurnRows.js';
@@ -354,6 +354,7 @@
         exchange: async (entry, request) =>
           await this.replicaNetwork.relayTarget.exchange(entry, request),
       },
+      run: this.holder,
       self,
       table: table.essential,
       timers,
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -1,20 +1,13 @@
-import type {
-  AvailabilityZone,
-  InstanceId,
-  Logger,
-  TimerService,
-  TimerSubscription,
-} from '@zincring/core';
-import type { PartitionedTable, RowAddress, RowChange } from '@zincring/platform';
+import type { AvailabilityZone, InstanceId, Logger, TimerService } from '@zincring/core';
+import type { PartitionedTable, RowChange } from '@zincring/platform';
 
-import type { ClockReading } from '../configuration/contactAge.js';
-import type { SweptTable } from '../store/rowSweeper.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { Owner, OwnerDirectory } from './ownerSelector.js';
+import type { PeerRegistration } from './registrationRow.js';
 
-import { elapsedSince, readClocks } from '../configuration/contactAge.js';
 import { TableFollower } from '../store/tableFollower.js';
-import { isNumber, toFields } from '../util/jsonFields.js';
+import { OwnRegistration } from './ownRegistration.js';
+import { parseRegistration, PEER_PARTITION, PEER_TABLE } from './registrationRow.js';
 
 /** Dependencies of a {@link PeerDirectory}. */
 export interface PeerDirectoryDependencies {
@@ -25,47 +18,18 @@
   readonly logger: Logger;
   /** Returns a number from 0 to 1. */
   readonly random: () => number;
+  /** Identifies this run of the instance; unique among all runs of all instances. */
+  readonly run: string;
   /** Returns the client of the instance at an address. */
   connect(address: string): GatewayPeer;
   /** Closes the connections to all other addresses. */
   retain(addresses: ReadonlySet<string>): void;
 }
 
-/** Registration of an instance, as it is stored. */
-interface PeerRegistration {
-  /** Absent in rows of builds up to 09ca40e. */
-  readonly availabilityZone?: AvailabilityZone | undefined;
-  /** IP address and port for other instances. */
-  readonly address: string;
-  /** Time from which the instance counts as gone, on the wall clock, in milliseconds. */
-  readonly expiresAt: number;
-}
-
 interface RegisteredPeer extends PeerRegistration {
   readonly owner: Owner;
 }
 
-/** Table of the registered instances. */
-export const PEER_TABLE = 'instances';
-/** Partition of the registrations: all instances may register at once and must not delay other rows. */
-const PEER_PARTITION = 'instances';
-/** Description of the registrations for the removal of expired rows. */
-export const sweptPeers: SweptTable = {
-  expiresAt: row => parseRegistration(row.value)?.expiresAt ?? 0,
-  keysOf: row => [row.key],
-  partitions: [PEER_PARTITION],
-  table: PEER_TABLE,
-};
-/** Highest port number. */
-const MAXIMUM_PORT = 65_535;
-/** Interval at which a registration is renewed, in milliseconds: a renewal is a write, and all instances read it. */
-const RENEWAL_INTERVAL_MILLISECONDS = 15_000;
-/** Time after which a registration that is not renewed expires, in milliseconds. */
-const REGISTRATION_MILLISECONDS = 60_000;
-/** Maximum delay of the first registration, in milliseconds, since all instances may start at once. */
-const MAXIMUM_START_DELAY_MILLISECONDS = 1_000;
-/** Mean interval at which a failed registration is tried again, in milliseconds. */
-const RETRY_INTERVAL_MILLISECONDS = 1_000;
 /** Maximum wait of a poll for changes, in milliseconds. */
 const POLL_WAIT_MILLISECONDS = 2_000;
 /** Pause after a poll that returned changes, in milliseconds: every instance reads every registration, so they are read in batches. */
@@ -87,14 +51,17 @@
   private registered: readonly RegisteredPeer[] = [];
   private readonly peers = new Map<string, RegisteredPeer>();
   private readonly follower: TableFollower;
-  private renewalTimer: TimerSubscription | undefined;
-  /** Time of the last renewal that the store answered, by when it was sent. */
-  private renewedAt: ClockReading | undefined;
-  private isStopped = false;
+  private readonly registration: OwnRegistration;
 
   public constructor(private readonly dependencies: PeerDirectoryDependencies) {
     const { logger, table, timers } = dependencies;
     this.changedAt = timers.now();
+    this.registration = new OwnRegistration({
+      ...dependencies,
+      onRegistered: () => {
+        this.changedAt = timers.now();
+      },
+    });
     this.follower = new TableFollower(
       table,
       timers,
@@ -113,8 +80,12 @@
           });
           this.updateOwners();
         },
-        onSnapshot: rows => {
+        onSnapshot: (rows, version) => {
           this.peers.clear();
+          this.registration.observe(
+            rows.find(({ key }) => key === dependencies.instance),
+            version,
+          );
           rows.forEach(row => {
             this.applyRegistration(row.key, row.value);
           });
@@ -126,11 +97,7 @@
 
   /** Whether the registration of this instance has been stored and has not expired. */
   public get isRegistered(): boolean {
-    return (
-      !this.isStopped &&
-      this.renewedAt !== undefined &&
-      elapsedSince(this.dependencies.timers, this.renewedAt) < REGISTRATION_MILLISECONDS
-    );
+    return this.registration.isValid;
   }
 
   /** Time since the list was last known to be current, in milliseconds. */
@@ -150,66 +117,24 @@
   /** Registers this instance at its address and starts to follow the others. */
   public start(address: string): void {
     this.follower.start();
-    const startDelay = this.dependencies.random() * MAXIMUM_START_DELAY_MILLISECONDS;
-    this.scheduleRenewal(address, startDelay);
+    this.registration.start(address);
   }
 
   /** Withdraws the registration and stops following the others. */
   public async stop(): Promise<void> {
-    this.isStopped = true;
-    this.renewalTimer?.stop();
     this.follower.stop();
-    const outcome = await this.dependencies.table.transact({
-      checks: [],
-      removals: [this.address],
-      writes: [],
-    });
-    if (outcome.err) {
-      this.logFailure(outcome.val.message);
-    }
+    await this.registration.stop();
   }
 
-  private get address(): RowAddress {
-    return { key: this.dependencies.instance, partition: PEER_PARTITION, table: PEER_TABLE };
-  }
-
-  private scheduleRenewal(address: string, delayMilliseconds: number): void {
-    this.renewalTimer = this.dependencies.timers.after(delayMilliseconds, () => {
-      void this.renew(address);
-    });
-  }
-
-  private async renew(address: string): Promise<void> {
-    const sentAt = readClocks(this.dependencies.timers);
-    const registration: PeerRegistration = {
-      address,
-      availabilityZone: this.dependencies.availabilityZone,
-      expiresAt: this.dependencies.timers.wallClock() + REGISTRATION_MILLISECONDS,
-    };
-    const outcome = await this.dependencies.table.transact({
-      checks: [],
-      removals: [],
-      writes: [{ ...this.address, value: Buffer.from(JSON.stringify(registration)) }],
-    });
-    if (outcome.err) {
-      this.logFailure(outcome.val.message);
-    } else {
-      if (!this.isRegistered) {
-        this.changedAt = this.dependencies.timers.now();
+  private applyChange(change: RowChange): void {
+    if (change.row.key === this.dependencies.instance) {
+      if (change.kind === 'written') {
+        this.registration.observe(change.row, change.row.version);
+      } else {
+        this.registration.observe(undefined, change.version);
       }
-      this.renewedAt = sentAt;
-    }
-    if (!this.isStopped) {
-      this.scheduleRenewal(
-        address,
-        outcome.ok
-          ? RENEWAL_INTERVAL_MILLISECONDS
-          : RETRY_INTERVAL_MILLISECONDS * (0.5 + this.dependencies.random()),
-      );
+      return;
     }
-  }
-
-  private applyChange(change: RowChange): void {
     if (change.kind === 'written') {
       this.applyRegistration(change.row.key, change.row.value);
       return;
@@ -249,29 +174,4 @@
       'the registered instances changed',
     );
   }
-
-  private logFailure(failure: string): void {
-    this.dependencies.logger.warn(
-      { event: 'registration-failed', failure },
-      'could not change the registration of this instance',
-    );
-  }
-}
-
-/** Whether a value is a host and a port to which a connection can be opened. */
-function isAddress(value: unknown): value is string {
-  const port = Number(/^[\w.-]+:(\d{1,5})$/.exec(String(value))?.[1]);
-  return typeof value === 'string' && port >= 1 && port <= MAXIMUM_PORT;
-}
-
-function parseRegistration(value: Buffer): PeerRegistration | undefined {
-  try {
-    const { address, availabilityZone: zone, expiresAt } = toFields(JSON.parse(value.toString()));
-    const availabilityZone = typeof zone === 'string' ? (zone as AvailabilityZone) : undefined;
-    return isAddress(address) && isNumber(expiresAt)
-      ? { address, availabilityZone, expiresAt }
-      : undefined;
-  } catch {
-    return undefined;
-  }
 }
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -33,6 +33,8 @@
   /** Region of each availability zone. */
   readonly regions: ReadonlyMap<AvailabilityZone, Region>;
   readonly instance: InstanceId;
+  /** Identifies this run of the instance; unique among all runs of all instances. */
+  readonly run: string;
   readonly table: PartitionedTable;
   readonly timers: TimerService;
   readonly logger: Logger;
@@ -95,6 +97,7 @@
       retain: addresses => {
         this.clients.retain(addresses);
       },
+      run: dependencies.run,
       table,
       timers,
     });
--- a/packages/gateway/tests/compatibility/formats.test.ts
+++ b/packages/gateway/tests/compatibility/formats.test.ts
@@ -137,6 +137,7 @@
 
   it('name an instance that may own keys', async () => {
     const directory = new PeerDirectory({
+      run: 'entry-1/run-1',
       ...makeCommon(),
       availabilityZone: 'nelson' as AvailabilityZone,
       connect: address => makeOwner(address).peer,
--- a/packages/gateway/tests/compatibility/writeRecording.ts
+++ b/packages/gateway/tests/compatibility/writeRecording.ts
@@ -133,6 +133,7 @@
   await timers.advance(100);
   await writeStream(common, timers);
   new PeerDirectory({
+    run: 'entry-1/run-1',
     ...common,
     availabilityZone: 'nelson' as AvailabilityZone,
     connect: () => new PeerClients(silentLogger).at(''),
--- a/packages/gateway/tests/peers/peerDirectory.test.ts
+++ b/packages/gateway/tests/peers/peerDirectory.test.ts
@@ -4,7 +4,8 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 
 import { MAXIMUM_LIST_AGE_MILLISECONDS } from '../../src/peers/ownerSelector.js';
-import { PEER_TABLE, PeerDirectory, sweptPeers } from '../../src/peers/peerDirectory.js';
+import { PeerDirectory } from '../../src/peers/peerDirectory.js';
+import { PEER_TABLE, sweptPeers } from '../../src/peers/registrationRow.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { RowSweeper } from '../../src/store/rowSweeper.js';
 import { makeOwner } from '../support/fakePeer.js';
@@ -25,7 +26,7 @@
     retained = [];
   });
 
-  function makeDirectory(name: string): PeerDirectory {
+  function makeDirectory(name: string, run = `${name}/run-1`): PeerDirectory {
     return new PeerDirectory({
       availabilityZone: 'nelson' as AvailabilityZone,
       connect: address => {
@@ -38,6 +39,7 @@
       retain: addresses => {
         retained = [...addresses];
       },
+      run,
       table: new MonitoredTable(store.client(), timers),
       timers,
     });
