fix(permits): an owner settles again after its registration was lost

Cause: an owner whose registration was lost for a time in which nobody asked it for permits went on with the full rate once it was registered again, while another one that had replaced it might still grant the full rate. Change: the time for which an owner certainly ranks first begins with its registration at the earliest.

--- a/packages/gateway/src/peers/ownerSelector.ts
+++ b/packages/gateway/src/peers/ownerSelector.ts
@@ -20,6 +20,8 @@
   readonly changedAt: number;
   /** Whether the others can know of this instance. */
   readonly isRegistered: boolean;
+  /** Time since which this has been so without interruption, on the monotonic clock, in milliseconds. */
+  readonly registeredAt: number;
   /** Time since the list was last known to be current, in milliseconds. */
   ageMilliseconds(): number;
 }
@@ -99,6 +101,11 @@
     return this.timers.now() - this.directory.changedAt;
   }
 
+  /** Time since this instance was registered, without interruption, in milliseconds. */
+  public registeredMilliseconds(): number {
+    return this.timers.now() - this.directory.registeredAt;
+  }
+
   /** Records that an instance could not be used, so that others own its keys for a time. */
   public recordFailure({ instance }: Owner, reason: OwnerFailure): void {
     const now = this.timers.now();
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -48,6 +48,7 @@
 export class PeerDirectory implements OwnerDirectory {
   public owners: readonly Owner[] = [];
   public changedAt: number;
+  public registeredAt: number;
   private registered: readonly RegisteredPeer[] = [];
   private readonly peers = new Map<string, RegisteredPeer>();
   private readonly follower: TableFollower;
@@ -56,10 +57,12 @@
   public constructor(private readonly dependencies: PeerDirectoryDependencies) {
     const { logger, table, timers } = dependencies;
     this.changedAt = timers.now();
+    this.registeredAt = this.changedAt;
     this.registration = new OwnRegistration({
       ...dependencies,
       onRegistered: () => {
         this.changedAt = timers.now();
+        this.registeredAt = this.changedAt;
       },
     });
     this.follower = new TableFollower(
--- a/packages/gateway/src/upstreams/permits/ownedPermits.ts
+++ b/packages/gateway/src/upstreams/permits/ownedPermits.ts
@@ -18,6 +18,8 @@
   isCurrent(): boolean;
   /** Time since the registered instances last changed, in milliseconds. */
   unchangedMilliseconds(): number;
+  /** Time since this instance was registered, without interruption, in milliseconds. */
+  registeredMilliseconds(): number;
 }
 
 /** Dependencies of {@link OwnedPermits}. */
@@ -113,7 +115,12 @@
       return PROVISIONAL_SHARE;
     }
     owned.rankedFirstSince ??= timers.now() - ranking.unchangedMilliseconds();
-    const isSettled = timers.now() - owned.rankedFirstSince >= SETTLING_MILLISECONDS;
+    // The registration may have been lost and stored again since the last permit.
+    const settledFor = Math.min(
+      timers.now() - owned.rankedFirstSince,
+      ranking.registeredMilliseconds(),
+    );
+    const isSettled = settledFor >= SETTLING_MILLISECONDS;
     return isSettled ? 1 : PROVISIONAL_SHARE;
   }
 
--- a/packages/gateway/tests/support/fakePeer.ts
+++ b/packages/gateway/tests/support/fakePeer.ts
@@ -34,7 +34,8 @@
   ageMilliseconds: () => number;
   changedAt: number;
   isRegistered: boolean;
+  registeredAt: number;
   owners: readonly Owner[];
 } {
-  return { ageMilliseconds: () => 0, changedAt: 0, isRegistered: true, owners };
+  return { ageMilliseconds: () => 0, changedAt: 0, isRegistered: true, owners, registeredAt: 0 };
 }
--- a/packages/gateway/tests/support/permitFleet.ts
+++ b/packages/gateway/tests/support/permitFleet.ts
@@ -49,6 +49,7 @@
   readonly directory: OwnerDirectory & {
     changedAt: number;
     isRegistered: boolean;
+    registeredAt: number;
     owners: readonly Owner[];
   };
   ownedPermits: OwnedPermits;
@@ -87,6 +88,9 @@
     const owners = new Map(registered.map(each => [each.name, this.makeOwner(each.name)]));
     for (const part of this.parts.filter(each => seenBy.includes(each))) {
       part.directory.changedAt = this.timers.now();
+      if (!part.directory.isRegistered) {
+        part.directory.registeredAt = this.timers.now();
+      }
       part.directory.isRegistered = true;
       part.directory.owners = [...owners]
         .filter(([name]) => name !== part.name)
@@ -138,6 +142,7 @@
       },
       changedAt: timers.now(),
       isRegistered: true,
+      registeredAt: timers.now(),
       owners: [],
     };
     const owners = new OwnerSelector(name as InstanceId, directory, timers, silentLogger);
