--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -8,7 +8,7 @@
 import type { GatewayPeer } from '../peers/gatewayPeer.js';
 import type { ReplicaEntry } from '../upstreams/replica.js';
 import type { ReplicaSource } from '../upstreams/replicaDirectory.js';
-import type { StoreCall } from '../store/monitoredTable.js';
+import type { MonitoredTable } from '../store/monitoredTable.js';
 import type { GatewayOptions, GatewayTimes } from './gatewayOptions.js';
 
 import { HeldMemory } from '../callers/memory/heldMemory.js';
@@ -16,39 +16,38 @@
 import { RequestPipeline } from '../callers/requestPipeline.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import { RowSweeper } from '../store/rowSweeper.js';
-import { MonitoredTable } from '../store/monitoredTable.js';
 import { DelegatedCreditSource } from '../limits/delegatedCreditSource.js';
 import { StoreCreditSource } from '../limits/storeCreditSource.js';
 import { WorkspaceRates } from '../limits/workspaceRates.js';
-import { sweptPeers } from '../peers/registrationRow.js';
 import { PeerNetwork } from '../peers/peerNetwork.js';
 import { TurnStore } from '../programs/turnStore.js';
-import { sweptTurns } from '../programs/storedTurnRows.js';
 import { DelegatedTokenAccounts } from '../programs/delegatedTokenAccounts.js';
 import { OwnedTokenAccounts } from '../programs/ownedTokenAccounts.js';
-import { StoreTokenAccounts, sweptBudgets } from '../programs/storeTokenAccounts.js';
+import { StoreTokenAccounts } from '../programs/storeTokenAccounts.js';
 import { TurnBudgets } from '../programs/turnBudgets.js';
 import {
   defaultRateLimitedLoggerOptions,
   RateLimitedLogger,
 } from '../observation/rateLimitedLogger.js';
 import { GatewayMetrics } from '../observation/gatewayMetrics.js';
+import { instrumentTable } from '../observation/instrumentTable.js';
 import { MetricsServer } from '../observation/metricsServer.js';
 import { StoreCallReporter } from '../observation/storeCallReporter.js';
-import { CrashRecord, sweptCrashes } from '../upstreams/crashRecord.js';
+import { CrashRecord } from '../upstreams/crashRecord.js';
 import { EngineLoads } from '../upstreams/load/engineLoads.js';
 import { ReplicaCosts } from '../upstreams/load/replicaCosts.js';
 import { ProgramAdmission } from '../upstreams/load/programAdmission.js';
 import { WorkspaceWeights } from '../upstreams/load/workspaceWeights.js';
 import { ReplicaDirectory } from '../upstreams/replicaDirectory.js';
 import { ReplicaNetwork } from '../upstreams/replicaNetwork.js';
-import { StreamOrigins, sweptStreams } from '../upstreams/streamOrigins.js';
+import { StreamOrigins } from '../upstreams/streamOrigins.js';
 import { VersionHistory } from '../upstreams/versionHistory.js';
 import { VersionRecord } from '../upstreams/versionRecord.js';
 import { deriveGatewayTimes, deriveHeldMemoryOptions } from './gatewayOptions.js';
 import { GatewayStopSteps } from './gatewayStopSteps.js';
 import { PlannedStop } from './plannedStop.js';
 import { ReadinessServer } from './readinessServer.js';
+import { sweptTables } from './sweptTables.js';
 import { ZoneOutageDetector } from './zoneOutageDetector.js';
 
 /** Dependencies of a {@link Gateway}. */
@@ -139,7 +138,12 @@
     );
     this.logger = logger;
     this.storeCallReporter = new StoreCallReporter(timers, logger);
-    this.table = this.instrumentStore(dependencies.table, timers);
+    this.table = instrumentTable(dependencies.table, {
+      metrics: this.metrics,
+      random: dependencies.random,
+      reporter: this.storeCallReporter,
+      timers,
+    });
     const { table } = this;
     this.times = deriveGatewayTimes(options);
     this.plannedStop = new PlannedStop(timers, this.times);
@@ -161,13 +165,10 @@
     this.peers = this.makePeers();
     this.replicaNetwork = this.makeReplicaNetwork();
     this.budgets = this.makeBudgets();
-    this.rowSweeper = new RowSweeper({ logger, random: dependencies.random, table, timers }, [
-      sweptTurns,
-      sweptBudgets,
-      sweptCrashes,
-      sweptPeers,
-      sweptStreams,
-    ]);
+    this.rowSweeper = new RowSweeper(
+      { logger, random: dependencies.random, table, timers },
+      sweptTables,
+    );
     this.pipeline = this.makePipeline();
     this.server = new GatewayServer({
       hasStoreContact: () => this.hasStoreContact,
@@ -289,18 +290,6 @@
     inFlight.set({ counter: 'replicas' }, this.replicaNetwork.pool.loads.countInFlight());
   }
 
-  private instrumentStore(table: PartitionedTable, timers: TimerService): MonitoredTable {
-    const onCall = (call: StoreCall): void => {
-      const { kind, milliseconds, outcome, table: name } = call;
-      this.storeCallReporter.record(call);
-      this.metrics.storeCalls.inc({ call: kind, outcome, table: name });
-      if (kind !== 'changes') {
-        this.metrics.storeSeconds.observe({ call: kind }, milliseconds / 1_000);
-      }
-    };
-    return new MonitoredTable(table, timers, onCall, this.dependencies.random);
-  }
-
   private makeConfiguration(): ConfigurationFollower {
     const { configurationSource, timers } = this.dependencies;
     const { configurationPollTimeoutMilliseconds, freshMilliseconds } = this.times;
