fix(callers): bytes that are no request are not refused in place of a running request

A caller with a request in progress that sends half the head of another one behind it got 408, the promise that nothing ran, as the response to the running request (REFUSED); malformed bytes got 400 in its place. The refusal of what cannot be read was written to the connection at once, so its place made it the response to whatever was unanswered there. Change: while a request that was received completely is unanswered, nothing is written for the bytes behind it; the connection is closed after its response. The refusal stays where nothing is unanswered.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -21,6 +21,7 @@
 import { QueuedResponses } from './queuedResponses.js';
 import { MAXIMUM_PARSED_HEADER_BYTES } from '../util/httpLimits.js';
 import { readRequestBody } from './readRequestBody.js';
+import { UnansweredRequests } from './unansweredRequests.js';
 
 /** Dependencies of a {@link GatewayServer}. */
 export interface GatewayServerDependencies {
@@ -57,6 +58,7 @@
   private readonly server: Server;
   private readonly queuedResponses = new QueuedResponses();
   /** Connections whose last response has been announced. */
+  private readonly unansweredRequests = new UnansweredRequests();
   private readonly closingConnections = new WeakSet<Socket>();
   private isClosing = false;
   private idleConnectionTimer: TimerSubscription | undefined;
@@ -144,6 +146,7 @@
     request.on('error', () => undefined);
     response.on('error', () => undefined);
     this.queuedResponses.add(response, request.socket);
+    this.unansweredRequests.add(request, response);
     this.inFlightCount++;
     response.once('close', () => {
       this.inFlightCount--;
@@ -222,6 +225,10 @@
       socket.destroy();
       return;
     }
+    if (this.unansweredRequests.hasComplete(socket)) {
+      this.unansweredRequests.closeAfterResponses(socket);
+      return;
+    }
     const status = chooseStatusLine(code);
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
