fix(scheduling): crashes told by an instance whose clock is ahead count one by one

Where the clock of the instance that reads crashes is behind that of the one that wrote them, all of them were taken to happen now, so by their times of running they overlapped and counted once: a poison request would have gone on. Cause: ages below zero were cut to zero before the crashes were compared. Change: the time between crashes is kept as told; an age beyond the duration of a refusal, either way, counts nothing.

--- a/packages/scheduling/src/retries/quarantine.ts
+++ b/packages/scheduling/src/retries/quarantine.ts
@@ -80,10 +80,11 @@
     { ageMilliseconds, body, death: crashId, ranMilliseconds = 0, upstream }: UpstreamCrash,
     now: number,
   ): void {
-    const crashedAt = now - Math.max(0, ageMilliseconds);
-    if (now - crashedAt >= this.options.durationMilliseconds) {
+    // The clock of the instance that saw a crash may be ahead; the time between its crashes is what tells them apart.
+    if (Math.abs(ageMilliseconds) >= this.options.durationMilliseconds) {
       return;
     }
+    const crashedAt = now - ageMilliseconds;
     const suspect = this.bodies.get(body) ?? { crashes: new Map<CrashId, RecordedCrash>() };
     const crash = { crashedAt, sentAt: crashedAt - ranMilliseconds, upstream };
     if (
--- a/packages/scheduling/tests/windowsAndRetries.test.ts
+++ b/packages/scheduling/tests/windowsAndRetries.test.ts
@@ -140,6 +140,20 @@
     expect(quarantine.countCrashes(body, 1_400)).toBe(2);
   });
 
+  test('crashes seen by an instance whose clock is ahead are not taken for one', () => {
+    const quarantine = new Quarantine();
+    for (const [upstream, ageMilliseconds] of [
+      ['a', -40],
+      ['b', -30],
+    ] as const) {
+      quarantine.recordCrash(
+        { ...createCrash(upstream, ageMilliseconds), ranMilliseconds: 10 },
+        1_000,
+      );
+    }
+    expect(quarantine.countCrashes(body, 1_000)).toBe(2);
+  });
+
   test('crashes that are forgotten do not count, and only those before a time are found', () => {
     const quarantine = new Quarantine();
     quarantine.recordCrash(createCrash('a'), 1_000);
