--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -244,6 +244,36 @@
     expect(replica.receivedRequests).toHaveLength(1);
   });
 
+  it.each<[string, string, string]>([
+    ['the response to another request', 'foreign another request', 'foreign'],
+    ['an outcome that this build does not know', 'postponed later', 'lost'],
+  ])('may have run when the relaying instance reports %s', async (_name, header, kind) => {
+    const { entry } = await startReplica(responds('done'));
+    const relay = await startOther(socket => {
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 100 Continue\r\n\r\n');
+        socket.once('data', () => {
+          socket.write(
+            `HTTP/1.1 503 Failed\r\nZincring-Relay: ${header}\r\nContent-Length: 0\r\n\r\n`,
+          );
+        });
+      });
+    });
+    expect(await makeClient([relay]).exchange(entry, makeRequest())).toMatchObject({ kind });
+  });
+
+  it('is reported as answered for another request when its replica did so', async () => {
+    const { entry } = await startReplica(responds('done'));
+    const address = await startRelay(entry, {
+      exchange: async () =>
+        await Promise.resolve({ isPathFault: false, kind: 'foreign', reason: 'other' }),
+    });
+    expect(await makeClient([address]).exchange(entry, makeRequest())).toMatchObject({
+      isPathFault: false,
+      kind: 'foreign',
+    });
+  });
+
   it('has not run when its replica refuses connections', async () => {
     const { entry, replica } = await startReplica(responds('done'));
     replica.stop();
