--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,4 +29,4 @@
 export type { GatewayOptions, ListenAddress } from './lifecycle/gatewayOptions.js';
 export type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './upstreams/replica.js';
 export type { ReplicaSource } from './upstreams/replicaDirectory.js';
-export { toHeaderMap, withoutHeaders } from './util/headerList.js';
+export { findAgreedValue, toHeaderMap, withoutHeaders } from './util/headerList.js';
--- a/packages/gateway/src/util/headerList.ts
+++ b/packages/gateway/src/util/headerList.ts
@@ -13,6 +13,23 @@
   return headerMap;
 }
 
+/**
+ * Finds the value of a header that all headers with its lower-case name agree on; `undefined` if there is none.
+ *
+ * @example
+ * findAgreedValue(['Request-Id', 'a', 'Request-Id', 'b'], 'request-id'); // undefined
+ */
+export function findAgreedValue(headers: readonly string[], name: string): string | undefined {
+  const values = new Set<string>();
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() === name) {
+      values.add(headers[index + 1] ?? '');
+    }
+  }
+  const [value] = values;
+  return values.size === 1 ? value : undefined;
+}
+
 /**
  * Copies a flat list of header names and values without those of the given lower-case names.
  *
