fix(upstreams): only a stream of events goes on with a stream that has begun

What callers saw: a stream began and broke off, and the next replica answered the resumption with a success that is no stream: 204, 206, or 200 with length 0 or empty chunks. The caller got the terminating chunk after a part of the events, so the stream looked whole; a turn of this kind was stored. Of a page of text under status 200 the paragraphs came as events of the stream.

Cause: AttemptLoop took every success on a streaming route for the rest of the stream. A success without events ends by its framing, hence as whole. Errors were told apart, but read to their end first, so one without an end held the stream up until its deadline.

Why this mends it: once the caller has the head, a response goes on only with status 200 and the type of event streams; any other is a lost attempt at once, its body is discarded, and the stream goes on elsewhere or is cut. A stream of events without any event left still ends the response as whole.

--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -18,7 +18,7 @@
 import { promisesNotRun } from './promisesNotRun.js';
 import { readResponseBody } from './readResponseBody.js';
 import { describeIdentity } from './responseIdentity.js';
-import { relayStream } from './streamRelay.js';
+import { describeHead, isEventStream, relayStream } from './streamRelay.js';
 
 /** An admitted request that is ready to be sent to a replica. */
 export interface RunnableRequest {
@@ -314,6 +314,10 @@
     entry: ReplicaEntry,
     response: ReplicaResponse,
   ): Promise<AttemptResult> {
+    if (this.sink.isStarted && !isEventStream(response)) {
+      discardBody(this.dependencies.timers, response.body);
+      return { kind: 'lost', reason: `the stream cannot go on after ${describeHead(response)}` };
+    }
     if (this.request.route.kind === 'streaming' && isSuccess(response.status)) {
       this.dependencies.pool.recordReplica(this.request.facts, entry);
       return await this.relayResponse(entry, response);
@@ -322,12 +326,9 @@
     if (body === undefined) {
       return { kind: 'lost', reason: describeBreak('the answer broke off', response) };
     }
-    if (response.status >= 500 && (this.canRunAgain() || this.sink.isStarted)) {
+    if (response.status >= 500 && this.canRunAgain()) {
       return { kind: 'lost', reason: `the replica failed with ${String(response.status)}` };
     }
-    if (this.sink.isStarted) {
-      return { kind: 'lost', reason: `the stream cannot go on after ${String(response.status)}` };
-    }
     if (this.control.signal.aborted) {
       return { kind: 'lost', reason: 'the caller left or the time ran out' };
     }
--- a/packages/gateway/src/upstreams/streamRelay.ts
+++ b/packages/gateway/src/upstreams/streamRelay.ts
@@ -2,6 +2,7 @@
 import type { ReplicaResponse } from './replicaExchange.js';
 
 import { EventSplitter } from '../callers/eventSplitter.js';
+import { toHeaderMap } from '../util/headerList.js';
 
 /** Maximum size of an incomplete event, in bytes: far more than any event has. */
 const MAXIMUM_EVENT_BYTES = 1024 * 1024;
@@ -19,6 +20,34 @@
  */
 export type StreamEnd = 'broken' | 'complete' | 'stopped';
 
+const STATUS_OK = 200;
+const EVENT_STREAM = /^text\/event-stream\b/i;
+
+/**
+ * Whether a response is a stream of events. Only such a response goes on with a stream that has begun: the end or
+ * the body of another one would be taken for those of the stream.
+ *
+ * @example
+ * isEventStream({ headers: ['Content-Type', 'text/event-stream'], status: 200 }); // true
+ */
+export function isEventStream(response: Pick<ReplicaResponse, 'headers' | 'status'>): boolean {
+  return response.status === STATUS_OK && EVENT_STREAM.test(findContentType(response) ?? '');
+}
+
+/**
+ * Describes what kind of response a head announces, for logs.
+ *
+ * @example
+ * describeHead({ headers: ['Content-Type', 'text/html'], status: 200 }); // '200 (text/html)'
+ */
+export function describeHead(response: Pick<ReplicaResponse, 'headers' | 'status'>): string {
+  return `${String(response.status)} (${findContentType(response) ?? 'no content type'})`;
+}
+
+function findContentType({ headers }: Pick<ReplicaResponse, 'headers'>): string | undefined {
+  return toHeaderMap(headers).get('content-type');
+}
+
 /**
  * Forwards the events of a stream as they arrive, each only when it is complete. A stream that
  * ends inside an event, or with its connection before any event, is broken, and so is one with an
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -122,6 +122,34 @@
   };
 }
 
+/** Sends a response with the given header lines, which frame its body. */
+export function respondsWithHeaders(
+  status: string,
+  headerLines: readonly string[],
+  body = '',
+): Behaviour {
+  return (socket, request) => {
+    socket.write(formatHead(request, status, headerLines) + body);
+  };
+}
+
+/** Sends the first bytes of a response with a body and then ends the connection. */
+export function stopsAfter(bytes: number, end: 'close' | 'reset'): Behaviour {
+  return (socket, request) => {
+    socket.write(formatHead(request, '200 OK', HEAD_LINES).slice(0, bytes));
+    setTimeout(() => {
+      if (end === 'close') {
+        socket.end();
+      } else {
+        socket.resetAndDestroy();
+      }
+    }, RESET_PAUSE_MILLISECONDS);
+  };
+}
+
+/** Header lines of a response that {@link stopsAfter} breaks off. */
+const HEAD_LINES = ['Content-Type: text/event-stream', 'Content-Length: 4'];
+
 /** Sends the head of a response and nothing after it. */
 export function respondsWithHead(headerLines: readonly string[]): Behaviour {
   return (socket, request) => {
