--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -33,6 +33,7 @@
   respondsMisdirected,
   respondsUnframed,
   sendsMalformedResponse,
+  stopsAfter,
   streamsEvents,
   streamsUnframed,
   truncatesBody,
@@ -198,6 +199,7 @@
 
   it.each<[string, Behaviour]>([
     ['a truncated body', truncatesBody],
+    ['a part of a head', stopsAfter(60, 'close')],
     ['a stream that breaks off', streamsEvents([1, 2], 'break')],
     ['an unframed body that is reset', respondsUnframed('half', 'reset')],
     ['an unframed body that is reset at once', respondsUnframed('half', 'immediate-reset')],
@@ -315,6 +317,18 @@
     expect(replica.receivedRequests).toHaveLength(0);
   });
 
+  it.each([
+    'HTTP/1.1 200 OK\r\nZincring-Relay: answered length\r\n',
+    'HTTP/1.1 200 OK\r\nZincring-Relay: answered length\r\nContent-Length: 0\r\n\r',
+  ])('may have run when the relaying instance stops within a head: %j', async head => {
+    const { entry } = await startReplica(responds('done'));
+    const killed = await startOther(socket => {
+      socket.end(`HTTP/1.1 100 Continue\r\n\r\n${head}`);
+    });
+    const outcome = await makeClient([killed]).exchange(entry, makeRequest());
+    expect(outcome.kind).toBe('lost');
+  });
+
   it.each([
     ['lost', 'after', 'HTTP/1.1 100 Continue\r\n\r\n'],
     ['unavailable', 'before', ''],
--- a/packages/instance/tests/upstreams/upstreamRequest.test.ts
+++ b/packages/instance/tests/upstreams/upstreamRequest.test.ts
@@ -77,6 +77,14 @@
     },
   );
 
+  it('never takes a part of a head for a response', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
+    for (let bytes = 1; bytes < head.length; bytes++) {
+      const address = await startUpstream(socket => socket.end(), head.slice(0, bytes));
+      await expect(readAll(address, readText), String(bytes)).rejects.toThrow();
+    }
+  });
+
   it.each([
     ['one\ntwo\n', 'one|two'],
     ['one\ntw', 'one'],
