test(lifecycle): a planned stop in calm cuts off nothing that it accepted

The new test has 20 callers that send one request after the other over open connections until the port refuses connections; each request that reached a replica must have its whole response, each other one must not have one.

--- a/packages/gateway/tests/lifecycle/stoppingGateway.test.ts
+++ b/packages/gateway/tests/lifecycle/stoppingGateway.test.ts
@@ -1,4 +1,6 @@
-import { request as startRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+
+import { Agent, request as startRequest } from 'node:http';
 import { connect } from 'node:net';
 import { describe, expect, it } from 'vitest';
 
@@ -82,6 +84,37 @@
     await stopped;
   });
 
+  it.each([
+    ['unsafe requests', unsafeRoute, responds('done')],
+    ['safe requests', safeRoute, responds('done')],
+    ['streams', streamRoute, streamsEvents([1, 2], 'whole')],
+  ])('cuts off none of the %s that open connections send until it is gone', async (...row) => {
+    const [, route, behaviour] = row;
+    const works: Behaviour = (socket, request) => {
+      setTimeout(() => {
+        behaviour(socket, request);
+      }, BUSY_CALLERS.workMilliseconds);
+    };
+    const fixture = await startGateway(route, [[works], [works]]);
+    const ends: (readonly [string, string])[] = [];
+    const callers = Array.from({ length: BUSY_CALLERS.count }, async (_unused, caller) => {
+      await new Promise(resolve => setTimeout(resolve, caller * 20));
+      await sendUntilGone(fixture.gateway.ports.callers, caller, (id, end) => {
+        ends.push([id, end]);
+      });
+    });
+    await new Promise(resolve => setTimeout(resolve, BUSY_CALLERS.workMilliseconds));
+    await fixture.gateway.stop();
+    await Promise.all(callers);
+    const run = new Set(
+      fixture.replicas.flatMap(({ receivedRequests }) =>
+        receivedRequests.map(({ headers }) => headers.get('request-id')),
+      ),
+    );
+    expect(ends.filter(([id, end]) => run.has(id) !== (end === '200'))).toEqual([]);
+    expect(ends.filter(([, end]) => end === '503')).not.toEqual([]);
+  });
+
   it('answers a request that is still in flight at its end', async () => {
     const fixture = await startGateway(unsafeRoute, [[neverResponds]]);
     const response = fixture.send({ headers: LONG_TIME });
@@ -152,6 +185,56 @@
   });
 });
 
+/** Callers with a connection each; a request that is accepted late in the grace period would outlast it. */
+const BUSY_CALLERS = { allowedMilliseconds: 800, count: 20, workMilliseconds: 500 };
+
+/** Sends one request after the other over an open connection until the port refuses connections. */
+async function sendUntilGone(
+  port: number,
+  caller: number,
+  record: (id: string, end: string) => void,
+): Promise<void> {
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  for (let index = 0; ; index++) {
+    const id = `${String(caller)}-${String(index)}`;
+    const end = await sendOver(agent, port, id);
+    if (end === 'ECONNREFUSED') {
+      agent.destroy();
+      return;
+    }
+    record(id, end);
+  }
+}
+
+async function sendOver(agent: Agent, port: number, id: string): Promise<string> {
+  const headers = {
+    host: 'agents.example',
+    key: 'key-of-clerks',
+    'request-id': id,
+    remaining: String(BUSY_CALLERS.allowedMilliseconds),
+  };
+  return await new Promise(resolve => {
+    const outgoing = startRequest({
+      agent,
+      headers,
+      host: '127.0.0.1',
+      path: `/summaries/${id}`,
+      port,
+    });
+    outgoing.on('error', failure => {
+      resolve((failure as NodeJS.ErrnoException).code ?? failure.message);
+    });
+    outgoing.on('response', (response: IncomingMessage) => {
+      response.resume();
+      response.on('error', () => undefined);
+      response.on('close', () => {
+        resolve(response.complete ? String(response.statusCode) : 'cut');
+      });
+    });
+    outgoing.end();
+  });
+}
+
 function formatRequest(path: string): string {
   return [
     `GET ${path} HTTP/1.1`,
