fix(upstreams): a request that crashed a replica runs as one of three trials

What callers saw: a request that crashes what runs it, sent to three instances at once every 4 s, reached replicas six times later than contactMs after the third crash, where three are allowed. The streams of others that ran at these replicas were cut with each round.

Cause: crashes at the same time count as one, since an outage takes several replicas down together. A poison request that several callers send at once is counted once a round, so three rounds run before it is refused.

Why this mends it: after the first confirmed crash the request runs three more times at most in all instances together, by a row that is edited under its version, once at a time in each and with one attempt; each trial crashes a replica or is served, which clears it. Refused are only requests without a trial, at once. Without the store each instance has three trials of its own; the bound does not hold then.

Nothing is added to requests of which no crash is known.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -11,6 +11,7 @@
 import type { ProgramAdmission, ProgramTurn } from '../upstreams/load/programAdmission.js';
 import type { RunnableRequest } from '../upstreams/attemptLoop.js';
 import type { AttemptLoopDependencies } from '../upstreams/attemptLoopDependencies.js';
+import type { CrashTrials } from '../upstreams/crashTrials.js';
 import type { RunOutcome } from '../upstreams/runOutcome.js';
 import type { GatewayMetrics, RequestEnd } from '../observation/gatewayMetrics.js';
 import type { HeldMemory } from './memory/heldMemory.js';
@@ -21,6 +22,7 @@
 
 import { AttemptLoop } from '../upstreams/attemptLoop.js';
 import { computeEngineUrgency } from '../upstreams/load/engineUrgency.js';
+import { hasNotRun } from '../upstreams/runOutcome.js';
 import { findProgramStage } from '../programs/programStage.js';
 import { TurnRecorder } from '../programs/turnRecorder.js';
 import { admitByConfiguration, findPriority } from './admitByConfiguration.js';
@@ -50,6 +52,7 @@
   readonly rates: WorkspaceRates;
   readonly metrics: GatewayMetrics;
   readonly budgets: TurnBudgets;
+  readonly crashTrials: CrashTrials;
   readonly memory: HeldMemory;
   readonly plannedStop: Pick<PlannedStop, 'allows'>;
   readonly programAdmission: ProgramAdmission;
@@ -255,19 +258,19 @@
     const recorder = new TurnRecorder(reservation, draft, lifetime.signal);
     lifetime.recordAdmission(this.timers.now());
     this.dependencies.metrics.admissionSeconds.observe(lifetime.admissionMilliseconds / 1_000);
-    const loop = new AttemptLoop(
-      this.dependencies,
-      { ...request, urgency: findUrgency(admission, request, reservation) },
-      sink,
-      request.route.kind === 'streaming' ? recorder : undefined,
-      lifetime,
-    );
+    const urgentRequest = { ...request, urgency: findUrgency(admission, request, reservation) };
+    const observer = request.route.kind === 'streaming' ? recorder : undefined;
+    const attempt = async (runnable: RunnableRequest): Promise<RunOutcome> =>
+      await new AttemptLoop(this.dependencies, runnable, sink, observer, lifetime).run();
     // A stored history makes the body longer than the one that was counted while it was read.
     const releaseMemory = this.dependencies.memory.hold(
       request.route.storesTurns ? request.body.length : 0,
     );
     try {
-      return findStopRefusal(this.dependencies.plannedStop, lifetime) ?? (await loop.run());
+      return (
+        findStopRefusal(this.dependencies.plannedStop, lifetime) ??
+        (await this.dependencies.crashTrials.run(urgentRequest, lifetime.signal, attempt))
+      );
     } finally {
       releaseMemory();
       recorder.settle();
@@ -436,9 +439,3 @@
     prepared.val.reservation?.settle(0);
   }
 }
-
-function hasNotRun(outcome: RunOutcome): boolean {
-  return outcome.kind === 'failed'
-    ? outcome.error.ran === 'no'
-    : outcome.kind === 'aborted' && !outcome.mayHaveRun;
-}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -24,7 +24,7 @@
 export type { Finding, FindingKind } from './configuration/review/finding.js';
 export { formatFinding } from './configuration/review/finding.js';
 export { reviewConfiguration } from './configuration/review/reviewConfiguration.js';
-export type { GatewayDependencies, GatewayPorts } from './lifecycle/gateway.js';
+export type { GatewayDependencies, GatewayPorts } from './lifecycle/gatewayDependencies.js';
 export { Gateway } from './lifecycle/gateway.js';
 export type { GatewayOptions, ListenAddress } from './lifecycle/gatewayOptions.js';
 export type { ReplicaEntry, ReplicaRunId, SoftwareVersion } from './upstreams/replica.js';
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -1,14 +1,11 @@
-import type { Logger, TimerService, TimerSubscription } from '@zincring/core';
-import type { PartitionedTable } from '@zincring/platform';
+import type { Logger, TimerSubscription } from '@zincring/core';
 
 import { WorkspaceShares } from '@zincring/scheduling';
 
-import type { HeaderCodec } from '../callers/requestFacts.js';
-import type { ConfigurationSource } from '../configuration/configurationFollower.js';
 import type { GatewayPeer } from '../peers/gatewayPeer.js';
 import type { ReplicaEntry } from '../upstreams/replica.js';
-import type { ReplicaSource } from '../upstreams/replicaDirectory.js';
 import type { MonitoredTable } from '../store/monitoredTable.js';
+import type { GatewayDependencies, GatewayPorts } from './gatewayDependencies.js';
 import type { GatewayOptions, GatewayTimes } from './gatewayOptions.js';
 
 import { HeldMemory } from '../callers/memory/heldMemory.js';
@@ -34,6 +31,7 @@
 import { MetricsServer } from '../observation/metricsServer.js';
 import { StoreCallReporter } from '../observation/storeCallReporter.js';
 import { CrashRecord } from '../upstreams/crashRecord.js';
+import { CrashTrials } from '../upstreams/crashTrials.js';
 import { EngineLoads } from '../upstreams/load/engineLoads.js';
 import { ReplicaCosts } from '../upstreams/load/replicaCosts.js';
 import { ProgramAdmission } from '../upstreams/load/programAdmission.js';
@@ -50,28 +48,6 @@
 import { sweptTables } from './sweptTables.js';
 import { ZoneOutageDetector } from './zoneOutageDetector.js';
 
-/** Dependencies of a {@link Gateway}. */
-export interface GatewayDependencies {
-  readonly table: PartitionedTable;
-  readonly headerCodec: HeaderCodec;
-  readonly configurationSource: ConfigurationSource;
-  readonly replicaSource: ReplicaSource;
-  readonly timers: TimerService;
-  readonly logger: Logger;
-  /** Returns a random number between 0 and 1. */
-  readonly random: () => number;
-  /** Generates an identifier that no other instance generates. */
-  readonly makeId: () => string;
-}
-
-/** Ports that an instance listens on. */
-export interface GatewayPorts {
-  readonly callers: number;
-  readonly metrics: number;
-  readonly peers: number;
-  readonly readiness: number;
-}
-
 /** Maximum time that one request to the store waits for changes of replicas, in milliseconds: one heartbeat. */
 const REPLICA_POLL_TIMEOUT_MILLISECONDS = 1_000;
 /** Time that replicas need to register again after an outage of the store, in milliseconds: stated by the platform. */
@@ -420,10 +396,18 @@
 
   private makePipeline(): RequestPipeline {
     const { budgets, logger, replicaNetwork, table, versionRecord, versions } = this;
-    const { headerCodec, random, timers } = this.dependencies;
+    const { headerCodec, makeId, random, timers } = this.dependencies;
     return new RequestPipeline({
       budgets,
       configuration: this.configuration,
+      crashTrials: new CrashTrials({
+        logger,
+        makeId,
+        random,
+        record: this.crashes,
+        table: table.essential,
+        timers,
+      }),
       engineLoads: this.engineLoads,
       programAdmission: this.programAdmission,
       crashes: replicaNetwork.crashes,
--- a/packages/gateway/src/lifecycle/sweptTables.ts
+++ b/packages/gateway/src/lifecycle/sweptTables.ts
@@ -4,6 +4,7 @@
 import { sweptBudgets } from '../programs/storeTokenAccounts.js';
 import { sweptTurns } from '../programs/storedTurnRows.js';
 import { sweptCrashes } from '../upstreams/crashRecord.js';
+import { sweptTrials } from '../upstreams/crashTrials.js';
 import { sweptStreams } from '../upstreams/streamOrigins.js';
 
 /** Tables whose expired rows an instance removes, since the store removes none by itself. */
@@ -13,4 +14,5 @@
   sweptCrashes,
   sweptPeers,
   sweptStreams,
+  sweptTrials,
 ];
--- a/packages/gateway/src/upstreams/crashRecord.ts
+++ b/packages/gateway/src/upstreams/crashRecord.ts
@@ -50,7 +50,7 @@
 /** Number of crashes after which a request is refused: the maximum that the operator accepts per request. */
 const MAXIMUM_CRASHES = 3;
 /** Time for which a request is refused, in milliseconds: several restarts of a replica. */
-const REFUSAL_MILLISECONDS = 120_000;
+export const REFUSAL_MILLISECONDS = 120_000;
 /** Maximum number of request bodies whose crashes are tracked. */
 const MAXIMUM_TRACKED_BODIES = 2_000;
 /** Maximum number of requests without a body of which the time of the last response is kept. */
@@ -152,6 +152,11 @@
     });
   }
 
+  /** Returns the identity of a checked request that may have crashed a replica; `undefined` for others. */
+  public findSuspect(request: RunnableRequest): BodyDigest | undefined {
+    return this.quarantine.size === 0 ? undefined : this.suspects.get(request.facts);
+  }
+
   /** Marks a running request as one that may have crashed a replica, and returns its identity. */
   public suspect(request: RunnableRequest): BodyDigest {
     const identity = identifyRequest(request);
--- a/packages/gateway/src/upstreams/runOutcome.ts
+++ b/packages/gateway/src/upstreams/runOutcome.ts
@@ -24,3 +24,15 @@
   /** Number of events of a stream over all attempts; 0 for other responses. */
   readonly events: number;
 }
+
+/**
+ * Whether a request has certainly not run.
+ *
+ * @example
+ * hasNotRun({ kind: 'aborted', mayHaveRun: false }); // true
+ */
+export function hasNotRun(outcome: RunOutcome): boolean {
+  return outcome.kind === 'failed'
+    ? outcome.error.ran === 'no'
+    : outcome.kind === 'aborted' && !outcome.mayHaveRun;
+}
--- a/packages/gateway/tests/compatibility/formats.test.ts
+++ b/packages/gateway/tests/compatibility/formats.test.ts
@@ -20,7 +20,8 @@
 import { StoreTokenAccounts } from '../../src/programs/storeTokenAccounts.js';
 import { TurnStore } from '../../src/programs/turnStore.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
-import { CrashRecord } from '../../src/upstreams/crashRecord.js';
+import { CrashRecord, identifyRequest } from '../../src/upstreams/crashRecord.js';
+import { CrashTrials, sweptTrials } from '../../src/upstreams/crashTrials.js';
 import { StreamOrigins } from '../../src/upstreams/streamOrigins.js';
 import { VersionHistory } from '../../src/upstreams/versionHistory.js';
 import { makeOwner, makeRelayServer } from '../support/fakePeer.js';
@@ -109,6 +110,19 @@
     crashes.stop();
   });
 
+  it('leave no trial of a request that had all of them', async () => {
+    const record = { findSuspect: identifyRequest };
+    const trials = new CrashTrials({ ...makeCommon(), makeId: () => 'trial-9', record });
+    let hasRun = false;
+    const attempt = async () => {
+      hasRun = true;
+      return await Promise.resolve({ kind: 'interrupted' } as const);
+    };
+    await finishWithin(timers, trials.run(recordedPoison, signal, attempt), 2_000);
+    // Builds up to f978bde write no trials.
+    expect(hasRun).toBe(!rows.some(({ table: name }) => name === sweptTrials.table));
+  });
+
   it('tell at which version a stream began', async () => {
     const source = {
       ageMilliseconds: () => 0,
--- a/packages/gateway/tests/compatibility/writeRecording.ts
+++ b/packages/gateway/tests/compatibility/writeRecording.ts
@@ -20,6 +20,7 @@
 import { TurnStore } from '../../src/programs/turnStore.js';
 import { MonitoredTable } from '../../src/store/monitoredTable.js';
 import { CRASH_TABLE, CrashRecord, identifyRequest } from '../../src/upstreams/crashRecord.js';
+import { CrashTrials } from '../../src/upstreams/crashTrials.js';
 import { StreamOrigins } from '../../src/upstreams/streamOrigins.js';
 import { VersionHistory } from '../../src/upstreams/versionHistory.js';
 import { VersionRecord } from '../../src/upstreams/versionRecord.js';
@@ -131,6 +132,7 @@
   await writeTurn(new TurnStore({ ...common, rowBytes: 65_536 }), timers);
   writeCrashes(new CrashRecord(common));
   await timers.advance(100);
+  await writeTrials(common, timers);
   await writeStream(common, timers);
   new PeerDirectory({
     run: 'entry-1/run-1',
@@ -169,6 +171,19 @@
   }
 }
 
+/** Uses up the trials of a request. */
+async function writeTrials(
+  common: Omit<ConstructorParameters<typeof CrashTrials>[0], 'makeId' | 'record'>,
+  timers: ManualTimerService,
+): Promise<void> {
+  const record = { findSuspect: identifyRequest };
+  const trials = new CrashTrials({ ...common, makeId: makeCounter('trial'), record });
+  for (let trial = 0; trial < 3; trial++) {
+    const interrupted = async () => await Promise.resolve({ kind: 'interrupted' } as const);
+    await finishWithin(timers, trials.run(recordedPoison, signal, interrupted), 2_000);
+  }
+}
+
 async function writeStream(
   common: { readonly logger: typeof silentLogger; readonly table: MonitoredTable },
   timers: ManualTimerService,
