--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -2,6 +2,7 @@
 // so it starts fast and needs no node_modules at run time. Argument: the output folder.
 import { build } from 'esbuild';
 import { spawnSync } from 'node:child_process';
+import { createHash } from 'node:crypto';
 import { copyFileSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { resolve } from 'node:path';
 import process from 'node:process';
@@ -10,6 +11,9 @@
 const BUNDLE_FILE = `${OUTPUT_FOLDER}/instance.js`;
 const LAUNCHER_FILE = `${OUTPUT_FOLDER}/zincring.js`;
 const CODE_CACHE_FILE = `${OUTPUT_FOLDER}/instance.cache`;
+/** Length of the text by which a process names its build. */
+const BUILD_LENGTH = 12;
+const BUILD_PLACEHOLDER = '@zincring-build@';
 /** Time after which the warm-up run is given up, in milliseconds. */
 const WARM_UP_TIMEOUT_MILLISECONDS = 60_000;
 
@@ -36,8 +40,14 @@
   return words.split(' ').filter(word => word !== '');
 }
 
+/** Writes the bundle with a digest of its text in place of the placeholder, so that a process can say what it runs. */
+function writeBundle(text) {
+  const digest = createHash('sha256').update(text).digest('hex');
+  writeFileSync(BUNDLE_FILE, text.replace(BUILD_PLACEHOLDER, digest.slice(0, BUILD_LENGTH)));
+}
+
 mkdirSync(OUTPUT_FOLDER, { recursive: true });
-await build({
+const bundle = await build({
   alias: {
     ...Object.fromEntries(
       packages.map(name => [`@zincring/${name}`, `./packages/${name}/src/index.ts`]),
@@ -49,7 +59,7 @@
     js: "(function (require, module, __filename) { const bundleUrl = require('node:url').pathToFileURL(__filename).href;",
   },
   bundle: true,
-  define: { 'import.meta.url': 'bundleUrl' },
+  define: { 'import.meta.url': 'bundleUrl', ZINCRING_BUILD: JSON.stringify(BUILD_PLACEHOLDER) },
   entryPoints: ['platform/src/bin.ts'],
   footer: { js: '})' },
   format: 'cjs',
@@ -60,7 +70,9 @@
   platform: 'node',
   plugins: [englishOnly],
   target: 'node20',
+  write: false,
 });
+writeBundle(bundle.outputFiles[0].text);
 copyFileSync('scripts/launcher.cjs', LAUNCHER_FILE);
 // Without the package's module type, node starts the launcher without loading its ES module loader.
 writeFileSync(`${OUTPUT_FOLDER}/package.json`, '{ "type": "commonjs" }\n');
