perf(core): no error is made for an exchange that has ended

Cause: runExchange makes an error when its connection closes, also after the response. Each error captures its stack.

Why this mends it: the error is made only where it is the outcome.

--- a/packages/core/src/http/runExchange.ts
+++ b/packages/core/src/http/runExchange.ts
@@ -55,7 +55,10 @@
     });
     outgoing.on('error', fail);
     outgoing.once('close', () => {
-      fail(new Error('the connection was closed without a response'));
+      // Capturing the stack of an error is expensive, and every exchange closes.
+      if (!hasEnded) {
+        fail(new Error('the connection was closed without a response'));
+      }
     });
     handlers.onStarted(outgoing);
   });
