--- a/packages/gateway/tests/callers/endsOfResponses.test.ts
+++ b/packages/gateway/tests/callers/endsOfResponses.test.ts
@@ -78,6 +78,7 @@
   return await sendRaw(fixture.gateway.ports.callers, request);
 }
 
+// Guards against: streams without a length looked whole when their instance was killed (review/2).
 describe('the end of a response', () => {
   it.each(streams)('of a stream is as in the table: %s', async (_name, behaviour, ...expected) => {
     const fixture = await startGateway(streamRoute, [[behaviour]]);
--- a/packages/gateway/tests/lifecycle/stoppingGateway.test.ts
+++ b/packages/gateway/tests/lifecycle/stoppingGateway.test.ts
@@ -27,6 +27,7 @@
   status: 503,
 };
 
+// Guards against: requests were accepted late in the grace period and cut at its end (review/3).
 describe('a gateway that stops', () => {
   it.each([
     ['an unsafe request', unsafeRoute],
--- a/packages/gateway/tests/upstreams/crashTrials.test.ts
+++ b/packages/gateway/tests/upstreams/crashTrials.test.ts
@@ -24,6 +24,7 @@
   status: 200,
 };
 
+// Guards against: a request that crashes replicas was counted once a round when several callers sent it at once.
 describe(CrashTrials, () => {
   let timers: ManualTimerService;
   let store: MemoryTable;
--- a/packages/gateway/tests/upstreams/crashingRequests.test.ts
+++ b/packages/gateway/tests/upstreams/crashingRequests.test.ts
@@ -21,6 +21,7 @@
 
 const REPLICAS = 5;
 
+// Guards against: a request that crashed replicas after their first event was never refused (review/5).
 describe('a request that crashes replicas', () => {
   it.each([
     ['its own input, before the head', undefined, false],
--- a/packages/gateway/tests/upstreams/foreignResponses.test.ts
+++ b/packages/gateway/tests/upstreams/foreignResponses.test.ts
@@ -56,6 +56,7 @@
     : received.filter(({ headers }) => headers.get('request-id') === id).length;
 }
 
+// Guards against: a late copy of a refusal was taken for that of the next request (review/1).
 describe('a refusal of another request', () => {
   it.each(nonIdempotentRoutes)(
     'on a kept connection never makes %s run at a second replica',
--- a/packages/gateway/tests/upstreams/partialHeads.test.ts
+++ b/packages/gateway/tests/upstreams/partialHeads.test.ts
@@ -26,6 +26,7 @@
 );
 const behaviours: readonly Behaviour[] = cuts.map(([bytes, end]) => stopsAfter(bytes, end));
 
+// Guards against: a head that is cut, passed on as an empty or short response.
 describe('a head that its replica does not finish', () => {
   it.each([unsafeRoute, streamRoute])(
     'is never passed on as an empty or short response: $kind',
--- a/packages/gateway/tests/upstreams/resumptionErrors.test.ts
+++ b/packages/gateway/tests/upstreams/resumptionErrors.test.ts
@@ -113,6 +113,7 @@
   return await sendRaw(fixture.gateway.ports.callers);
 }
 
+// Guards against: the next replica's 204, page or error ended the stream as whole or stood in it.
 describe('a stream that has begun and broken off', () => {
   describe.each(beginnings)('%s', (_framing, begins) => {
     it.each(failures)(
