fix(listeners): what clients send is bounded before it is parsed

What callers saw: chunks of one byte took a process to 7 GB; requests sent ahead with their responses unread to 2.9 GB; nobody was answered.

Cause: Node's parser makes an object of each chunk and some kilobytes of each request as soon as their bytes are there, 64 KB of a connection at a time; only the payload was counted. The body of a refused request was read and kept without any bound, and an unfinished body kept its memory until the sender left, so that ordinary requests were refused. Each of the four listeners was a server of its own, and three had no bounds at all.

Now all four listeners are an HttpListener. A ConnectionIntake hands the bytes of a connection to the parser never past the end of a message: what is sent ahead stays bytes (16 KB, then the connection is not read) while four of its requests are in progress. Beyond 64 KB of a body, 8 KB of a head, and for what was sent ahead, connections take turns: 2 ms of an iteration of the event loop, 64 KB a millisecond for all. Bodies are kept in a few large buffers. Where memory is full, the unfinished body or head that has held the most for the longest gives way to what arrives; its request has not run. The body of a refused request is dropped and read up to the operator's limit. A body that stops to arrive is ended with 408 after the idle timeout.

Alternatives: a Duplex in front of the server (a second stream layer on every connection, and no access to the socket's own counters); one request at a time on a connection (requests sent ahead are served side by side today); refusing small chunks (they are inside the limits).

The stand-in of the replica reads bodies in chunks.

--- a/packages/gateway/src/callers/admitByConfiguration.ts
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -25,7 +25,6 @@
   readonly route: GatewayRoute;
   readonly service: GatewayService;
   readonly workspace: GatewayWorkspace | undefined;
-  readonly maximumBodyBytes: number;
   /** Regions whose replicas may get the request; `undefined` if all may. */
   readonly permittedRegions: ReadonlySet<Region> | undefined;
   /** Lowest priority that the configuration uses. */
@@ -65,7 +64,6 @@
   return Ok({
     permittedRegions: combinePermittedRegions(route.permittedRegions, workspace?.permittedRegions),
     lowestPriority: index.lowestPriority,
-    maximumBodyBytes: index.configuration.callerLimits.maximumBodyBytes,
     route,
     service,
     workspace: route.isOpen ? undefined : workspace,
--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -1,36 +1,28 @@
-import type { Logger, TimerService, TimerSubscription } from '@zincring/core';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Result, TimerSubscription } from '@zincring/core';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Duplex } from 'node:stream';
-
-import { createServer } from 'node:http';
 
 import type { CallerLimits } from '../configuration/gatewayConfiguration.js';
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { ZoneOutageDetector } from '../lifecycle/zoneOutageDetector.js';
-import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
-import type { HeldMemory } from './memory/heldMemory.js';
+import type { ClientError, ListenerContext } from '../listeners/httpListener.js';
 import type { HeaderCodec } from './requestFacts.js';
 import type { IncomingRequest, RequestPipeline } from './requestPipeline.js';
+import type { BodyReadFailure } from '../listeners/requestBody.js';
 
-import { failureText } from '@zincring/core';
+import { Err, failureText, ZincringError } from '@zincring/core';
 
+import { HttpListener } from '../listeners/httpListener.js';
 import { CallerResponse } from './callerResponse.js';
+import { makeMemoryFullError } from './memory/memoryFullError.js';
 import { HeldResponse } from './memory/heldResponse.js';
-import { listenOn, getPort } from '../util/listen.js';
-import { QueuedResponses } from './queuedResponses.js';
 import { MAXIMUM_PARSED_HEADER_BYTES } from '../util/httpLimits.js';
-import { readRequestBody } from './readRequestBody.js';
 import { UnansweredRequests } from './unansweredRequests.js';
 
 /** Dependencies of a {@link GatewayServer}. */
-export interface GatewayServerDependencies {
+export interface GatewayServerDependencies extends ListenerContext {
   readonly pipeline: RequestPipeline;
-  readonly memory: HeldMemory;
-  readonly metrics: GatewayMetrics;
   readonly headerCodec: HeaderCodec;
-  readonly timers: TimerService;
-  readonly logger: Logger;
   /**
    * Whether the store has answered recently. Without contact, each connection is closed after its
    * response.
@@ -44,6 +36,13 @@
  * a connection is not closed while a caller still reuses it.
  */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 2_000;
+/** Limits until the operator's are known. */
+const INITIAL_LIMITS: CallerLimits = {
+  headerTimeoutMilliseconds: 10_000,
+  idleTimeoutMilliseconds: 10_000,
+  maximumBodyBytes: 16 * 1024 * 1024,
+  maximumHeaderBytes: MAXIMUM_PARSED_HEADER_BYTES,
+};
 /** Interval at which idle connections are closed during shutdown, in milliseconds. */
 const CLOSE_IDLE_INTERVAL_MILLISECONDS = 100;
 
@@ -55,28 +54,34 @@
  * await server.listen({ host: '10.1.0.11', port: 8368 });
  */
 export class GatewayServer {
-  private readonly server: Server;
-  private readonly queuedResponses = new QueuedResponses();
-  /** Connections whose last response has been announced. */
+  private readonly listener: HttpListener;
   private readonly unansweredRequests = new UnansweredRequests();
+  /** Connections whose last response has been announced. */
   private readonly closingConnections = new WeakSet<Socket>();
   private isClosing = false;
-  private idleConnectionTimer: TimerSubscription | undefined;
   private inFlightCount = 0;
-  private maximumHeaderBytes = MAXIMUM_PARSED_HEADER_BYTES;
+  private idleConnectionTimer: TimerSubscription | undefined;
+  private maximumHeaderBytes = INITIAL_LIMITS.maximumHeaderBytes;
+  private maximumBodyBytes = INITIAL_LIMITS.maximumBodyBytes;
 
   public constructor(private readonly dependencies: GatewayServerDependencies) {
-    this.server = createServer(
-      { keepAlive: true, maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES, noDelay: true },
+    const { zoneOutageDetector } = dependencies;
+    this.listener = new HttpListener(
+      {
+        headMilliseconds: INITIAL_LIMITS.headerTimeoutMilliseconds,
+        name: 'callers',
+        onMalformed: (failure, connection) => {
+          this.refuseMalformedRequest(failure, connection);
+        },
+        silenceMilliseconds: INITIAL_LIMITS.idleTimeoutMilliseconds,
+      },
+      dependencies,
       (request, response) => {
         this.handleRequest(request, response);
       },
     );
-    this.server.on('connection', () => {
-      dependencies.zoneOutageDetector.recordConnection();
-    });
-    this.server.on('clientError', (failure: Error, socket) => {
-      this.refuseMalformedRequest(failure, socket);
+    this.listener.server.on('connection', () => {
+      zoneOutageDetector.recordConnection();
     });
   }
 
@@ -87,19 +92,24 @@
 
   /** Starts to listen; port 0 selects any free port. */
   public async listen(address: ListenAddress): Promise<void> {
-    await listenOn(this.server, address);
+    await this.listener.listen(address);
   }
 
   /** Port that the server listens on. */
   public get port(): number {
-    return getPort(this.server);
+    return this.listener.port;
   }
 
-  /** Applies the operator's limits on headers and idle connections. */
+  /** Applies the operator's limits on what callers send and on idle connections. */
   public applyLimits(limits: CallerLimits): void {
+    const { server } = this.listener;
     this.maximumHeaderBytes = limits.maximumHeaderBytes;
-    this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds + KEEP_ALIVE_MARGIN_MILLISECONDS;
-    this.server.headersTimeout = limits.headerTimeoutMilliseconds;
+    this.maximumBodyBytes = limits.maximumBodyBytes;
+    server.keepAliveTimeout = limits.idleTimeoutMilliseconds + KEEP_ALIVE_MARGIN_MILLISECONDS;
+    this.listener.setTimes({
+      headMilliseconds: limits.headerTimeoutMilliseconds,
+      silenceMilliseconds: server.keepAliveTimeout,
+    });
   }
 
   /** Adds `Connection: close` to all further responses. */
@@ -109,11 +119,12 @@
 
   /** Closes all connections without a request, and each further one once it has none. */
   public closeIdleConnections(): void {
-    this.server.closeIdleConnections();
+    const { server } = this.listener;
+    server.closeIdleConnections();
     this.idleConnectionTimer ??= this.dependencies.timers.every(
       CLOSE_IDLE_INTERVAL_MILLISECONDS,
       () => {
-        this.server.closeIdleConnections();
+        server.closeIdleConnections();
       },
     );
   }
@@ -123,7 +134,7 @@
     this.announceClose();
     this.closeIdleConnections();
     const closed = new Promise<void>(resolve => {
-      this.server.close(() => {
+      this.listener.server.close(() => {
         resolve();
       });
     });
@@ -145,7 +156,6 @@
     );
     request.on('error', () => undefined);
     response.on('error', () => undefined);
-    this.queuedResponses.add(response, request.socket);
     this.unansweredRequests.add(request, response);
     this.inFlightCount++;
     response.once('close', () => {
@@ -171,18 +181,28 @@
 
   /** Whether a connection ends with a response; those of requests that were sent behind it come first. */
   private shouldClose(response: ServerResponse, connection: Socket): boolean {
-    const isClosing = this.isClosing || !this.dependencies.hasStoreContact();
-    if (!isClosing || !this.queuedResponses.isLast(response, connection)) {
+    const isBodyUnread = !response.req.complete;
+    if (!isBodyUnread && !this.shouldCloseInOrder(response, connection)) {
       return false;
     }
     this.closingConnections.add(connection);
     return true;
   }
 
+  /** Whether no further requests of a connection are to be taken, and none has been sent yet. */
+  private shouldCloseInOrder(response: ServerResponse, connection: Socket): boolean {
+    const isClosing = this.isClosing || !this.dependencies.hasStoreContact();
+    return (
+      isClosing &&
+      this.listener.queuedResponses.isLast(response, connection) &&
+      !this.listener.hasWaitingBytes(connection)
+    );
+  }
+
   private holdResponse(response: ServerResponse): HeldResponse {
     const { logger, memory, metrics, timers } = this.dependencies;
     return new HeldResponse(response, {
-      getUnreadMilliseconds: () => this.server.keepAliveTimeout,
+      getUnreadMilliseconds: () => this.listener.server.keepAliveTimeout,
       memory,
       onUnread: () => {
         metrics.unreadResponses.inc();
@@ -196,7 +216,11 @@
   }
 
   private toIncomingRequest(request: IncomingMessage, response: ServerResponse): IncomingRequest {
+    const body = this.listener.readBody(request, response, this.maximumBodyBytes);
     return {
+      discardBody: () => {
+        body.discard();
+      },
       facts: this.dependencies.headerCodec.readFacts(request.rawHeaders),
       headers: request.rawHeaders,
       host: request.headers.host ?? '',
@@ -209,14 +233,13 @@
         });
       },
       path: request.url ?? '/',
-      readBody: async maximumBytes =>
-        await readRequestBody(request, response, this.dependencies.memory, maximumBytes),
+      readBody: async () => describeBody(await body.read()),
       receivedAt: this.dependencies.timers.now(),
     };
   }
 
-  private refuseMalformedRequest(failure: Error, socket: Duplex): void {
-    const { code } = failure as { readonly code?: string };
+  private refuseMalformedRequest(failure: ClientError, socket: Socket): void {
+    const { code } = failure;
     this.dependencies.logger.info(
       { event: 'malformed-request', failure: code ?? failure.message },
       'connection sent a malformed request',
@@ -234,6 +257,26 @@
   }
 }
 
+/** Describes why a body was not read; `undefined` if its caller disconnected. */
+function describeBody(
+  body: Result<Buffer, BodyReadFailure>,
+): Result<Buffer, ZincringError> | undefined {
+  if (body.ok) {
+    return body;
+  }
+  const reason = body.val;
+  switch (reason) {
+    case 'broken':
+      return undefined;
+    case 'memory-full':
+      return Err(makeMemoryFullError());
+    case 'too-large':
+      return Err(new ZincringError('body-too-large'));
+    default:
+      return reason satisfies never;
+  }
+}
+
 function chooseStatusLine(code: string | undefined): string {
   if (code === 'HPE_HEADER_OVERFLOW') {
     return '431 Request Header Fields Too Large';
--- a/packages/gateway/src/callers/memory/heldMemory.ts
+++ b/packages/gateway/src/callers/memory/heldMemory.ts
@@ -6,6 +6,15 @@
   readonly maximumResponseBytes?: number;
 }
 
+/** Something held that may be given up for others, since its request has not run. */
+export interface Droppable {
+  readonly heldBytes: number;
+  /** Returns the time since which it has held them, on the monotonic clock in milliseconds. */
+  findHeldSince(now: number): number;
+  /** Gives it up and releases its memory at once. */
+  drop(): void;
+}
+
 /** Returns what was held; further calls have no effect. */
 export type ReleaseMemory = () => void;
 
@@ -29,6 +38,7 @@
  */
 export class HeldMemory {
   private readonly options: Required<HeldMemoryOptions>;
+  private readonly droppables = new Set<Droppable>();
   private heldBytes = 0;
 
   public constructor(options: HeldMemoryOptions = {}) {
@@ -57,6 +67,48 @@
     };
   }
 
+  /** Adds something that may be given up when memory is full. */
+  public addDroppable(droppable: Droppable): void {
+    this.droppables.add(droppable);
+  }
+
+  /** Removes something that was completed or given up. */
+  public removeDroppable(droppable: Droppable): void {
+    this.droppables.delete(droppable);
+  }
+
+  /**
+   * While memory is full, gives up what has held the most for the longest, so that what arrives now
+   * finds room whoever fills the memory.
+   *
+   * @param now time on the monotonic clock, in milliseconds
+   */
+  public makeRoom(now: number): void {
+    while (this.isFull) {
+      const droppable = this.findGreediest(now);
+      if (droppable === undefined) {
+        return;
+      }
+      this.droppables.delete(droppable);
+      droppable.drop();
+    }
+  }
+
+  private findGreediest(now: number): Droppable | undefined {
+    let greediest: Droppable | undefined;
+    let most = 0;
+    for (const droppable of this.droppables) {
+      const heldMilliseconds = now - droppable.findHeldSince(now);
+      // What arrived just now counts by its size alone.
+      const weight = droppable.heldBytes * (1 + heldMilliseconds);
+      if (weight > most) {
+        greediest = droppable;
+        most = weight;
+      }
+    }
+    return greediest;
+  }
+
   /**
    * Whether a response may be read further while its caller has yet to read the given bytes of it. The
    * share of a response shrinks with the memory that is left, so that many slow callers do not use up
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -26,6 +26,7 @@
 import { findProgramStage } from '../programs/programStage.js';
 import { TurnRecorder } from '../programs/turnRecorder.js';
 import { admitByConfiguration, findPriority } from './admitByConfiguration.js';
+import { makeMemoryFullError } from './memory/memoryFullError.js';
 import { RequestLifetimes } from './requestLifetimes.js';
 import { chooseAbortError, findStopRefusal } from './stopRefusals.js';
 
@@ -41,7 +42,9 @@
   /** Time at which its headers had arrived, on the monotonic clock in milliseconds. */
   readonly receivedAt: number;
   /** Reads the body; `undefined` if the caller disconnected before its end. */
-  readBody(maximumBytes: number): Promise<Result<Buffer, ZincringError> | undefined>;
+  readBody(): Promise<Result<Buffer, ZincringError> | undefined>;
+  /** Keeps nothing of the body, since the request is refused. */
+  discardBody(): void;
   /** Calls the listener if the caller closes its connection before the response is complete. */
   onCallerDisconnected(listener: () => void): void;
 }
@@ -93,9 +96,10 @@
   /** Handles one request and writes its response to the sink. */
   public async handle(incoming: IncomingRequest, sink: ResponseSink): Promise<void> {
     const admission = await this.admit(incoming);
-    const body = await incoming.readBody(
-      admission.ok ? admission.val.maximumBodyBytes : Number.MAX_SAFE_INTEGER,
-    );
+    if (admission.err) {
+      incoming.discardBody();
+    }
+    const body = await incoming.readBody();
     if (body === undefined) {
       sink.abort();
       return;
@@ -125,7 +129,11 @@
   }
 
   private async admit(incoming: IncomingRequest): Promise<Result<Admission, ZincringError>> {
-    const { configuration } = this.dependencies;
+    const { configuration, memory } = this.dependencies;
+    memory.makeRoom(this.timers.now());
+    if (memory.isFull) {
+      return Err(makeMemoryFullError());
+    }
     const isFresh = configuration.isFresh() || (await this.refreshConfiguration());
     const index = configuration.current;
     if (index === undefined) {
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -8,7 +8,9 @@
 import type { GatewayDependencies, GatewayPorts } from './gatewayDependencies.js';
 import type { GatewayOptions, GatewayTimes } from './gatewayOptions.js';
 
-import { HeldMemory } from '../callers/memory/heldMemory.js';
+import type { ListenerContext } from '../listeners/httpListener.js';
+
+import { createListenerContext } from '../listeners/createListenerContext.js';
 import { GatewayServer } from '../callers/gatewayServer.js';
 import { RequestPipeline } from '../callers/requestPipeline.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
@@ -41,7 +43,7 @@
 import { StreamOrigins } from '../upstreams/streamOrigins.js';
 import { VersionHistory } from '../upstreams/versionHistory.js';
 import { VersionRecord } from '../upstreams/versionRecord.js';
-import { deriveGatewayTimes, deriveHeldMemoryOptions } from './gatewayOptions.js';
+import { deriveGatewayTimes } from './gatewayOptions.js';
 import { GatewayStopSteps } from './gatewayStopSteps.js';
 import { PlannedStop } from './plannedStop.js';
 import { ReadinessServer } from './readinessServer.js';
@@ -81,7 +83,7 @@
   private readonly zoneOutageDetector = new ZoneOutageDetector();
   private readonly times: GatewayTimes;
   private readonly metrics = new GatewayMetrics();
-  private readonly metricsServer = new MetricsServer(this.metrics);
+  private readonly metricsServer: MetricsServer;
   private readonly logger: Logger;
   private readonly storeCallReporter: StoreCallReporter;
   private readonly table: MonitoredTable;
@@ -89,7 +91,7 @@
   private readonly credits: StoreCreditSource;
   private readonly tokenAccounts: StoreTokenAccounts;
   private readonly engineLoads: EngineLoads;
-  private readonly memory: HeldMemory;
+  private readonly listening: ListenerContext;
   private readonly replicaCosts: ReplicaCosts;
   private readonly programAdmission: ProgramAdmission;
   private readonly peers: PeerNetwork;
@@ -123,7 +125,8 @@
     const { table } = this;
     this.times = deriveGatewayTimes(options);
     this.plannedStop = new PlannedStop(timers, this.times);
-    this.memory = new HeldMemory(deriveHeldMemoryOptions(options));
+    this.listening = createListenerContext(options, { logger, metrics: this.metrics, timers });
+    this.metricsServer = new MetricsServer(this.metrics, this.listening);
     this.configuration = this.makeConfiguration();
     this.replicas = this.makeReplicas();
     this.versions = new VersionHistory(this.replicas, timers);
@@ -132,7 +135,7 @@
     this.versionRecord = new VersionRecord(versionDependencies);
     this.crashes = new CrashRecord({ logger, table: table.essential, timers });
     this.holder = `${options.instance}/${makeId()}`;
-    const ownership = { holder: this.holder, logger, random: dependencies.random, table, timers };
+    const ownership = { holder: this.holder, logger, random, table, timers };
     this.credits = new StoreCreditSource(ownership);
     this.tokenAccounts = new StoreTokenAccounts(ownership);
     this.engineLoads = new EngineLoads({ countPeers: () => this.peers.peerCount, timers });
@@ -141,22 +144,17 @@
     this.peers = this.makePeers();
     this.replicaNetwork = this.makeReplicaNetwork();
     this.budgets = this.makeBudgets();
-    this.rowSweeper = new RowSweeper(
-      { logger, random: dependencies.random, table, timers },
-      sweptTables,
-    );
+    this.rowSweeper = new RowSweeper({ logger, random, table, timers }, sweptTables);
     this.pipeline = this.makePipeline();
     this.server = new GatewayServer({
+      ...this.listening,
       hasStoreContact: () => this.hasStoreContact,
-      logger,
-      memory: this.memory,
-      metrics: this.metrics,
       pipeline: this.pipeline,
       zoneOutageDetector: this.zoneOutageDetector,
-      timers,
       headerCodec: dependencies.headerCodec,
     });
-    this.readiness = new ReadinessServer(() => this.isReady, this.zoneOutageDetector);
+    const { listening, zoneOutageDetector } = this;
+    this.readiness = new ReadinessServer(() => this.isReady, zoneOutageDetector, listening);
     this.configuration.subscribe(index => {
       this.server.applyLimits(index.configuration.callerLimits);
     });
@@ -202,7 +200,8 @@
       REPLICA_SWEEP_INTERVAL_MILLISECONDS,
       () => {
         this.replicaNetwork.sweep();
-        this.metrics.heldBytes.set(this.memory.bytes);
+        this.metrics.heldBytes.set(this.listening.memory.bytes);
+        this.listening.checks.run(this.dependencies.timers.now());
         this.reportInFlight();
       },
     );
@@ -311,6 +310,7 @@
       replicaCosts: this.replicaCosts,
       workspaceTurns: this.programAdmission,
       instance: this.options.instance,
+      listening: this.listening,
       logger,
       metrics: this.metrics,
       random,
@@ -413,7 +413,7 @@
       crashes: replicaNetwork.crashes,
       turnStore: new TurnStore({ logger, random, rowBytes: this.options.rowBytes, table, timers }),
       logger,
-      memory: this.memory,
+      memory: this.listening.memory,
       metrics: this.metrics,
       plannedStop: this.plannedStop,
       announcements: replicaNetwork.announcements,
--- /dev/null
+++ b/packages/gateway/src/listeners/createListenerContext.ts
@@ -0,0 +1,30 @@
+import type { GatewayOptions } from '../lifecycle/gatewayOptions.js';
+import type { ListenerContext } from './httpListener.js';
+
+import { HeldMemory } from '../callers/memory/heldMemory.js';
+import { deriveHeldMemoryOptions } from '../lifecycle/gatewayOptions.js';
+import { BytePacer } from '../util/bytePacer.js';
+import { ClientChecks } from './clientChecks.js';
+import { IntakeTurns } from './intakeTurns.js';
+
+/**
+ * Creates what the listeners of an instance share, bounded by what its machine has.
+ *
+ * @example
+ * const context = createListenerContext(options, { logger, metrics, timers });
+ */
+export function createListenerContext(
+  options: GatewayOptions,
+  { logger, metrics, timers }: Pick<ListenerContext, 'logger' | 'metrics' | 'timers'>,
+): ListenerContext {
+  const pacer = new BytePacer(timers);
+  return {
+    checks: new ClientChecks(),
+    logger,
+    memory: new HeldMemory(deriveHeldMemoryOptions(options)),
+    metrics,
+    pacer,
+    timers,
+    turns: new IntakeTurns(timers, pacer),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/listeners/requestBody.ts
@@ -0,0 +1,154 @@
+import type { Result, TimerService } from '@zincring/core';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { Err, Ok } from '@zincring/core';
+
+import type { Droppable, HeldMemory, ReleaseMemory } from '../callers/memory/heldMemory.js';
+
+import { BodyContent } from '../util/bodyContent.js';
+
+/**
+ * Reason for which a body was not read completely: the connection was lost, the body is larger than
+ * allowed, or it was given up because the instance cannot hold it.
+ */
+export type BodyReadFailure = 'broken' | 'memory-full' | 'too-large';
+
+/** What a {@link RequestBody} needs. */
+export interface RequestBodyDependencies {
+  /** Maximum size of the body, in bytes. */
+  readonly maximumBytes: number;
+  readonly memory: HeldMemory;
+  readonly timers: Pick<TimerService, 'now'>;
+  /** Called for each piece of the body. */
+  readonly onPiece?: () => void;
+}
+
+const NOTHING = Buffer.alloc(0);
+
+/**
+ * Reads the body of a request from the moment of its head on, and counts it until the response has been
+ * read.
+ *
+ * @example
+ * const body = await new RequestBody(request, response, dependencies).read();
+ */
+export class RequestBody implements Droppable {
+  private readonly content = new BodyContent();
+  private size = 0;
+  private countedBytes = 0;
+  private releaseHeld: ReleaseMemory | undefined;
+  private isDiscarded = false;
+  private failure: BodyReadFailure | undefined;
+  private readonly startedAt: number;
+  /** Resolves at the end of the body; `undefined` for a request without one. */
+  private readonly ended: Promise<void> | undefined;
+
+  public constructor(
+    private readonly request: IncomingMessage,
+    response: ServerResponse,
+    private readonly dependencies: RequestBodyDependencies,
+  ) {
+    this.startedAt = dependencies.timers.now();
+    if (!hasBody(request)) {
+      request.resume();
+      this.ended = undefined;
+      return;
+    }
+    response.once('close', () => {
+      this.discard();
+    });
+    this.ended = new Promise(resolve => {
+      request.on('data', (chunk: Buffer) => {
+        this.add(chunk);
+        if (this.failure === 'too-large') {
+          resolve();
+        }
+      });
+      request.once('end', resolve);
+      request.once('close', resolve);
+      // A lost connection shows in `complete`.
+      request.on('error', () => undefined);
+    });
+  }
+
+  public get heldBytes(): number {
+    return this.content.heldBytes;
+  }
+
+  public findHeldSince(): number {
+    return this.startedAt;
+  }
+
+  /** Reads the complete body. */
+  public async read(): Promise<Result<Buffer, BodyReadFailure>> {
+    if (this.ended === undefined) {
+      return Ok(NOTHING);
+    }
+    await this.ended;
+    if (this.failure === 'too-large') {
+      return Err(this.failure);
+    }
+    if (!this.request.complete) {
+      return Err('broken');
+    }
+    if (this.failure !== undefined) {
+      return Err(this.failure);
+    }
+    const content = this.content.complete();
+    this.countHeld();
+    this.dependencies.memory.removeDroppable(this);
+    return Ok(content);
+  }
+
+  public drop(): void {
+    this.failure ??= 'memory-full';
+    this.discard();
+  }
+
+  /**
+   * Keeps nothing of the body. The rest is read all the same, since a sender that is cut off would not
+   * see the response.
+   */
+  public discard(): void {
+    this.isDiscarded = true;
+    this.content.clear();
+    this.releaseHeld?.();
+    this.releaseHeld = undefined;
+    this.dependencies.memory.removeDroppable(this);
+  }
+
+  private add(chunk: Buffer): void {
+    const { maximumBytes, memory, onPiece, timers } = this.dependencies;
+    onPiece?.();
+    this.size += chunk.length;
+    if (this.size > maximumBytes) {
+      this.failure = 'too-large';
+      this.discard();
+    }
+    if (this.isDiscarded) {
+      return;
+    }
+    memory.makeRoom(timers.now());
+    if (memory.isFull) {
+      this.drop();
+    }
+    if (this.failure === undefined) {
+      this.content.append(chunk);
+      this.countHeld();
+    }
+  }
+
+  private countHeld(): void {
+    const { memory } = this.dependencies;
+    if (this.heldBytes !== this.countedBytes) {
+      this.releaseHeld?.();
+      this.countedBytes = this.heldBytes;
+      this.releaseHeld = memory.hold(this.countedBytes);
+      memory.addDroppable(this);
+    }
+  }
+}
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -73,6 +73,18 @@
     name: 'zincring_in_flight',
     registers: [this.registry],
   });
+  public readonly connections = new Gauge({
+    help: 'Open connections of clients, by the listener that they connected to.',
+    labelNames: ['listener'] as const,
+    name: 'zincring_connections',
+    registers: [this.registry],
+  });
+  public readonly closedConnections = new Counter({
+    help: 'Connections of clients that were closed because of what they take up, by listener and reason.',
+    labelNames: ['listener', 'reason'] as const,
+    name: 'zincring_closed_connections_total',
+    registers: [this.registry],
+  });
   public readonly heldBytes = new Gauge({
     help: 'Bytes of requests and responses that this instance holds.',
     name: 'zincring_held_bytes',
--- a/packages/gateway/src/peers/peerNetwork.ts
+++ b/packages/gateway/src/peers/peerNetwork.ts
@@ -6,6 +6,7 @@
 
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
+import type { ListenerContext } from '../listeners/httpListener.js';
 import type { EngineLoads } from '../upstreams/load/engineLoads.js';
 import type { ReplicaCosts } from '../upstreams/load/replicaCosts.js';
 import type { GatewayPeer } from './gatewayPeer.js';
@@ -38,6 +39,7 @@
   readonly table: PartitionedTable;
   readonly timers: TimerService;
   readonly logger: Logger;
+  readonly listening: ListenerContext;
   readonly random: () => number;
   /** What other instances may ask of this one. */
   readonly self: GatewayPeer;
@@ -102,10 +104,10 @@
       timers,
     });
     this.owners = new OwnerSelector(instance, this.directory, timers, logger);
-    this.relayServer = new RelayServer(relayTarget, logger);
+    this.relayServer = new RelayServer(relayTarget, dependencies.listening);
     this.server = new PeerServer(
       self,
-      logger,
+      dependencies.listening,
       this.relayServer,
       engineLoads,
       replicaCosts,
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -1,18 +1,16 @@
-import type { Logger } from '@zincring/core';
 import type { WorkspaceTurnCounts } from '@zincring/scheduling';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { failureText } from '@zincring/core';
-import { createServer } from 'node:http';
 
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
+import type { ListenerContext } from '../listeners/httpListener.js';
 import type { EngineTurnCounts } from '../upstreams/load/engineLoads.js';
 import type { SlownessReport } from '../upstreams/load/slownessReports.js';
 import type { GatewayPeer } from './gatewayPeer.js';
 import type { RelayServer } from './relayServer.js';
 
-import { readBoundedBody } from '../util/readBoundedBody.js';
-import { getPort, listenOn } from '../util/listen.js';
+import { HttpListener } from '../listeners/httpListener.js';
 import {
   formatSlownessReports,
   parseBucket,
@@ -44,6 +42,8 @@
 const noWorkspaces: WorkspaceTurnSource = { ownCounts: undefined };
 /** Time after which a connection without calls is closed, in milliseconds: a peer that is gone may never close it. */
 const IDLE_TIMEOUT_MILLISECONDS = 60_000;
+/** Time in which a message must arrive, in milliseconds: far longer than its sender waits. */
+const MESSAGE_TIMEOUT_MILLISECONDS = 10_000;
 /** Maximum size of a message, in bytes: far more than any of them has. */
 const MAXIMUM_MESSAGE_BYTES = 16_384;
 const knownPaths: ReadonlySet<string> = new Set(Object.values(PEER_PATHS));
@@ -52,52 +52,59 @@
  * Serves the other instances: JSON over HTTP/1.1, and relayed requests.
  *
  * @example
- * await new PeerServer(self, logger, relay).listen({ host: '10.1.0.11', port: 7780 });
+ * await new PeerServer(self, context, relay).listen({ host: '10.1.0.11', port: 7780 });
  */
 export class PeerServer {
-  private readonly server: Server;
+  private readonly listener: HttpListener;
 
   public constructor(
     private readonly self: GatewayPeer,
-    private readonly logger: Logger,
+    context: ListenerContext,
     relay: RelayServer,
     private readonly engineLoads: EngineLoadSource = idleEngines,
     private readonly slowness: SlownessSource = noReports,
     private readonly workspaceTurns: WorkspaceTurnSource = noWorkspaces,
   ) {
-    this.server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
-      this.handle(request, response).catch((failure: unknown) => {
-        this.logger.info(
-          { event: 'peer-call-failed', failure: failureText(failure) },
-          'a call of another instance failed',
-        );
-        response.destroy();
-      });
-    });
-    this.server.on('checkContinue', (request, response) => {
+    this.listener = new HttpListener(
+      {
+        headMilliseconds: MESSAGE_TIMEOUT_MILLISECONDS,
+        name: 'peers',
+        silenceMilliseconds: MESSAGE_TIMEOUT_MILLISECONDS,
+      },
+      context,
+      (request, response) => {
+        this.handle(request, response).catch((failure: unknown) => {
+          context.logger.info(
+            { event: 'peer-call-failed', failure: failureText(failure) },
+            'a call of another instance failed',
+          );
+          response.destroy();
+        });
+      },
+    );
+    this.listener.onExpectContinue((request, response) => {
       relay.handle(request, response);
     });
-    this.server.keepAliveTimeout = IDLE_TIMEOUT_MILLISECONDS;
+    this.listener.server.keepAliveTimeout = IDLE_TIMEOUT_MILLISECONDS;
   }
 
   /** Starts to listen; port 0 selects any free port. */
   public async listen(address: ListenAddress): Promise<void> {
-    await listenOn(this.server, address);
+    await this.listener.listen(address);
   }
 
   /** Port that the server listens on. */
   public get port(): number {
-    return getPort(this.server);
+    return this.listener.port;
   }
 
   /** Stops listening and closes all connections. */
   public close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    this.listener.close();
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readBoundedBody(request, MAXIMUM_MESSAGE_BYTES);
+    const body = await this.listener.readBody(request, response, MAXIMUM_MESSAGE_BYTES).read();
     const path = request.url ?? '';
     if (!knownPaths.has(path)) {
       endWithStatus(response, STATUS_UNKNOWN_PATH);
@@ -158,6 +165,10 @@
 }
 
 function endWithStatus(response: ServerResponse, status: number): void {
+  // The rest of a body that is too large is not read.
+  if (!response.req.complete) {
+    response.setHeader('Connection', 'close');
+  }
   response.writeHead(status, { 'Content-Length': 0 });
   response.end();
 }
--- a/packages/gateway/src/peers/relayServer.ts
+++ b/packages/gateway/src/peers/relayServer.ts
@@ -1,4 +1,3 @@
-import type { Logger } from '@zincring/core';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { failureText } from '@zincring/core';
@@ -6,10 +5,11 @@
 
 import type { ReplicaEntry, ReplicaRunId } from '../upstreams/replica.js';
 import type { ExchangeOutcome, ReplicaRequest } from '../upstreams/replicaExchange.js';
+import type { ListenerContext } from '../listeners/httpListener.js';
 import type { RelayFailure } from './relayProtocol.js';
 
 import { withoutHeaders } from '../util/headerList.js';
-import { readBoundedBody } from '../util/readBoundedBody.js';
+import { RequestBody } from '../listeners/requestBody.js';
 import { decodeRelayedRequest, readRelayPath, RELAY_OUTCOME_HEADER } from './relayProtocol.js';
 
 /** Whether this instance can relay requests to a replica now. */
@@ -47,7 +47,7 @@
 
   public constructor(
     private readonly target: RelayTarget,
-    private readonly logger: Logger,
+    private readonly context: Pick<ListenerContext, 'logger' | 'memory' | 'timers'>,
   ) {}
 
   /** Number of requests that are being relayed. */
@@ -64,7 +64,7 @@
       this.inFlightCount--;
     });
     this.relay(request, response).catch((failure: unknown) => {
-      this.logger.info(
+      this.context.logger.info(
         { event: 'relay-failed', failure: failureText(failure) },
         'a relayed request broke off',
       );
@@ -84,7 +84,9 @@
       return;
     }
     response.writeContinue();
-    const content = await readBoundedBody(request, MAXIMUM_REQUEST_BYTES);
+    const { memory, timers } = this.context;
+    const limits = { maximumBytes: MAXIMUM_REQUEST_BYTES, memory, timers };
+    const content = await new RequestBody(request, response, limits).read();
     const relayed = content.ok ? decodeRelayedRequest(content.val) : undefined;
     if (relayed === undefined) {
       sendFailure(response, 'not-sent', 'the relayed request cannot be read');
--- a/packages/gateway/src/util/httpEndpoint.ts
+++ b/packages/gateway/src/util/httpEndpoint.ts
@@ -1,40 +1,59 @@
-import type { Server, ServerResponse } from 'node:http';
-
-import { createServer } from 'node:http';
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
+import type { ListenerContext, ListenerName } from '../listeners/httpListener.js';
+
+import { HttpListener } from '../listeners/httpListener.js';
 
-import { listenOn, getPort } from './listen.js';
+/** Time in which a request must arrive and its response be read, in milliseconds: the load balancer gives up sooner. */
+const TIMEOUT_MILLISECONDS = 5_000;
 
 /**
- * HTTP server that responds to every request in the same way, regardless of its path.
+ * HTTP server that responds to every request in the same way, regardless of its path. A request with a
+ * body is the last one of its connection.
  *
  * @example
- * await new HttpEndpoint(response => response.end('alive')).listen({ host: '127.0.0.1', port: 0 });
+ * const endpoint = new HttpEndpoint('readiness', context, response => response.end('alive'));
+ * await endpoint.listen({ host: '127.0.0.1', port: 0 });
  */
 export class HttpEndpoint {
-  private readonly server: Server;
-
-  public constructor(respond: (response: ServerResponse) => void) {
-    this.server = createServer((request, response) => {
-      request.resume();
-      respond(response);
-    });
+  private readonly listener: HttpListener;
+
+  public constructor(
+    name: ListenerName,
+    context: ListenerContext,
+    respond: (response: ServerResponse) => void,
+  ) {
+    this.listener = new HttpListener(
+      { headMilliseconds: TIMEOUT_MILLISECONDS, name, silenceMilliseconds: TIMEOUT_MILLISECONDS },
+      context,
+      (request, response) => {
+        request.resume();
+        request.on('error', () => undefined);
+        if (hasBody(request.headers)) {
+          response.setHeader('Connection', 'close');
+        }
+        respond(response);
+      },
+    );
   }
 
   /** Starts to listen; port 0 selects any free port. */
   public async listen(address: ListenAddress): Promise<void> {
-    await listenOn(this.server, address);
+    await this.listener.listen(address);
   }
 
   /** Port on which the server listens. */
   public get port(): number {
-    return getPort(this.server);
+    return this.listener.port;
   }
 
   /** Closes the server and its connections immediately. */
   public close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    this.listener.close();
   }
 }
+
+function hasBody(headers: IncomingHttpHeaders): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
--- a/packages/gateway/src/util/readBoundedBody.ts
+++ b/packages/gateway/src/util/readBoundedBody.ts
@@ -3,69 +3,40 @@
 
 import { Err, Ok } from '@zincring/core';
 
-/**
- * Reason for which a body was not read completely: the connection was lost, the body is larger than
- * allowed, or the instance cannot hold it.
- */
-export type BodyReadFailure = 'broken' | 'memory-full' | 'too-large';
-
-/** Counts the bytes of a body that is being read. */
-export interface BodyHolder {
-  /** Whether nothing more can be held. */
-  readonly isFull: boolean;
-  /** Counts further bytes. */
-  hold(bytes: number): void;
-  /** Returns all that was counted, since the body is dropped. */
-  release(): void;
-}
+import { BodyContent } from './bodyContent.js';
 
-const unboundedHolder: BodyHolder = {
-  hold: () => undefined,
-  isFull: false,
-  release: () => undefined,
-};
+/** Reason for which a body was not read completely: the connection was lost, or the body is larger than allowed. */
+export type BodyReadFailure = 'broken' | 'too-large';
 
 /**
- * Reads the complete body of a request or response, up to a maximum size.
+ * Reads the complete body of a response, up to a maximum size.
  *
  * @param maximumBytes maximum size of the body, in bytes
- * @param holder counts what has been read; unbounded by default
+ * @param waitForRoom waits until more may be read than the given number of bytes; it may by default
  * @example
- * const body = await readBoundedBody(request, 4_194_304);
+ * const body = await readBoundedBody(response, 1_048_576);
  */
 export async function readBoundedBody(
   message: IncomingMessage,
   maximumBytes: number,
-  holder: BodyHolder = unboundedHolder,
+  waitForRoom?: (size: number) => Promise<void>,
 ): Promise<Result<Buffer, BodyReadFailure>> {
-  const chunks: Buffer[] = [];
+  const content = new BodyContent();
   let size = 0;
-  let isDropped = false;
   try {
     for await (const chunk of message as AsyncIterable<Buffer>) {
       size += chunk.length;
       if (size > maximumBytes) {
+        content.clear();
         return Err('too-large');
       }
-      // The rest is read all the same, since a sender that is cut off would not see the response.
-      if (isDropped) {
-        continue;
-      }
-      if (holder.isFull) {
-        isDropped = true;
-        chunks.length = 0;
-        holder.release();
-        continue;
-      }
-      holder.hold(chunk.length);
-      chunks.push(chunk);
+      content.append(chunk);
+      await waitForRoom?.(size);
     }
   } catch {
     // Node reports a connection lost in the middle of a body as a stream error.
+    content.clear();
     return Err('broken');
   }
-  if (!message.complete) {
-    return Err('broken');
-  }
-  return isDropped ? Err('memory-full') : Ok(Buffer.concat(chunks));
+  return message.complete ? Ok(content.complete()) : Err('broken');
 }
--- a/packages/gateway/tests/callers/memory/slowCallers.test.ts
+++ b/packages/gateway/tests/callers/memory/slowCallers.test.ts
@@ -1,3 +1,4 @@
+import { SystemTimerService } from '@zincring/core';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -10,7 +11,7 @@
 import type { GatewayFixture } from '../../support/gatewayFixture.js';
 
 import { HeldMemory } from '../../../src/callers/memory/heldMemory.js';
-import { readRequestBody } from '../../../src/callers/readRequestBody.js';
+import { RequestBody } from '../../../src/listeners/requestBody.js';
 import { neverResponds, responds } from '../../support/fakeReplica.js';
 import { safeRoute, startGateway, streamRoute, waitUntil } from '../../support/gatewayFixture.js';
 
@@ -115,13 +116,13 @@
 
   it('does not count what it dropped of a body that is still arriving', async () => {
     const memory = new HeldMemory({ capacityBytes: 1_000 });
-    const request = new PassThrough();
-    const pendingBody = readRequestBody(
+    const headers = { 'transfer-encoding': 'chunked' };
+    const request = Object.assign(new PassThrough(), { headers });
+    const pendingBody = new RequestBody(
       request as unknown as IncomingMessage,
       new PassThrough() as unknown as ServerResponse,
-      memory,
-      10_000,
-    );
+      { maximumBytes: 10_000, memory, timers: new SystemTimerService() },
+    ).read();
     const release = memory.hold(500);
     for (let index = 0; index < 2; index++) {
       request.write(Buffer.alloc(600));
@@ -130,6 +131,6 @@
     expect(memory.bytes).toBe(500);
     release();
     request.destroy();
-    expect(await pendingBody).toBe(undefined);
+    expect((await pendingBody).val).toBe('broken');
   });
 });
--- a/packages/gateway/tests/compatibility/formats.test.ts
+++ b/packages/gateway/tests/compatibility/formats.test.ts
@@ -38,6 +38,7 @@
   recordedTurn,
   writeRecording,
 } from './writeRecording.js';
+import { makeListenerContext } from '../support/makeListenerContext.js';
 
 const FOLDER = join(import.meta.dirname, 'recordings');
 const builds = readdirSync(FOLDER).map(file => file.replace('.json', ''));
@@ -179,7 +180,7 @@
           reserveOwned: async () => await Promise.resolve(answer),
           settleOwned: async () => await Promise.resolve(true),
         },
-        silentLogger,
+        makeListenerContext(),
         makeRelayServer(),
       );
       await server.listen({ host: '127.0.0.1', port: 0 });
--- a/packages/gateway/tests/peers/peerNetwork.test.ts
+++ b/packages/gateway/tests/peers/peerNetwork.test.ts
@@ -12,6 +12,7 @@
 import { PeerServer } from '../../src/peers/peerServer.js';
 import { makeOwner, makeRelayServer } from '../support/fakePeer.js';
 import { startStranger } from '../support/startStranger.js';
+import { makeListenerContext } from '../support/makeListenerContext.js';
 
 const bucket = {
   burst: 20,
@@ -47,7 +48,7 @@
   async function startServer(overrides: Partial<GatewayPeer>): Promise<PeerServer> {
     const server = new PeerServer(
       makeOwner('self', overrides).peer,
-      silentLogger,
+      makeListenerContext(),
       makeRelayServer(),
     );
     await server.listen({ host: '127.0.0.1', port: 0 });
@@ -160,7 +161,7 @@
     const reply = { isOverRate: false, kind: 'granted' } as const;
     const { peer } = makeOwner('self', { acquireOwned: async () => await Promise.resolve(reply) });
     const loads = { ownCounts: { engines: 3 } };
-    const server = new PeerServer(peer, silentLogger, makeRelayServer(), loads);
+    const server = new PeerServer(peer, makeListenerContext(), makeRelayServer(), loads);
     await server.listen({ host: '127.0.0.1', port: 0 });
     const received: unknown[] = [];
     const clients = new PeerClients(silentLogger, counts => received.push(counts));
@@ -178,7 +179,7 @@
     const source = { ownReports: measured };
     const { peer } = makeOwner('self', {});
     const loads = { ownCounts: {} };
-    const server = new PeerServer(peer, silentLogger, makeRelayServer(), loads, source);
+    const server = new PeerServer(peer, makeListenerContext(), makeRelayServer(), loads, source);
     await server.listen({ host: '127.0.0.1', port: 0 });
     const received: unknown[] = [];
     const clients = new PeerClients(
@@ -286,7 +287,11 @@
     expect(await peer.acquireOwned(bucket)).toMatchObject({ kind: 'granted' });
     first.close();
     expect(await peer.acquireOwned(bucket)).toEqual({ kind: 'unreachable' });
-    const second = new PeerServer(makeOwner('self', granted).peer, silentLogger, makeRelayServer());
+    const second = new PeerServer(
+      makeOwner('self', granted).peer,
+      makeListenerContext(),
+      makeRelayServer(),
+    );
     await second.listen({ host: '127.0.0.1', port });
     cleanups.push(() => {
       second.close();
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -41,6 +41,7 @@
 import { waitUntil } from '../support/gatewayFixture.js';
 import { sampleReplica } from '../support/samples.js';
 import { startStranger } from '../support/startStranger.js';
+import { makeListenerContext } from '../support/makeListenerContext.js';
 
 const timers = new SystemTimerService();
 const idleWatch = {
@@ -86,8 +87,8 @@
   };
   const server = new PeerServer(
     makeOwner('self').peer,
-    silentLogger,
-    new RelayServer(target, silentLogger),
+    makeListenerContext(),
+    new RelayServer(target, makeListenerContext()),
   );
   await server.listen({ host: '127.0.0.1', port: 0 });
   cleanups.push(() => {
--- a/packages/gateway/tests/support/fakePeer.ts
+++ b/packages/gateway/tests/support/fakePeer.ts
@@ -1,11 +1,10 @@
 import type { InstanceId } from '@zincring/core';
 
-import { silentLogger } from '@zincring/core';
-
 import type { GatewayPeer } from '../../src/peers/gatewayPeer.js';
 import type { Owner } from '../../src/peers/ownerSelector.js';
 
 import { RelayServer } from '../../src/peers/relayServer.js';
+import { makeListenerContext } from './makeListenerContext.js';
 
 const unreachablePeer: GatewayPeer = {
   acquireOwned: async () => await Promise.resolve({ kind: 'unreachable' }),
@@ -26,7 +25,7 @@
     accept: () => ({ kind: 'unavailable', reason: 'it relays nothing' }) as const,
     exchange: async () => await Promise.reject(new Error('not accepted')),
   };
-  return new RelayServer(target, silentLogger);
+  return new RelayServer(target, makeListenerContext());
 }
 
 /** Makes a list of other instances that is always current. */
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -80,6 +80,12 @@
       return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
     }),
   );
+  if (headers.get('transfer-encoding') === 'chunked') {
+    const chunked = parseChunks(text, end + 4);
+    return (
+      chunked && { length: chunked.length, request: { body: chunked.body, headers, method, path } }
+    );
+  }
   const bodyLength = Number(headers.get('content-length') ?? 0);
   const length = end + 4 + bodyLength;
   if (text.length < length) {
@@ -88,6 +94,27 @@
   return { length, request: { body: text.slice(end + 4, length), headers, method, path } };
 }
 
+/** Reads a body in chunks that begins at an offset; `undefined` until its end has been received. */
+function parseChunks(
+  text: string,
+  start: number,
+): { readonly body: string; readonly length: number } | undefined {
+  let body = '';
+  for (let offset = start; ;) {
+    const lineEnd = text.indexOf('\r\n', offset);
+    const size = Number.parseInt(text.slice(offset, lineEnd), 16);
+    const end = lineEnd + 2 + size + 2;
+    if (lineEnd === -1 || text.length < end) {
+      return undefined;
+    }
+    if (size === 0) {
+      return { body, length: end };
+    }
+    body += text.slice(lineEnd + 2, end - 2);
+    offset = end;
+  }
+}
+
 /** Handles the first request by the first behaviour, also if another replica receives the second one. */
 export function inOrder(...behaviours: readonly Behaviour[]): Behaviour {
   let received = 0;
--- /dev/null
+++ b/packages/gateway/tests/support/makeListenerContext.ts
@@ -0,0 +1,25 @@
+import { silentLogger, SystemTimerService } from '@zincring/core';
+
+import type { ListenerContext } from '../../src/listeners/httpListener.js';
+
+import { HeldMemory } from '../../src/callers/memory/heldMemory.js';
+import { ClientChecks } from '../../src/listeners/clientChecks.js';
+import { IntakeTurns } from '../../src/listeners/intakeTurns.js';
+import { BytePacer } from '../../src/util/bytePacer.js';
+import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
+
+/** Makes what a listener needs on a machine without bounds. */
+export function makeListenerContext(overrides: Partial<ListenerContext> = {}): ListenerContext {
+  const timers = new SystemTimerService();
+  const pacer = new BytePacer(timers);
+  return {
+    checks: new ClientChecks(),
+    logger: silentLogger,
+    memory: new HeldMemory(),
+    metrics: new GatewayMetrics(),
+    pacer,
+    timers,
+    turns: new IntakeTurns(timers, pacer),
+    ...overrides,
+  };
+}
