fix(listeners): connections and requests in progress are bounded

What callers saw: 600 connections that send nothing leave a process of 400 descriptors with 632; connections to replicas and to the store are then refused, and so are all callers.

Cause: nothing counted connections, nor requests in progress.

Clients of one address may take three quarters, so that one client leaves places to others, and a load balancer has most of them. A new connection that finds no place takes that of the one that has been silent for the longest, never of one with a request that was received completely; a request that finds none is refused at once with 503 instance-memory-full, and has not run. Addresses are looked up only when three quarters are taken: each costs a system call.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -157,10 +157,6 @@
     request.on('error', () => undefined);
     response.on('error', () => undefined);
     this.unansweredRequests.add(request, response);
-    this.inFlightCount++;
-    response.once('close', () => {
-      this.inFlightCount--;
-    });
     const incoming = this.toIncomingRequest(request, response);
     if (countHeaderBytes(request.rawHeaders) > this.maximumHeaderBytes) {
       callerResponse.send(431, ['Connection', 'close'], Buffer.alloc(0));
@@ -233,11 +229,23 @@
         });
       },
       path: request.url ?? '/',
+      hasPlace: this.takePlace(request, response),
       readBody: async () => describeBody(await body.read()),
       receivedAt: this.dependencies.timers.now(),
     };
   }
 
+  /** Takes a place among the requests in progress; returns `false` if there is none. */
+  private takePlace({ socket }: IncomingMessage, response: ServerResponse): boolean {
+    const { callerRequests } = this.dependencies.limits;
+    const hasPlace = this.listener.hasPlaceForRequest(socket, this.inFlightCount, callerRequests);
+    this.inFlightCount++;
+    response.once('close', () => {
+      this.inFlightCount--;
+    });
+    return hasPlace;
+  }
+
   private refuseMalformedRequest(failure: ClientError, socket: Socket): void {
     const { code } = failure;
     this.dependencies.logger.info(
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -41,6 +41,8 @@
   readonly facts: RequestFacts;
   /** Time at which its headers had arrived, on the monotonic clock in milliseconds. */
   readonly receivedAt: number;
+  /** Whether as many requests are in progress as the instance can serve with this one. */
+  readonly hasPlace: boolean;
   /** Reads the body; `undefined` if the caller disconnected before its end. */
   readBody(): Promise<Result<Buffer, ZincringError> | undefined>;
   /** Keeps nothing of the body, since the request is refused. */
@@ -131,7 +133,7 @@
   private async admit(incoming: IncomingRequest): Promise<Result<Admission, ZincringError>> {
     const { configuration, memory } = this.dependencies;
     memory.makeRoom(this.timers.now());
-    if (memory.isFull) {
+    if (!incoming.hasPlace || memory.isFull) {
       return Err(makeMemoryFullError());
     }
     const isFresh = configuration.isFresh() || (await this.refreshConfiguration());
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -40,6 +40,8 @@
   readonly rowBytes: number;
   /** Memory of the instance, in bytes; what it holds for callers is not bounded by default. */
   readonly memoryBytes?: number;
+  /** Descriptors that the instance may have open; they are not bounded by default. */
+  readonly descriptors?: number;
 }
 
 /** Times of an instance in milliseconds, derived from the operator's bounds. */
--- a/packages/gateway/src/listeners/createListenerContext.ts
+++ b/packages/gateway/src/listeners/createListenerContext.ts
@@ -6,6 +6,7 @@
 import { BytePacer } from '../util/bytePacer.js';
 import { ClientChecks } from './clientChecks.js';
 import { IntakeTurns } from './intakeTurns.js';
+import { deriveListenerLimits } from './listenerLimits.js';
 
 /**
  * Creates what the listeners of an instance share, bounded by what its machine has.
@@ -20,6 +21,7 @@
   const pacer = new BytePacer(timers);
   return {
     checks: new ClientChecks(),
+    limits: deriveListenerLimits(options),
     logger,
     memory: new HeldMemory(deriveHeldMemoryOptions(options)),
     metrics,
--- a/packages/gateway/src/listeners/httpListener.ts
+++ b/packages/gateway/src/listeners/httpListener.ts
@@ -9,6 +9,7 @@
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { BytePacer } from '../util/bytePacer.js';
 import type { ClientChecks } from './clientChecks.js';
+import type { ConnectionLimits, ListenerLimits } from './listenerLimits.js';
 import type { ConnectionIntakeDependencies } from './connectionIntake.js';
 import type { IntakeTurns } from './intakeTurns.js';
 
@@ -20,11 +21,8 @@
 import { QueuedResponses } from './queuedResponses.js';
 import { RequestBody } from './requestBody.js';
 
-/** A listener of an instance, in logs and metrics. */
-export type ListenerName = 'callers' | 'metrics' | 'peers' | 'readiness';
-
 /** Why a listener closed a connection of a client, in logs and metrics. */
-export type ClosingReason = 'memory-full' | 'unread';
+export type ClosingReason = 'memory-full' | 'replaced' | 'too-many' | 'unread';
 
 /** Error of the bytes that a client sent, or of their absence. */
 export interface ClientError extends Error {
@@ -34,6 +32,7 @@
 
 /** What all listeners of an instance share. */
 export interface ListenerContext {
+  readonly limits: ListenerLimits;
   readonly logger: Logger;
   /** Run once a second. */
   readonly checks: ClientChecks;
@@ -46,7 +45,7 @@
 
 /** Properties of one listener. */
 export interface ListenerOptions {
-  readonly name: ListenerName;
+  readonly name: keyof ConnectionLimits;
   /** Time for which a client may be silent in the middle of a message or leave a response unread, in milliseconds. */
   readonly silenceMilliseconds: number;
   /** Time for a head to arrive, in milliseconds. */
@@ -69,8 +68,8 @@
 }
 
 /**
- * HTTP server of an instance that bounds what its clients take up: bytes that wait to be parsed, requests
- * in progress on a connection, and the time for which a client may be silent.
+ * HTTP server of an instance that bounds what its clients take up: connections, bytes that wait to be
+ * parsed, requests in progress on a connection, and the time for which a client may be silent.
  *
  * @example
  * const listener = new HttpListener(options, context, (request, response) => response.end('alive'));
@@ -81,7 +80,7 @@
   public readonly server: Server;
   /** Responses that wait behind others of their connection. */
   public readonly queuedResponses = new QueuedResponses();
-  private readonly table = new ConnectionTable();
+  private readonly table: ConnectionTable;
   private readonly unread = new WeakMap<Socket, UnreadOutput>();
   private readonly intakeDependencies: ConnectionIntakeDependencies;
   private headMilliseconds: number;
@@ -102,6 +101,9 @@
       timers: context.timers,
       turns: context.turns,
     };
+    this.table = new ConnectionTable(context.limits.connections[options.name], () => {
+      this.recordClosing('replaced');
+    });
     this.server = createServer(
       {
         keepAlive: true,
@@ -160,6 +162,16 @@
     this.silenceMilliseconds = silenceMilliseconds;
   }
 
+  /**
+   * Whether a request of a connection finds a place among those in progress.
+   *
+   * @param inProgress requests in progress on all connections
+   * @param maximum requests that may be in progress
+   */
+  public hasPlaceForRequest(connection: Socket, inProgress: number, maximum: number): boolean {
+    return this.table.hasPlaceForRequest(connection, inProgress, maximum);
+  }
+
   /** Starts to read the body of a request, up to a maximum size in bytes. */
   public readBody(
     request: IncomingMessage,
@@ -197,7 +209,10 @@
   }
 
   private accept(socket: Socket): void {
-    this.table.add(socket, new ConnectionIntake(socket, this.intakeDependencies));
+    if (!this.table.add(socket, new ConnectionIntake(socket, this.intakeDependencies))) {
+      this.recordClosing('too-many');
+      socket.resetAndDestroy();
+    }
   }
 
   private check(now: number): void {
--- a/packages/gateway/src/util/httpEndpoint.ts
+++ b/packages/gateway/src/util/httpEndpoint.ts
@@ -1,7 +1,8 @@
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
-import type { ListenerContext, ListenerName } from '../listeners/httpListener.js';
+import type { ListenerContext } from '../listeners/httpListener.js';
+import type { ConnectionLimits } from '../listeners/listenerLimits.js';
 
 import { HttpListener } from '../listeners/httpListener.js';
 
@@ -20,7 +21,7 @@
   private readonly listener: HttpListener;
 
   public constructor(
-    name: ListenerName,
+    name: keyof ConnectionLimits,
     context: ListenerContext,
     respond: (response: ServerResponse) => void,
   ) {
--- a/packages/gateway/tests/support/makeListenerContext.ts
+++ b/packages/gateway/tests/support/makeListenerContext.ts
@@ -5,6 +5,7 @@
 import { HeldMemory } from '../../src/callers/memory/heldMemory.js';
 import { ClientChecks } from '../../src/listeners/clientChecks.js';
 import { IntakeTurns } from '../../src/listeners/intakeTurns.js';
+import { deriveListenerLimits } from '../../src/listeners/listenerLimits.js';
 import { BytePacer } from '../../src/util/bytePacer.js';
 import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
 
@@ -14,6 +15,7 @@
   const pacer = new BytePacer(timers);
   return {
     checks: new ClientChecks(),
+    limits: deriveListenerLimits({}),
     logger: silentLogger,
     memory: new HeldMemory(),
     metrics: new GatewayMetrics(),
