fix(callers): responses that nobody reads give way when memory is full

What callers saw: a crowd of 40 connections that asks for large responses and reads none takes a process of 210 MB to 2,810 MB, and to 307 MB once what it sends ahead is bounded; ordinary requests are refused until the idle timeout has passed.

Cause: an unread response keeps its memory for the operator's idle timeout, whatever others need; long responses of replicas are read as fast as they arrive, and memory outside of the heap is freed late.

Now a complete response whose caller has read nothing for a second gives way while memory is full, those with the most byte-seconds first; one that is being read keeps its place, and in calm nothing changes. Responses of more than 64 KB are read at a bounded rate together with what clients send, and wait unread while memory is full.

--- a/packages/gateway/src/callers/memory/heldMemory.ts
+++ b/packages/gateway/src/callers/memory/heldMemory.ts
@@ -6,10 +6,12 @@
   readonly maximumResponseBytes?: number;
 }
 
-/** Something held that may be given up for others, since its request has not run. */
+/** Something held that may be given up for others, since its request has not run or its response is not read. */
 export interface Droppable {
   readonly heldBytes: number;
-  /** Returns the time since which it has held them, on the monotonic clock in milliseconds. */
+  /** Time without any progress after which it may be given up for what arrives, in milliseconds. */
+  readonly droppableAfterMilliseconds: number;
+  /** Returns the time since which it has held them without any progress, on the monotonic clock in milliseconds. */
   findHeldSince(now: number): number;
   /** Gives it up and releases its memory at once. */
   drop(): void;
@@ -82,10 +84,11 @@
    * finds room whoever fills the memory.
    *
    * @param now time on the monotonic clock, in milliseconds
+   * @param canWait whether what arrives can be refused, so that nothing is given up for it too soon
    */
-  public makeRoom(now: number): void {
+  public makeRoom(now: number, canWait = true): void {
     while (this.isFull) {
-      const droppable = this.findGreediest(now);
+      const droppable = this.findGreediest(now, canWait);
       if (droppable === undefined) {
         return;
       }
@@ -94,11 +97,14 @@
     }
   }
 
-  private findGreediest(now: number): Droppable | undefined {
+  private findGreediest(now: number, canWait: boolean): Droppable | undefined {
     let greediest: Droppable | undefined;
     let most = 0;
     for (const droppable of this.droppables) {
       const heldMilliseconds = now - droppable.findHeldSince(now);
+      if (canWait && heldMilliseconds < droppable.droppableAfterMilliseconds) {
+        continue;
+      }
       // What arrived just now counts by its size alone.
       const weight = droppable.heldBytes * (1 + heldMilliseconds);
       if (weight > most) {
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -14,7 +14,6 @@
 import type { CrashTrials } from '../upstreams/crashTrials.js';
 import type { RunOutcome } from '../upstreams/runOutcome.js';
 import type { GatewayMetrics, RequestEnd } from '../observation/gatewayMetrics.js';
-import type { HeldMemory } from './memory/heldMemory.js';
 import type { Admission } from './admitByConfiguration.js';
 import type { ResponseSink } from './responseSink.js';
 import type { RequestFacts } from './requestFacts.js';
@@ -58,7 +57,6 @@
   readonly metrics: GatewayMetrics;
   readonly budgets: TurnBudgets;
   readonly crashTrials: CrashTrials;
-  readonly memory: HeldMemory;
   readonly plannedStop: Pick<PlannedStop, 'allows'>;
   readonly programAdmission: ProgramAdmission;
   readonly turnStore: TurnStore;
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -414,6 +414,7 @@
       turnStore: new TurnStore({ logger, random, rowBytes: this.options.rowBytes, table, timers }),
       logger,
       memory: this.listening.memory,
+      pacer: this.listening.pacer,
       metrics: this.metrics,
       plannedStop: this.plannedStop,
       announcements: replicaNetwork.announcements,
--- a/packages/gateway/src/listeners/connectionIntake.ts
+++ b/packages/gateway/src/listeners/connectionIntake.ts
@@ -39,6 +39,7 @@
  * server.on('connection', socket => new ConnectionIntake(socket, dependencies));
  */
 export class ConnectionIntake implements Droppable, WaitingIntake {
+  public readonly droppableAfterMilliseconds = 0;
   private readonly parse: Parse;
   private readonly blankLines = new BlankLineFinder();
   /** Request whose end has not been parsed yet. */
--- a/packages/gateway/src/listeners/requestBody.ts
+++ b/packages/gateway/src/listeners/requestBody.ts
@@ -33,6 +33,7 @@
  * const body = await new RequestBody(request, response, dependencies).read();
  */
 export class RequestBody implements Droppable {
+  public readonly droppableAfterMilliseconds = 0;
   private readonly content = new BodyContent();
   private size = 0;
   private countedBytes = 0;
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -322,7 +322,14 @@
       this.dependencies.pool.recordReplica(this.request.facts, entry);
       return await this.relayResponse(entry, response);
     }
-    const body = await readResponseBody(response, MAXIMUM_BUFFERED_RESPONSE_BYTES);
+    const { memory, pacer, timers } = this.dependencies;
+    const body = await readResponseBody(response, {
+      maximumBytes: MAXIMUM_BUFFERED_RESPONSE_BYTES,
+      memory,
+      pacer,
+      signal: this.control.signal,
+      timers,
+    });
     if (body === undefined) {
       return { kind: 'lost', reason: describeBreak('the answer broke off', response) };
     }
--- a/packages/gateway/src/upstreams/attemptLoopDependencies.ts
+++ b/packages/gateway/src/upstreams/attemptLoopDependencies.ts
@@ -1,5 +1,7 @@
 import type { Logger, TimerService } from '@zincring/core';
 
+import type { HeldMemory } from '../callers/memory/heldMemory.js';
+import type { BytePacer } from '../util/bytePacer.js';
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { Announcements } from './announcements.js';
@@ -13,6 +15,8 @@
 /** Dependencies of an attempt loop. */
 export interface AttemptLoopDependencies {
   readonly timers: TimerService;
+  readonly memory: HeldMemory;
+  readonly pacer: BytePacer;
   readonly logger: Logger;
   readonly pool: ReplicaPool;
   readonly permits: ReplicaPermits;
--- a/packages/gateway/tests/callers/memory/heldMemory.test.ts
+++ b/packages/gateway/tests/callers/memory/heldMemory.test.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
+import type { Droppable, ReleaseMemory } from '../../../src/callers/memory/heldMemory.js';
+
 import { HeldMemory } from '../../../src/callers/memory/heldMemory.js';
 
 describe('the memory of an instance', () => {
@@ -57,3 +59,69 @@
     expect(Math.min(...unread)).toBeGreaterThan(0);
   });
 });
+
+/** Something that holds memory without progress since a time. */
+class HeldThing implements Droppable {
+  public isDropped = false;
+  private readonly release: ReleaseMemory;
+
+  public constructor(
+    memory: HeldMemory,
+    public readonly heldBytes: number,
+    private readonly since: number,
+    public readonly droppableAfterMilliseconds: number,
+  ) {
+    this.release = memory.hold(heldBytes);
+    memory.addDroppable(this);
+  }
+
+  public findHeldSince(): number {
+    return this.since;
+  }
+
+  public drop(): void {
+    this.isDropped = true;
+    this.release();
+  }
+}
+
+describe('a full memory', () => {
+  const things = fc.array(
+    fc.record({
+      after: fc.constantFrom(0, 1_000),
+      bytes: fc.integer({ max: 400, min: 1 }),
+      since: fc.nat({ max: 5_000 }),
+    }),
+  );
+
+  // Guards against one greedy client that uses up what ordinary ones need.
+  it('gives up the most byte-seconds first, and only as much as is needed', () => {
+    fc.assert(
+      fc.property(things, fc.boolean(), (descriptions, canWait) => {
+        const now = 5_000;
+        const memory = new HeldMemory({ capacityBytes: 1_000 });
+        const held = descriptions.map(
+          ({ after, bytes, since }) => new HeldThing(memory, bytes, since, after),
+        );
+        memory.makeRoom(now, canWait);
+        // A plain version: sort once and drop from the front.
+        const order = descriptions
+          .map((each, index) => ({ ...each, index, weight: each.bytes * (1 + now - each.since) }))
+          .filter(({ after, since }) => !canWait || now - since >= after)
+          .sort((left, right) => right.weight - left.weight || left.index - right.index);
+        let bytes = descriptions.reduce((sum, each) => sum + each.bytes, 0);
+        const expected = new Set<number>();
+        for (const each of order) {
+          if (bytes < 1_000) {
+            break;
+          }
+          expected.add(each.index);
+          bytes -= each.bytes;
+        }
+        expect(held.map(({ isDropped }) => isDropped)).toEqual(
+          held.map((_each, index) => expected.has(index)),
+        );
+      }),
+    );
+  });
+});
