fix(listeners): a response gets no eleventh listener for its close

What was seen: MaxListenersExceededWarning on standard error in the soak, for streams whose callers read slowly: the intake of the connection added a close listener to those of the request. Now the listener's own count of requests in progress takes the place of the server's, which had one of its own.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -59,7 +59,6 @@
   /** Connections whose last response has been announced. */
   private readonly closingConnections = new WeakSet<Socket>();
   private isClosing = false;
-  private inFlightCount = 0;
   private idleConnectionTimer: TimerSubscription | undefined;
   private maximumHeaderBytes = INITIAL_LIMITS.maximumHeaderBytes;
   private maximumBodyBytes = INITIAL_LIMITS.maximumBodyBytes;
@@ -87,7 +86,7 @@
 
   /** Number of requests whose response is not complete. */
   public get requestsInFlight(): number {
-    return this.inFlightCount;
+    return this.listener.requestsInProgress;
   }
 
   /** Starts to listen; port 0 selects any free port. */
@@ -229,23 +228,12 @@
         });
       },
       path: request.url ?? '/',
-      hasPlace: this.takePlace(request, response),
+      hasPlace: this.listener.hasPlaceForRequest(request, this.dependencies.limits.callerRequests),
       readBody: async () => describeBody(await body.read()),
       receivedAt: this.dependencies.timers.now(),
     };
   }
 
-  /** Takes a place among the requests in progress; returns `false` if there is none. */
-  private takePlace({ socket }: IncomingMessage, response: ServerResponse): boolean {
-    const { callerRequests } = this.dependencies.limits;
-    const hasPlace = this.listener.hasPlaceForRequest(socket, this.inFlightCount, callerRequests);
-    this.inFlightCount++;
-    response.once('close', () => {
-      this.inFlightCount--;
-    });
-    return hasPlace;
-  }
-
   private refuseMalformedRequest(failure: ClientError, socket: Socket): void {
     const { code } = failure;
     this.dependencies.logger.info(
--- a/packages/gateway/src/listeners/connectionIntake.ts
+++ b/packages/gateway/src/listeners/connectionIntake.ts
@@ -14,6 +14,8 @@
   readonly turns: IntakeTurns;
   /** Called before a connection is closed because of the memory that its bytes take. */
   readonly onDropped: () => void;
+  /** Called when the response to a request has been taken over by the system, or its connection is closed. */
+  readonly onRequestEnded: () => void;
 }
 
 /** Node's listener for the bytes of a connection, which parses them. */
@@ -151,6 +153,7 @@
     response.once('close', () => {
       release();
       this.inProgressCount--;
+      this.dependencies.onRequestEnded();
       this.continueParsing();
     });
   }
--- a/packages/gateway/src/listeners/httpListener.ts
+++ b/packages/gateway/src/listeners/httpListener.ts
@@ -83,6 +83,7 @@
   private readonly table: ConnectionTable;
   private readonly unread = new WeakMap<Socket, UnreadOutput>();
   private readonly intakeDependencies: ConnectionIntakeDependencies;
+  private requestCount = 0;
   private headMilliseconds: number;
   private silenceMilliseconds: number;
 
@@ -98,6 +99,9 @@
       onDropped: () => {
         this.recordClosing('memory-full');
       },
+      onRequestEnded: () => {
+        this.requestCount--;
+      },
       timers: context.timers,
       turns: context.turns,
     };
@@ -143,9 +147,9 @@
     return getPort(this.server);
   }
 
-  /** Connections that are open. */
-  public get connectionCount(): number {
-    return this.table.size;
+  /** Requests whose response is not complete. */
+  public get requestsInProgress(): number {
+    return this.requestCount;
   }
 
   /** Handles requests whose sender waits for an interim response before it sends the body. */
@@ -162,14 +166,9 @@
     this.silenceMilliseconds = silenceMilliseconds;
   }
 
-  /**
-   * Whether a request of a connection finds a place among those in progress.
-   *
-   * @param inProgress requests in progress on all connections
-   * @param maximum requests that may be in progress
-   */
-  public hasPlaceForRequest(connection: Socket, inProgress: number, maximum: number): boolean {
-    return this.table.hasPlaceForRequest(connection, inProgress, maximum);
+  /** Whether a request that has begun finds a place among those that may be in progress. */
+  public hasPlaceForRequest({ socket }: IncomingMessage, maximum: number): boolean {
+    return this.table.hasPlaceForRequest(socket, this.requestCount - 1, maximum);
   }
 
   /** Starts to read the body of a request, up to a maximum size in bytes. */
@@ -202,12 +201,20 @@
   private track(handle: RequestListener): RequestListener {
     return (request, response) => {
       const { socket } = request;
-      this.table.find(socket)?.begin(request, response);
+      this.begin(request, response);
       this.queuedResponses.add(response, socket);
       handle(request, response);
     };
   }
 
+  private begin(request: IncomingMessage, response: ServerResponse): void {
+    const intake = this.table.find(request.socket);
+    if (intake !== undefined) {
+      this.requestCount++;
+      intake.begin(request, response);
+    }
+  }
+
   private accept(socket: Socket): void {
     if (!this.table.add(socket, new ConnectionIntake(socket, this.intakeDependencies))) {
       this.recordClosing('too-many');
