fix(listeners): a body whose sender has left never looks complete

Cause, of: the response's close gave up the content of a body that had arrived whole but had not been read yet, while the request waited for a fresh configuration; what was read afterwards was complete and empty.

Now the close makes the body broken, and a body that is not needed is skipped by a call of its own, so that no state stands for "complete, but nothing kept". A body that was given up is not read beyond its limit either.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -213,9 +213,6 @@
   private toIncomingRequest(request: IncomingMessage, response: ServerResponse): IncomingRequest {
     const body = this.listener.readBody(request, response, this.maximumBodyBytes);
     return {
-      discardBody: () => {
-        body.discard();
-      },
       facts: this.dependencies.headerCodec.readFacts(request.rawHeaders),
       headers: request.rawHeaders,
       host: request.headers.host ?? '',
@@ -230,6 +227,7 @@
       path: request.url ?? '/',
       hasPlace: this.listener.hasPlaceForRequest(request, this.dependencies.limits.callerRequests),
       readBody: async () => describeBody(await body.read()),
+      skipBody: async () => await body.skip(),
       receivedAt: this.dependencies.timers.now(),
     };
   }
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -44,8 +44,8 @@
   readonly hasPlace: boolean;
   /** Reads the body; `undefined` if the caller disconnected before its end. */
   readBody(): Promise<Result<Buffer, ZincringError> | undefined>;
-  /** Keeps nothing of the body, since the request is refused. */
-  discardBody(): void;
+  /** Reads the body of a refused request without keeping it; `false` if the caller disconnected before its end. */
+  skipBody(): Promise<boolean>;
   /** Calls the listener if the caller closes its connection before the response is complete. */
   onCallerDisconnected(listener: () => void): void;
 }
@@ -97,17 +97,18 @@
   public async handle(incoming: IncomingRequest, sink: ResponseSink): Promise<void> {
     const admission = await this.admit(incoming);
     if (admission.err) {
-      incoming.discardBody();
+      if (await incoming.skipBody()) {
+        this.refuse(incoming, sink, admission.val);
+      } else {
+        sink.abort();
+      }
+      return;
     }
     const body = await incoming.readBody();
     if (body === undefined) {
       sink.abort();
       return;
     }
-    if (admission.err) {
-      this.refuse(incoming, sink, admission.val);
-      return;
-    }
     if (body.err) {
       this.refuse(incoming, sink, body.val);
       return;
--- a/packages/gateway/src/listeners/requestBody.ts
+++ b/packages/gateway/src/listeners/requestBody.ts
@@ -38,7 +38,7 @@
   private size = 0;
   private countedBytes = 0;
   private releaseHeld: ReleaseMemory | undefined;
-  private isDiscarded = false;
+  private isSkipped = false;
   private failure: BodyReadFailure | undefined;
   private readonly startedAt: number;
   /** Resolves at the end of the body; `undefined` for a request without one. */
@@ -56,7 +56,8 @@
       return;
     }
     response.once('close', () => {
-      this.discard();
+      // A body whose sender has left must never look complete.
+      this.fail('broken');
     });
     this.ended = new Promise(resolve => {
       request.on('data', (chunk: Buffer) => {
@@ -86,11 +87,8 @@
       return Ok(NOTHING);
     }
     await this.ended;
-    if (this.failure === 'too-large') {
-      return Err(this.failure);
-    }
-    if (!this.request.complete) {
-      return Err('broken');
+    if (this.failure === undefined || this.failure === 'memory-full') {
+      this.failure = this.request.complete ? this.failure : 'broken';
     }
     if (this.failure !== undefined) {
       return Err(this.failure);
@@ -101,38 +99,55 @@
     return Ok(content);
   }
 
+  /**
+   * Reads the rest of a body that is not needed and keeps nothing of it, since a sender that is cut off
+   * would not see the response; returns whether the sender is still there.
+   */
+  public async skip(): Promise<boolean> {
+    this.clear();
+    this.isSkipped = true;
+    await this.ended;
+    return this.failure === 'too-large' || this.ended === undefined || this.request.complete;
+  }
+
   public drop(): void {
-    this.failure ??= 'memory-full';
-    this.discard();
+    this.fail('memory-full');
   }
 
-  /**
-   * Keeps nothing of the body. The rest is read all the same, since a sender that is cut off would not
-   * see the response.
-   */
-  public discard(): void {
-    this.isDiscarded = true;
+  private fail(failure: BodyReadFailure): void {
+    this.failure ??= failure;
+    this.clear();
+  }
+
+  private clear(): void {
     this.content.clear();
     this.releaseHeld?.();
     this.releaseHeld = undefined;
+    this.countedBytes = 0;
     this.dependencies.memory.removeDroppable(this);
   }
 
   private add(chunk: Buffer): void {
-    const { maximumBytes, memory, onPiece, timers } = this.dependencies;
+    const { maximumBytes, onPiece } = this.dependencies;
     onPiece?.();
     this.size += chunk.length;
     if (this.size > maximumBytes) {
+      // Also one that was given up is not read any further.
       this.failure = 'too-large';
-      this.discard();
+      this.clear();
     }
-    if (this.isDiscarded) {
-      return;
+    if (this.failure === undefined && !this.isSkipped) {
+      this.keep(chunk);
     }
+  }
+
+  private keep(chunk: Buffer): void {
+    const { memory, timers } = this.dependencies;
     memory.makeRoom(timers.now());
     if (memory.isFull) {
       this.drop();
     }
+    // Making room may have given up this body as well.
     if (this.failure === undefined) {
       this.content.append(chunk);
       this.countHeld();
--- a/packages/gateway/src/peers/relayServer.ts
+++ b/packages/gateway/src/peers/relayServer.ts
@@ -59,11 +59,13 @@
   public handle(request: IncomingMessage, response: ServerResponse): void {
     request.on('error', () => undefined);
     response.on('error', () => undefined);
+    const controller = new AbortController();
     this.inFlightCount++;
     response.once('close', () => {
       this.inFlightCount--;
+      controller.abort();
     });
-    this.relay(request, response).catch((failure: unknown) => {
+    this.relay(request, response, controller.signal).catch((failure: unknown) => {
       this.context.logger.info(
         { event: 'relay-failed', failure: failureText(failure) },
         'a relayed request broke off',
@@ -72,7 +74,11 @@
     });
   }
 
-  private async relay(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async relay(
+    request: IncomingMessage,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<void> {
     const run = readRelayPath(request.url ?? '');
     if (run === undefined) {
       sendFailure(response, 'not-sent', 'the path names no replica');
@@ -92,15 +98,11 @@
       sendFailure(response, 'not-sent', 'the relayed request cannot be read');
       return;
     }
-    const controller = new AbortController();
-    response.once('close', () => {
-      controller.abort();
-    });
     const outcome = await this.target.exchange(acceptance.entry, {
       ...relayed,
       body: relayed.body.length === 0 ? undefined : relayed.body,
       headers: [...relayed.headers],
-      signal: controller.signal,
+      signal,
     });
     await sendOutcome(response, outcome);
   }
--- a/packages/gateway/tests/listeners/greedyBodies.test.ts
+++ b/packages/gateway/tests/listeners/greedyBodies.test.ts
@@ -11,7 +11,7 @@
 const MAXIMUM_BYTES = 1_000_000;
 
 interface Upload {
-  readonly body: RequestBody;
+  readonly response: PassThrough;
   send(bytes: number): Promise<void>;
   finish(): Promise<string>;
 }
@@ -19,19 +19,20 @@
 function startUpload(memory: HeldMemory, timers: ManualTimerService): Upload {
   const headers = { 'transfer-encoding': 'chunked' };
   const request = Object.assign(new PassThrough(), { complete: false, headers });
+  const response = new PassThrough();
   const body = new RequestBody(
     request as unknown as IncomingMessage,
-    new PassThrough() as unknown as ServerResponse,
+    response as unknown as ServerResponse,
     { maximumBytes: MAXIMUM_BYTES, memory, timers },
   );
   return {
-    body,
     finish: async () => {
       request.complete = true;
       request.end();
       const result = await body.read();
       return result.ok ? `read ${String(result.val.length)}` : result.val;
     },
+    response,
     send: async bytes => {
       request.write(Buffer.alloc(bytes, 'x'));
       await setImmediate();
@@ -83,3 +84,26 @@
     expect(await upload.finish()).toBe('read 300');
   });
 });
+
+describe('a body whose sender leaves', () => {
+  // Guards against a request that runs with an empty body: its sender left between the last byte and the reading.
+  it.each([100, 100_000])('is broken, also when all of its %i bytes have arrived', async bytes => {
+    const memory = new HeldMemory({ capacityBytes: 10_000_000 });
+    const upload = startUpload(memory, new ManualTimerService());
+    await upload.send(bytes);
+    upload.response.emit('close');
+    expect(memory.bytes).toBe(0);
+    expect(await upload.finish()).toBe('broken');
+  });
+});
+
+// Guards against a body that is read without end once it has been given up.
+it('a body that was given up is still too large beyond its limit', async () => {
+  const timers = new ManualTimerService();
+  const memory = new HeldMemory({ capacityBytes: 1_000 });
+  const upload = startUpload(memory, timers);
+  await upload.send(1_000);
+  await upload.send(1_000);
+  await upload.send(MAXIMUM_BYTES);
+  expect(await upload.finish()).toBe('too-large');
+});
