--- a/packages/gateway/src/listeners/connectionIntake.ts
+++ b/packages/gateway/src/listeners/connectionIntake.ts
@@ -107,6 +107,11 @@
     return this.waiting !== undefined;
   }
 
+  /** Whether nothing is read any more. */
+  public get hasStopped(): boolean {
+    return this.isStopped;
+  }
+
   /** Whether nothing is read any more and all complete requests have been answered, so that it can be closed. */
   public get isFinished(): boolean {
     return this.isStopped && !this.hasCompleteRequest && this.socket.writableLength === 0;
@@ -234,7 +239,7 @@
     if (this.incomplete !== undefined && this.remainingBytes !== undefined) {
       this.remainingBytes -= end;
     } else {
-      this.headStart = this.headBytes === 0 ? this.lastArrival : this.headStart;
+      this.headStart = this.headBytes === 0 ? this.dependencies.timers.now() : this.headStart;
       this.headBytes += end;
     }
     this.parse.call(this.socket, slice);
--- a/packages/gateway/src/listeners/httpListener.ts
+++ b/packages/gateway/src/listeners/httpListener.ts
@@ -237,6 +237,10 @@
 
   private isLate(intake: ConnectionIntake, now: number): boolean {
     const { headStartedAt, isBodyIncomplete, isUnused, lastArrivalAt } = intake;
+    // A client whose bytes wait to be parsed is not the one that is late.
+    if (intake.hasStopped || intake.hasWaitingBytes) {
+      return false;
+    }
     if (headStartedAt !== undefined && now - headStartedAt > this.headMilliseconds) {
       return true;
     }
