--- a/packages/gateway/src/listeners/intakeTurns.ts
+++ b/packages/gateway/src/listeners/intakeTurns.ts
@@ -12,6 +12,7 @@
 
 /** Time in each iteration of the event loop for connections that take turns, in milliseconds. */
 const MILLISECONDS_PER_ITERATION = 2;
+
 /**
  * Lets connections that send more than an ordinary request take turns, so that parsing what they send
  * takes a bounded share of each iteration of the event loop, however many they are.
@@ -61,14 +62,14 @@
   private run(): void {
     const endsAt = this.timers.now() + MILLISECONDS_PER_ITERATION;
     for (const intake of this.waiting) {
+      if (this.pacer.delayMilliseconds() > 0 || this.timers.now() >= endsAt) {
+        return;
+      }
       this.waiting.delete(intake);
       this.pacer.record(intake.takeTurn());
       if (intake.canParse) {
         this.waiting.add(intake);
       }
-      if (this.pacer.delayMilliseconds() > 0 || this.timers.now() >= endsAt) {
-        return;
-      }
     }
   }
 }
