fix(listeners): what is sent ahead is paced by what its objects cost

Cause: connections that take turns were paced by the bytes of their requests, 25 of them for objects of some kilobytes, and at a rate at which the collector of garbage falls behind.

Now a request that is begun in a turn costs 32 KB, as it does in the bound of requests in progress, and 32 KB a millisecond pass for all connections that take turns and for long responses (64 KB before). Fewer free segments are kept.

--- a/packages/gateway/src/listeners/connectionIntake.ts
+++ b/packages/gateway/src/listeners/connectionIntake.ts
@@ -29,6 +29,8 @@
 const MAXIMUM_TURN_BYTES = 8_192;
 /** Bytes that wait to be parsed above which no more are read from the connection. */
 const MAXIMUM_WAITING_BYTES = 16_384;
+/** Memory that a request takes besides its head and its body, in bytes. */
+export const REQUEST_COST_BYTES = 32_768;
 /** Bytes outside of its requests that the bound of the number of connections allows for each. */
 const CONNECTION_BYTES = 16_384;
 
@@ -164,9 +166,13 @@
   }
 
   public takeTurn(): number {
-    const bytes = this.canParse ? this.parseSlice() : 0;
+    if (!this.canParse) {
+      return 0;
+    }
+    const isHead = this.incomplete === undefined;
+    const bytes = this.parseSlice();
     this.settle();
-    return bytes;
+    return isHead ? bytes + REQUEST_COST_BYTES : bytes;
   }
 
   /** Reads no more of the connection, which is closed once its complete requests have been answered. */
--- a/packages/gateway/src/listeners/intakeTurns.ts
+++ b/packages/gateway/src/listeners/intakeTurns.ts
@@ -6,7 +6,7 @@
 export interface WaitingIntake {
   /** Whether more of the bytes may be parsed. */
   readonly canParse: boolean;
-  /** Parses some of the bytes; returns their number. */
+  /** Parses some of the bytes; returns the bytes of memory that they cost. */
   takeTurn(): number;
 }
 
--- a/packages/gateway/src/listeners/listenerLimits.ts
+++ b/packages/gateway/src/listeners/listenerLimits.ts
@@ -1,5 +1,7 @@
 import type { GatewayOptions } from '../lifecycle/gatewayOptions.js';
 
+import { REQUEST_COST_BYTES } from './connectionIntake.js';
+
 /** Most connections that each listener of an instance has open at a time. */
 export interface ConnectionLimits {
   readonly callers: number;
@@ -33,8 +35,8 @@
 };
 /** Memory that an open connection takes without a request, and share of the memory for all of them. */
 const CONNECTION_MEMORY = { bytes: 16_384, share: 0.25 };
-/** Memory that a request takes besides its head and its body, and share of the memory for all of them. */
-const REQUEST_MEMORY = { bytes: 32_768, share: 0.25 };
+/** Share of the memory for all requests of callers, besides their heads and bodies. */
+const REQUEST_MEMORY_SHARE = 0.25;
 const MAXIMUM_CALLER_REQUESTS = 4_096;
 /** Connections and requests that fit into every machine. */
 const MINIMUM_COUNT = 16;
@@ -57,7 +59,7 @@
     );
   return {
     callerRequests: limitCount(
-      (memoryBytes * REQUEST_MEMORY.share) / REQUEST_MEMORY.bytes,
+      (memoryBytes * REQUEST_MEMORY_SHARE) / REQUEST_COST_BYTES,
       MAXIMUM_CALLER_REQUESTS,
     ),
     connections: {
--- a/packages/gateway/src/util/bytePacer.ts
+++ b/packages/gateway/src/util/bytePacer.ts
@@ -2,7 +2,7 @@
 
 /** Bytes that may pass at a time. */
 const MAXIMUM_BURST_BYTES = 1_048_576;
-const BYTES_PER_MILLISECOND = 65_536;
+const BYTES_PER_MILLISECOND = 32_768;
 
 /**
  * Bounds the rate of bytes beyond those of ordinary requests and responses. Every byte that is read
--- a/packages/gateway/src/util/segmentPool.ts
+++ b/packages/gateway/src/util/segmentPool.ts
@@ -1,7 +1,7 @@
 /** Size of a segment, in bytes: what is read from a connection at a time. */
 export const SEGMENT_BYTES = 65_536;
 /** Segments that are kept for further use. */
-const MAXIMUM_FREE_SEGMENTS = 256;
+const MAXIMUM_FREE_SEGMENTS = 64;
 
 /**
  * Keeps buffers of one size for further use. Memory outside of the heap is freed late, so buffers that
