fix(callers): a slow reader keeps its response while memory is full

Cause: requests and unread responses shared one memory, so that responses had to give way for requests to find room.

Now responses have a memory of their own, a tenth of the instance's (requests keep their quarter). A response gives way only after the operator's idle timeout, as before. Requests are admitted whatever responses hold.

Besides, for each bound a line and a counter: 408 and bytes that are no request (connection-closed with late and malformed), what waits for its turn (clients-wait), paced bytes; a refusal says whether memory or places are short.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -195,7 +195,7 @@
   }
 
   private holdResponse(response: ServerResponse): HeldResponse {
-    const { logger, memory, metrics, timers } = this.dependencies;
+    const { logger, metrics, responseMemory: memory, timers } = this.dependencies;
     return new HeldResponse(response, {
       getUnreadMilliseconds: () => this.listener.server.keepAliveTimeout,
       memory,
@@ -225,13 +225,23 @@
         });
       },
       path: request.url ?? '/',
-      hasPlace: this.listener.hasPlaceForRequest(request, this.dependencies.limits.callerRequests),
       readBody: async () => describeBody(await body.read()),
       skipBody: async () => await body.skip(),
+      refusal: this.findRefusal(request),
       receivedAt: this.dependencies.timers.now(),
     };
   }
 
+  /** Finds why a request that has begun cannot be held. */
+  private findRefusal(request: IncomingMessage): ZincringError | undefined {
+    const { limits, memory, timers } = this.dependencies;
+    if (!this.listener.hasPlaceForRequest(request, limits.callerRequests)) {
+      return makeMemoryFullError('too many requests are in progress');
+    }
+    memory.makeRoom(timers.now());
+    return memory.isFull ? makeMemoryFullError('memory is full') : undefined;
+  }
+
   private refuseMalformedRequest(failure: ClientError, socket: Socket): void {
     const { code } = failure;
     this.dependencies.logger.info(
@@ -263,7 +273,7 @@
     case 'broken':
       return undefined;
     case 'memory-full':
-      return Err(makeMemoryFullError());
+      return Err(makeMemoryFullError('the body was given up for others'));
     case 'too-large':
       return Err(new ZincringError('body-too-large'));
     default:
--- a/packages/gateway/src/callers/memory/heldMemory.ts
+++ b/packages/gateway/src/callers/memory/heldMemory.ts
@@ -6,13 +6,11 @@
   readonly maximumResponseBytes?: number;
 }
 
-/** Something held that may be given up for others, since its request has not run or its response is not read. */
+/** Something held that may be given up for others, since its request has not run. */
 export interface Droppable {
   readonly heldBytes: number;
-  /** Time without any progress after which it may be given up for what arrives, in milliseconds. */
-  readonly droppableAfterMilliseconds: number;
-  /** Returns the time since which it has held them without any progress, on the monotonic clock in milliseconds. */
-  findHeldSince(now: number): number;
+  /** Time since which it has held them, on the monotonic clock in milliseconds. */
+  readonly heldSince: number;
   /** Gives it up and releases its memory at once. */
   drop(): void;
 }
@@ -57,6 +55,11 @@
     return this.heldBytes >= this.options.capacityBytes;
   }
 
+  /** Whether some bytes more can be held; something can be held whenever nothing is. */
+  public hasRoomFor(bytes: number): boolean {
+    return this.heldBytes === 0 || this.heldBytes + bytes <= this.options.capacityBytes;
+  }
+
   /** Counts bytes until they are released. */
   public hold(bytes: number): ReleaseMemory {
     this.heldBytes += bytes;
@@ -84,11 +87,10 @@
    * finds room whoever fills the memory.
    *
    * @param now time on the monotonic clock, in milliseconds
-   * @param canWait whether what arrives can be refused, so that nothing is given up for it too soon
    */
-  public makeRoom(now: number, canWait = true): void {
+  public makeRoom(now: number): void {
     while (this.isFull) {
-      const droppable = this.findGreediest(now, canWait);
+      const droppable = this.findGreediest(now);
       if (droppable === undefined) {
         return;
       }
@@ -97,14 +99,11 @@
     }
   }
 
-  private findGreediest(now: number, canWait: boolean): Droppable | undefined {
+  private findGreediest(now: number): Droppable | undefined {
     let greediest: Droppable | undefined;
     let most = 0;
     for (const droppable of this.droppables) {
-      const heldMilliseconds = now - droppable.findHeldSince(now);
-      if (canWait && heldMilliseconds < droppable.droppableAfterMilliseconds) {
-        continue;
-      }
+      const heldMilliseconds = now - droppable.heldSince;
       // What arrived just now counts by its size alone.
       const weight = droppable.heldBytes * (1 + heldMilliseconds);
       if (weight > most) {
--- a/packages/gateway/src/callers/memory/heldResponse.ts
+++ b/packages/gateway/src/callers/memory/heldResponse.ts
@@ -1,13 +1,10 @@
 import type { TimerService, TimerSubscription } from '@zincring/core';
 import type { ServerResponse } from 'node:http';
 
-import type { Droppable, HeldMemory, ReleaseMemory } from './heldMemory.js';
+import type { HeldMemory, ReleaseMemory } from './heldMemory.js';
 
 import { countUnsentBytes } from './countUnsentBytes.js';
 
-/** Time for which a caller that reads nothing keeps its response while memory is full, in milliseconds. */
-const MINIMUM_UNREAD_MILLISECONDS = 1_000;
-
 /** What a {@link HeldResponse} needs. */
 export interface HeldResponseDependencies {
   readonly memory: HeldMemory;
@@ -20,21 +17,17 @@
 
 /**
  * Counts the bytes of one response that its caller has not read yet. A complete response whose caller
- * reads nothing for the operator's idle timeout is closed, as an idle connection is; while memory is
- * full, the one that has been left unread the most goes first.
+ * reads nothing for the operator's idle timeout is closed, as an idle connection is.
  *
  * @example
  * const held = new HeldResponse(response, dependencies);
  * if (!held.write(bytes)) { await drained; }
  */
-export class HeldResponse implements Droppable {
-  public readonly droppableAfterMilliseconds = MINIMUM_UNREAD_MILLISECONDS;
+export class HeldResponse {
   private readonly pending = new Set<ReleaseMemory>();
   private unreadTimer: TimerSubscription | undefined;
   private unreadBytes = 0;
   private isClosed = false;
-  /** What was unread when the caller was last seen to read. */
-  private progress = { unreadBytes: 0, unsentBytes: 0, at: 0 };
 
   public constructor(
     private readonly response: ServerResponse,
@@ -43,29 +36,13 @@
     response.once('close', () => {
       this.isClosed = true;
       this.unreadTimer?.stop();
-      this.releaseAll();
+      this.pending.forEach(release => {
+        release();
+      });
+      this.pending.clear();
     });
   }
 
-  public get heldBytes(): number {
-    return this.isClosed ? 0 : this.unreadBytes;
-  }
-
-  public findHeldSince(now: number): number {
-    const unsentBytes = countUnsentBytes(this.response.socket);
-    const { unreadBytes } = this;
-    if (unsentBytes !== this.progress.unsentBytes || unreadBytes !== this.progress.unreadBytes) {
-      this.progress = { at: now, unreadBytes, unsentBytes };
-    }
-    return this.progress.at;
-  }
-
-  public drop(): void {
-    this.close();
-    this.isClosed = true;
-    this.releaseAll();
-  }
-
   /** Writes bytes; returns whether more may be written before the caller has read them. */
   public write(bytes: Buffer): boolean {
     const isFlushing = this.response.write(bytes, this.hold(bytes));
@@ -79,21 +56,7 @@
     } else {
       this.response.end(bytes, this.hold(bytes));
     }
-    if (!this.isClosed && this.unreadBytes > 0) {
-      const { memory, timers } = this.dependencies;
-      this.findHeldSince(timers.now());
-      memory.addDroppable(this);
-      memory.makeRoom(timers.now(), false);
-      this.watchUnread();
-    }
-  }
-
-  private releaseAll(): void {
-    this.dependencies.memory.removeDroppable(this);
-    this.pending.forEach(release => {
-      release();
-    });
-    this.pending.clear();
+    this.watchUnread();
   }
 
   private hold(bytes: Buffer): ReleaseMemory {
@@ -116,7 +79,7 @@
     if (this.isClosed || this.unreadBytes === 0) {
       return;
     }
-    const { getUnreadMilliseconds, timers } = this.dependencies;
+    const { getUnreadMilliseconds, onUnread, timers } = this.dependencies;
     const previousUnreadBytes = this.unreadBytes;
     const previousUnsentBytes = countUnsentBytes(this.response.socket);
     this.unreadTimer = timers.after(getUnreadMilliseconds(), () => {
@@ -132,14 +95,10 @@
         this.watchUnread();
         return;
       }
-      this.close();
+      onUnread();
+      // An orderly close would mark the end of a body without a length or chunks.
+      this.response.socket.resetAndDestroy();
+      this.response.destroy();
     });
   }
-
-  private close(): void {
-    this.dependencies.onUnread();
-    // An orderly close would mark the end of a body without a length or chunks.
-    (this.response.socket ?? this.response.req.socket).resetAndDestroy();
-    this.response.destroy();
-  }
 }
--- a/packages/gateway/src/callers/memory/memoryFullError.ts
+++ b/packages/gateway/src/callers/memory/memoryFullError.ts
@@ -7,10 +7,11 @@
  * Makes the error of a request that this instance cannot hold; it has not run.
  *
  * @example
- * return Err(makeMemoryFullError());
+ * return Err(makeMemoryFullError('memory is full'));
  */
-export function makeMemoryFullError(): ZincringError {
+export function makeMemoryFullError(detail: string): ZincringError {
   return new ZincringError('instance-memory-full', {
+    detail,
     retryAfterSeconds: MEMORY_FULL_RETRY_SECONDS,
   });
 }
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -25,7 +25,6 @@
 import { findProgramStage } from '../programs/programStage.js';
 import { TurnRecorder } from '../programs/turnRecorder.js';
 import { admitByConfiguration, findPriority } from './admitByConfiguration.js';
-import { makeMemoryFullError } from './memory/memoryFullError.js';
 import { RequestLifetimes } from './requestLifetimes.js';
 import { chooseAbortError, findStopRefusal } from './stopRefusals.js';
 
@@ -40,8 +39,8 @@
   readonly facts: RequestFacts;
   /** Time at which its headers had arrived, on the monotonic clock in milliseconds. */
   readonly receivedAt: number;
-  /** Whether as many requests are in progress as the instance can serve with this one. */
-  readonly hasPlace: boolean;
+  /** Why the instance cannot hold the request; `undefined` if it can. */
+  readonly refusal: ZincringError | undefined;
   /** Reads the body; `undefined` if the caller disconnected before its end. */
   readBody(): Promise<Result<Buffer, ZincringError> | undefined>;
   /** Reads the body of a refused request without keeping it; `false` if the caller disconnected before its end. */
@@ -130,10 +129,9 @@
   }
 
   private async admit(incoming: IncomingRequest): Promise<Result<Admission, ZincringError>> {
-    const { configuration, memory } = this.dependencies;
-    memory.makeRoom(this.timers.now());
-    if (!incoming.hasPlace || memory.isFull) {
-      return Err(makeMemoryFullError());
+    const { configuration } = this.dependencies;
+    if (incoming.refusal !== undefined) {
+      return Err(incoming.refusal);
     }
     const isFresh = configuration.isFresh() || (await this.refreshConfiguration());
     const index = configuration.current;
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -200,7 +200,9 @@
       REPLICA_SWEEP_INTERVAL_MILLISECONDS,
       () => {
         this.replicaNetwork.sweep();
-        this.metrics.heldBytes.set(this.listening.memory.bytes);
+        this.metrics.heldBytes.set(
+          this.listening.memory.bytes + this.listening.responseMemory.bytes,
+        );
         this.listening.checks.run(this.dependencies.timers.now());
         this.reportInFlight();
       },
@@ -415,6 +417,7 @@
       logger,
       memory: this.listening.memory,
       pacer: this.listening.pacer,
+      responseMemory: this.listening.responseMemory,
       metrics: this.metrics,
       plannedStop: this.plannedStop,
       announcements: replicaNetwork.announcements,
--- a/packages/gateway/src/lifecycle/gatewayOptions.ts
+++ b/packages/gateway/src/lifecycle/gatewayOptions.ts
@@ -77,8 +77,10 @@
 /** Fraction of the grace period in which requests may be in flight; the remainder is for what the instance holds in the store. */
 const STOP_SHARE = 0.9;
 
-/** Share of the memory of an instance that may hold requests and responses; code and caches take the remainder. */
+/** Share of the memory of an instance that may hold requests; code and caches take the remainder. */
 const HELD_SHARE = 0.25;
+/** Share for responses that their callers have yet to read: of its own, so that they never keep requests out. */
+const RESPONSE_SHARE = 0.1;
 
 /**
  * Derives the bounds of what an instance holds for its callers from its memory.
@@ -90,6 +92,16 @@
   return memoryBytes === undefined ? {} : { capacityBytes: memoryBytes * HELD_SHARE };
 }
 
+/**
+ * Derives the bounds of the responses that an instance holds for its callers from its memory.
+ *
+ * @example
+ * deriveResponseMemoryOptions({ ...options, memoryBytes: 160_000_000 }).capacityBytes; // 16_000_000
+ */
+export function deriveResponseMemoryOptions({ memoryBytes }: GatewayOptions): HeldMemoryOptions {
+  return memoryBytes === undefined ? {} : { capacityBytes: memoryBytes * RESPONSE_SHARE };
+}
+
 /**
  * Derives the times of an instance from the operator's bounds.
  *
--- a/packages/gateway/src/listeners/connectionIntake.ts
+++ b/packages/gateway/src/listeners/connectionIntake.ts
@@ -43,7 +43,6 @@
  * server.on('connection', socket => new ConnectionIntake(socket, dependencies));
  */
 export class ConnectionIntake implements Droppable, WaitingIntake {
-  public readonly droppableAfterMilliseconds = 0;
   private readonly parse: Parse;
   private readonly blankLines = new BlankLineFinder();
   /** Request whose end has not been parsed yet. */
@@ -58,7 +57,7 @@
   private messageBytes = 0;
   private waiting: Buffer | undefined;
   private releaseHeld: ReleaseMemory | undefined;
-  private heldSince = 0;
+  private heldFrom = 0;
   /** Whether no more is read. */
   private isStopped = false;
   private isPaused = false;
@@ -144,8 +143,8 @@
     return Math.max(0, this.headBytes + (this.waiting?.length ?? 0) - CONNECTION_BYTES);
   }
 
-  public findHeldSince(): number {
-    return this.heldSince;
+  public get heldSince(): number {
+    return this.heldFrom;
   }
 
   /** Records a request whose head has been parsed. */
@@ -216,12 +215,15 @@
 
   /** Whether the next bytes may be parsed. */
   public get canParse(): boolean {
-    return (
-      this.waiting !== undefined &&
-      !this.socket.destroyed &&
-      !isPausedByServer(this.socket) &&
-      (this.incomplete !== undefined || this.inProgressCount < MAXIMUM_REQUESTS_IN_PROGRESS)
-    );
+    if (this.waiting === undefined || this.socket.destroyed || isPausedByServer(this.socket)) {
+      return false;
+    }
+    return this.incomplete !== undefined || this.canBegin;
+  }
+
+  /** Whether a further request may begin. */
+  private get canBegin(): boolean {
+    return this.inProgressCount < MAXIMUM_REQUESTS_IN_PROGRESS;
   }
 
   /** Whether the next bytes cost more than those of an ordinary request. */
@@ -294,7 +296,7 @@
       return;
     }
     if (this.releaseHeld === undefined) {
-      this.heldSince = timers.now();
+      this.heldFrom = timers.now();
       memory.addDroppable(this);
     }
     this.releaseHeld = memory.hold(bytes);
--- a/packages/gateway/src/listeners/createListenerContext.ts
+++ b/packages/gateway/src/listeners/createListenerContext.ts
@@ -2,7 +2,10 @@
 import type { ListenerContext } from './httpListener.js';
 
 import { HeldMemory } from '../callers/memory/heldMemory.js';
-import { deriveHeldMemoryOptions } from '../lifecycle/gatewayOptions.js';
+import {
+  deriveHeldMemoryOptions,
+  deriveResponseMemoryOptions,
+} from '../lifecycle/gatewayOptions.js';
 import { BytePacer } from '../util/bytePacer.js';
 import { ClientChecks } from './clientChecks.js';
 import { IntakeTurns } from './intakeTurns.js';
@@ -18,12 +21,15 @@
   options: GatewayOptions,
   { logger, metrics, timers }: Pick<ListenerContext, 'logger' | 'metrics' | 'timers'>,
 ): ListenerContext {
-  const pacer = new BytePacer(timers);
+  const pacer = new BytePacer(timers, bytes => {
+    metrics.pacedBytes.inc(bytes);
+  });
   return {
     checks: new ClientChecks(),
     limits: deriveListenerLimits(options),
     logger,
     memory: new HeldMemory(deriveHeldMemoryOptions(options)),
+    responseMemory: new HeldMemory(deriveResponseMemoryOptions(options)),
     metrics,
     pacer,
     timers,
--- a/packages/gateway/src/listeners/httpListener.ts
+++ b/packages/gateway/src/listeners/httpListener.ts
@@ -22,7 +22,8 @@
 import { RequestBody } from './requestBody.js';
 
 /** Why a listener closed a connection of a client, in logs and metrics. */
-export type ClosingReason = 'memory-full' | 'replaced' | 'too-many' | 'unread';
+export type ClosingReason =
+  'late' | 'malformed' | 'memory-full' | 'replaced' | 'too-many' | 'unread';
 
 /** Error of the bytes that a client sent, or of their absence. */
 export interface ClientError extends Error {
@@ -36,7 +37,10 @@
   readonly logger: Logger;
   /** Run once a second. */
   readonly checks: ClientChecks;
+  /** What is received of clients. */
   readonly memory: HeldMemory;
+  /** Responses that their callers have yet to read. */
+  readonly responseMemory: HeldMemory;
   readonly metrics: GatewayMetrics;
   readonly pacer: BytePacer;
   readonly timers: TimerService;
@@ -61,6 +65,9 @@
 /** Code of the error of a request that does not arrive in time. */
 const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
+/** Code of the error of a connection that its client has reset. */
+const DISCONNECTED_CODE = 'ECONNRESET';
+
 /** Output of a connection at the last check at which its client had read some of it. */
 interface UnreadOutput {
   readonly bytes: number;
@@ -223,8 +230,9 @@
   }
 
   private check(now: number): void {
-    this.context.metrics.connections.set({ listener: this.options.name }, this.table.size);
+    let waitingCount = 0;
     for (const [socket, intake] of this.table.entries()) {
+      waitingCount += intake.hasWaitingBytes ? 1 : 0;
       if (this.isLate(intake, now)) {
         this.giveUpRequest(socket);
       }
@@ -233,6 +241,20 @@
         socket.destroy();
       }
     }
+    this.reportConnections(waitingCount);
+  }
+
+  private reportConnections(waitingCount: number): void {
+    const { logger, metrics } = this.context;
+    const { name: listener } = this.options;
+    metrics.connections.set({ listener }, this.table.size);
+    metrics.waitingConnections.set({ listener }, waitingCount);
+    if (waitingCount > 0) {
+      logger.info(
+        { connections: this.table.size, event: 'clients-wait', listener, waiting: waitingCount },
+        'what clients have sent waits for its turn',
+      );
+    }
   }
 
   private isLate(intake: ConnectionIntake, now: number): boolean {
@@ -271,6 +293,9 @@
 
   private handleMalformed(failure: ClientError, socket: Socket): void {
     this.table.find(socket)?.stop();
+    if (failure.code !== DISCONNECTED_CODE) {
+      this.recordClosing(failure.code === REQUEST_TIMEOUT_CODE ? 'late' : 'malformed');
+    }
     if (this.options.onMalformed === undefined) {
       socket.destroy();
     } else {
@@ -290,7 +315,7 @@
         listener: name,
         reason,
       },
-      'closed the connection of a client that takes up what others need',
+      'closes the connection of a client',
     );
   }
 }
--- a/packages/gateway/src/listeners/requestBody.ts
+++ b/packages/gateway/src/listeners/requestBody.ts
@@ -33,7 +33,6 @@
  * const body = await new RequestBody(request, response, dependencies).read();
  */
 export class RequestBody implements Droppable {
-  public readonly droppableAfterMilliseconds = 0;
   private readonly content = new BodyContent();
   private size = 0;
   private countedBytes = 0;
@@ -77,7 +76,7 @@
     return this.content.heldBytes;
   }
 
-  public findHeldSince(): number {
+  public get heldSince(): number {
     return this.startedAt;
   }
 
@@ -165,6 +164,12 @@
   }
 }
 
-function hasBody({ headers }: IncomingMessage): boolean {
+/**
+ * Whether the head of a request announces a body.
+ *
+ * @example
+ * hasBody({ headers: { 'content-length': '5' } }); // true
+ */
+export function hasBody({ headers }: Pick<IncomingMessage, 'headers'>): boolean {
   return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 }
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -79,6 +79,17 @@
     name: 'zincring_connections',
     registers: [this.registry],
   });
+  public readonly waitingConnections = new Gauge({
+    help: 'Connections of clients with bytes that wait for their turn, by listener.',
+    labelNames: ['listener'] as const,
+    name: 'zincring_waiting_connections',
+    registers: [this.registry],
+  });
+  public readonly pacedBytes = new Counter({
+    help: 'Bytes beyond those of ordinary requests and responses, which pass at a bounded rate.',
+    name: 'zincring_paced_bytes_total',
+    registers: [this.registry],
+  });
   public readonly closedConnections = new Counter({
     help: 'Connections of clients that were closed because of what they take up, by listener and reason.',
     labelNames: ['listener', 'reason'] as const,
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -322,7 +322,7 @@
       this.dependencies.pool.recordReplica(this.request.facts, entry);
       return await this.relayResponse(entry, response);
     }
-    const { memory, pacer, timers } = this.dependencies;
+    const { pacer, responseMemory: memory, timers } = this.dependencies;
     const body = await readResponseBody(response, {
       maximumBytes: MAXIMUM_BUFFERED_RESPONSE_BYTES,
       memory,
--- a/packages/gateway/src/upstreams/attemptLoopDependencies.ts
+++ b/packages/gateway/src/upstreams/attemptLoopDependencies.ts
@@ -17,6 +17,8 @@
   readonly timers: TimerService;
   readonly memory: HeldMemory;
   readonly pacer: BytePacer;
+  /** Responses that their callers have yet to read. */
+  readonly responseMemory: HeldMemory;
   readonly logger: Logger;
   readonly pool: ReplicaPool;
   readonly permits: ReplicaPermits;
--- a/packages/gateway/src/util/bytePacer.ts
+++ b/packages/gateway/src/util/bytePacer.ts
@@ -16,12 +16,17 @@
   private allowedBytes = MAXIMUM_BURST_BYTES;
   private updatedAt = 0;
 
-  public constructor(private readonly timers: Pick<TimerService, 'now'>) {}
+  /** @param onRecorded called with the bytes that are counted */
+  public constructor(
+    private readonly timers: Pick<TimerService, 'now'>,
+    private readonly onRecorded: (bytes: number) => void = () => undefined,
+  ) {}
 
   /** Counts bytes that have passed. */
   public record(bytes: number): void {
     this.earn();
     this.allowedBytes -= bytes;
+    this.onRecorded(bytes);
   }
 
   /** Time until further bytes may pass, in milliseconds; 0 if they may now. */
--- a/packages/gateway/src/util/httpEndpoint.ts
+++ b/packages/gateway/src/util/httpEndpoint.ts
@@ -1,10 +1,11 @@
-import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+import type { ServerResponse } from 'node:http';
 
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { ListenerContext } from '../listeners/httpListener.js';
 import type { ConnectionLimits } from '../listeners/listenerLimits.js';
 
 import { HttpListener } from '../listeners/httpListener.js';
+import { hasBody } from '../listeners/requestBody.js';
 
 /** Time in which a request must arrive and its response be read, in milliseconds: the load balancer gives up sooner. */
 const TIMEOUT_MILLISECONDS = 5_000;
@@ -31,7 +32,7 @@
       (request, response) => {
         request.resume();
         request.on('error', () => undefined);
-        if (hasBody(request.headers)) {
+        if (hasBody(request)) {
           response.setHeader('Connection', 'close');
         }
         respond(response);
@@ -54,7 +55,3 @@
     this.listener.close();
   }
 }
-
-function hasBody(headers: IncomingHttpHeaders): boolean {
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-}
--- a/packages/gateway/tests/listeners/requestsSentAhead.test.ts
+++ b/packages/gateway/tests/listeners/requestsSentAhead.test.ts
@@ -3,10 +3,11 @@
 import { connect } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 
+import type { Behaviour } from '../support/fakeReplica.js';
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 
 import { neverResponds, responds } from '../support/fakeReplica.js';
-import { safeRoute, startGateway, waitUntil } from '../support/gatewayFixture.js';
+import { safeRoute, startGateway, unsafeRoute, waitUntil } from '../support/gatewayFixture.js';
 
 const sockets: Socket[] = [];
 
@@ -104,3 +105,102 @@
     },
   );
 });
+
+describe('requests behind one that is refused or closed', () => {
+  const length = (index: number): string => makeRequest(index, 'Content-Length: 5', 'input');
+
+  // Guards against a refusal that says "not run" while what was sent behind it runs unanswered.
+  it.each([
+    ['whole', 'are served', ['413', '200', '200']],
+    ['unfinished', 'do not run', ['413']],
+  ])('behind a %s body that is too large %s', async (kind, _what, statuses) => {
+    const fixture = await startGateway(unsafeRoute, [allDone]);
+    const caller = openCaller(fixture);
+    const body = `400\r\n${'x'.repeat(1_024)}\r\n`.repeat(6);
+    caller.socket.write(makeRequest(1, CHUNKED, kind === 'whole' ? `${body}0\r\n\r\n` : body));
+    if (kind === 'unfinished') {
+      await waitUntil(() => caller.text().includes('413'));
+      caller.socket.write('0\r\n\r\n');
+    }
+    caller.socket.write(length(2) + length(3));
+    await new Promise(resolve => setTimeout(resolve, 500));
+    expect([...caller.text().matchAll(/HTTP\/1\.1 (\d+)/g)].map(match => match[1])).toEqual(
+      statuses,
+    );
+    expect(fixture.replicas[0]!.receivedRequests.length).toBe(statuses.length - 1);
+  });
+
+  it('do not run behind bytes that are no request', async () => {
+    const fixture = await startGateway(unsafeRoute, [allDone]);
+    const caller = openCaller(fixture);
+    caller.socket.write(`no request at all\r\n\r\n${length(2)}${length(3)}`);
+    await waitUntil(caller.isClosed);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect(caller.text()).toMatch(/^HTTP\/1\.1 400 /);
+    expect(fixture.replicas[0]!.receivedRequests.length).toBe(0);
+  });
+
+  it('are each answered or never run when those before them are refused with a wrong key', async () => {
+    const fixture = await startGateway(unsafeRoute, [allDone]);
+    const caller = openCaller(fixture);
+    const wrong = makeRequest(1, 'Content-Length: 5', 'input', 'wrong');
+    caller.socket.write(wrong + length(2) + wrong + length(3));
+    await waitUntil(() => caller.text().split('done').length === 3);
+    expect(caller.text().match(/HTTP\/1\.1 \d+/g)).toEqual(
+      [401, 200, 401, 200].map(status => `HTTP/1.1 ${String(status)}`),
+    );
+    expect(fixture.replicas[0]!.receivedRequests.length).toBe(2);
+  });
+});
+
+describe('a caller that leaves in the middle of a body', () => {
+  it.each([
+    ['with a length', makeRequest(1, 'Content-Length: 5', 'in')],
+    ['in chunks', makeRequest(1, CHUNKED, '2\r\nin\r\n')],
+  ])('has run nothing (%s)', async (_name, text) => {
+    const fixture = await startGateway(unsafeRoute, [allDone]);
+    const caller = openCaller(fixture);
+    caller.socket.write(text);
+    await new Promise(resolve => setTimeout(resolve, 100));
+    caller.socket.destroy();
+    await new Promise(resolve => setTimeout(resolve, 300));
+    expect(fixture.replicas[0]!.receivedRequests.length).toBe(0);
+  });
+});
+
+describe('responses that their callers do not read', () => {
+  const large = 'x'.repeat(900_000);
+  const MEGABYTE = 1_000_000;
+  /** More than the buffers of the sockets take over. */
+  const RESPONSES_EACH = 12;
+  const CROWD = 10;
+
+  function askForLarge({ socket }: RawCaller, name: number): void {
+    socket.pause();
+    const requests = Array.from({ length: RESPONSES_EACH }, (_unused, index) =>
+      makeRequest(100 * name + index, 'Content-Length: 0'),
+    );
+    socket.write(requests.join('').replaceAll(' HTTP/1.1', '/large HTTP/1.1'));
+  }
+
+  // Guards against a slow reader that loses its response, and against ordinary callers that are kept out.
+  it('are kept while their memory is full, and ordinary requests are served', async () => {
+    const behaviour: Behaviour = (socket, request) => {
+      responds(request.path.endsWith('/large') ? large : 'done')(socket, request);
+    };
+    const fixture = await startGateway(safeRoute, [[behaviour]], { memoryBytes: 60 * MEGABYTE });
+    const slow = openCaller(fixture);
+    askForLarge(slow, 0);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    const completeCount = fixture.replicas[0]!.receivedRequests.length;
+    for (let member = 1; member <= CROWD; member++) {
+      askForLarge(openCaller(fixture), member);
+    }
+    await new Promise(resolve => setTimeout(resolve, 2_500));
+    expect(await fixture.send()).toMatchObject({ body: 'done', status: 200 });
+    slow.socket.resume();
+    const countRead = (): number => slow.text().split(large).length - 1;
+    await waitUntil(() => slow.isClosed() || countRead() >= completeCount);
+    expect(countRead()).toBeGreaterThanOrEqual(completeCount);
+  });
+});
--- a/packages/gateway/tests/support/makeListenerContext.ts
+++ b/packages/gateway/tests/support/makeListenerContext.ts
@@ -18,6 +18,7 @@
     limits: deriveListenerLimits({}),
     logger: silentLogger,
     memory: new HeldMemory(),
+    responseMemory: new HeldMemory(),
     metrics: new GatewayMetrics(),
     pacer,
     timers,
