fix(upstreams): requests that were sent ahead leave places to others

What callers saw: a crowd of 40 connections that sends requests ahead which wait for a replica takes all connections to it; an ordinary request for the same replica gets 503 for 40 s (crowd "that wait for the replica of the ordinary request", fails before).

Cause: requests wait for a connection to a replica in the order of their arrival until their time is over, and a refused connection sends its next request at once, whatever Retry-After says.

Now a request that its caller sent before the responses to earlier ones takes no more than three quarters of the connections to a replica; beyond that it is refused at once, and has not run. What was sent behind a refusal waits for the time that Retry-After tells. A caller that waits for its responses meets neither.

--- a/packages/gateway/src/callers/gatewayServer.ts
+++ b/packages/gateway/src/callers/gatewayServer.ts
@@ -43,6 +43,7 @@
   maximumBodyBytes: 16 * 1024 * 1024,
   maximumHeaderBytes: MAXIMUM_PARSED_HEADER_BYTES,
 };
+const MILLISECONDS_PER_SECOND = 1_000;
 /** Interval at which idle connections are closed during shutdown, in milliseconds. */
 const CLOSE_IDLE_INTERVAL_MILLISECONDS = 100;
 
@@ -213,9 +214,13 @@
   private toIncomingRequest(request: IncomingMessage, response: ServerResponse): IncomingRequest {
     const body = this.listener.readBody(request, response, this.maximumBodyBytes);
     return {
+      deferFollowing: seconds => {
+        this.listener.defer(request.socket, seconds * MILLISECONDS_PER_SECOND);
+      },
       facts: this.dependencies.headerCodec.readFacts(request.rawHeaders),
       headers: request.rawHeaders,
       host: request.headers.host ?? '',
+      isSentAhead: this.listener.isBeginningSentAhead(request.socket),
       method: request.method ?? 'GET',
       onCallerDisconnected: listener => {
         response.once('close', () => {
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -37,10 +37,14 @@
   /** Flat list of names and values. */
   readonly headers: readonly string[];
   readonly facts: RequestFacts;
+  /** Whether its caller sent it before the responses to earlier ones. */
+  readonly isSentAhead: boolean;
   /** Time at which its headers had arrived, on the monotonic clock in milliseconds. */
   readonly receivedAt: number;
   /** Why the instance cannot hold the request; `undefined` if it can. */
   readonly refusal: ZincringError | undefined;
+  /** Lets requests that were sent behind this one wait until its caller may come back, in seconds. */
+  deferFollowing(seconds: number): void;
   /** Reads the body; `undefined` if the caller disconnected before its end. */
   readBody(): Promise<Result<Buffer, ZincringError> | undefined>;
   /** Reads the body of a refused request without keeping it; `false` if the caller disconnected before its end. */
@@ -298,6 +302,7 @@
       deadline: lifetime.deadline,
       facts: incoming.facts,
       headers: incoming.headers,
+      isSentAhead: incoming.isSentAhead,
       method: incoming.method,
       path: incoming.path,
       route,
@@ -368,6 +373,9 @@
       retryAfter,
       status: error.status,
     });
+    if (retryAfter !== undefined) {
+      incoming.deferFollowing(retryAfter);
+    }
     if (sink.isStarted) {
       sink.abort();
       return;
--- a/packages/gateway/src/listeners/connectionIntake.ts
+++ b/packages/gateway/src/listeners/connectionIntake.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from '@zincring/core';
+import type { TimerService, TimerSubscription } from '@zincring/core';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -61,6 +61,9 @@
   /** Whether no more is read. */
   private isStopped = false;
   private isPaused = false;
+  private isTurn = false;
+  /** Runs while what was sent behind a refused request waits. */
+  private deferral: TimerSubscription | undefined;
   private isSilent = true;
   private headStart = 0;
   private lastArrival: number;
@@ -123,6 +126,11 @@
     return this.isSilent;
   }
 
+  /** Whether the request that begins now was sent before the responses to those before it. */
+  public get isBeginningSentAhead(): boolean {
+    return this.isTurn;
+  }
+
   /** Requests in progress. */
   public get requestCount(): number {
     return this.inProgressCount;
@@ -169,7 +177,9 @@
       return 0;
     }
     const isHead = this.incomplete === undefined;
+    this.isTurn = true;
     const bytes = this.parseSlice();
+    this.isTurn = false;
     this.settle();
     return isHead ? bytes + REQUEST_COST_BYTES : bytes;
   }
@@ -208,6 +218,20 @@
     this.settle();
   }
 
+  /** Lets what has been sent behind a refused request wait, as its sender is told to. */
+  public defer(milliseconds: number): void {
+    if (this.waiting === undefined || this.incomplete !== undefined) {
+      return;
+    }
+    const { timers, turns } = this.dependencies;
+    turns.remove(this);
+    this.deferral?.stop();
+    this.deferral = timers.after(milliseconds, () => {
+      this.deferral = undefined;
+      this.continueParsing();
+    });
+  }
+
   /** Records that a piece of a body has been parsed, so that what came before it is no part of the trailers. */
   public recordBody(): void {
     this.headBytes = 0;
@@ -223,7 +247,7 @@
 
   /** Whether a further request may begin. */
   private get canBegin(): boolean {
-    return this.inProgressCount < MAXIMUM_REQUESTS_IN_PROGRESS;
+    return this.deferral === undefined && this.inProgressCount < MAXIMUM_REQUESTS_IN_PROGRESS;
   }
 
   /** Whether the next bytes cost more than those of an ordinary request. */
@@ -274,6 +298,8 @@
 
   private discardWaiting(): void {
     this.waiting = undefined;
+    this.deferral?.stop();
+    this.deferral = undefined;
     this.dependencies.turns.remove(this);
   }
 
--- a/packages/gateway/src/listeners/httpListener.ts
+++ b/packages/gateway/src/listeners/httpListener.ts
@@ -194,6 +194,16 @@
     });
   }
 
+  /** Whether the request that a connection begins now was sent before the responses to those before it. */
+  public isBeginningSentAhead(connection: Socket): boolean {
+    return this.table.find(connection)?.isBeginningSentAhead === true;
+  }
+
+  /** Lets what has been sent behind a refused request wait, as its sender is told to. */
+  public defer(connection: Socket, milliseconds: number): void {
+    this.table.find(connection)?.defer(milliseconds);
+  }
+
   /** Whether a connection has sent more behind the requests in progress. */
   public hasWaitingBytes(connection: Socket): boolean {
     return this.table.find(connection)?.hasWaitingBytes === true;
--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -31,6 +31,8 @@
   /** Headers of the caller as a flat list of names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Whether its caller sent it before the responses to earlier ones; it then leaves places to others. */
+  readonly isSentAhead: boolean;
   /** Deadline of the response to the caller, on the monotonic clock, in milliseconds. */
   readonly deadline: number;
   readonly urgency: number | undefined;
@@ -164,6 +166,7 @@
       permittedRegions,
       excluded: this.excluded,
       facts,
+      isSentAhead: this.request.isSentAhead,
       isSticky: route.isSticky,
       service,
       softwareVersion: this.softwareVersion ?? streamOrigins.findPreferredVersion(this.request),
--- a/packages/gateway/src/upstreams/replicaLoads.ts
+++ b/packages/gateway/src/upstreams/replicaLoads.ts
@@ -30,6 +30,9 @@
 /** Time for which a replica that refused for lack of capacity is avoided, in milliseconds: about one short call. */
 const FULL_AVOID_MILLISECONDS = 100;
 
+/** Share of the connections to a replica that requests may take which were sent ahead of the responses to others. */
+const SENT_AHEAD_SHARE = 0.75;
+
 /**
  * Tracks this instance's use of each replica: connections, requests in flight and recent failures.
  * Failing replicas are avoided for some time.
@@ -68,6 +71,12 @@
     return [...this.states.values()].reduce((sum, { inFlight }) => sum + inFlight, 0);
   }
 
+  /** Whether the last places of a replica are left, which requests that were sent ahead do not take. */
+  public isNearlyFull(entry: ReplicaEntry): boolean {
+    const { inFlight } = this.findOrAddState(entry);
+    return inFlight >= this.getMaximumConnections(entry) * SENT_AHEAD_SHARE;
+  }
+
   /** Whether a replica is currently avoided. */
   public isAvoided(entry: ReplicaEntry): boolean {
     return this.findOrAddState(entry).avoidedUntil > this.timers.now();
--- a/packages/gateway/src/upstreams/replicaPool.ts
+++ b/packages/gateway/src/upstreams/replicaPool.ts
@@ -28,6 +28,8 @@
   readonly service: GatewayService;
   readonly facts: RequestFacts;
   readonly isSticky: boolean;
+  /** Whether the request leaves the last places of each replica to others; it takes any by default. */
+  readonly isSentAhead?: boolean;
   /** Version at which a stream goes on; `undefined` if any version may serve the request. */
   readonly softwareVersion: SoftwareVersion | undefined;
   /** Regions whose replicas may get the request; all may if absent. */
@@ -164,7 +166,8 @@
       counts.all++;
       counts.avoided += isAvoided ? 1 : 0;
       counts.slow += isSlow ? 1 : 0;
-      if (!isLeftOut(entry, poolRequest)) {
+      const isKeptFree = poolRequest.isSentAhead === true && this.loads.isNearlyFull(entry);
+      if (!isKeptFree && !isLeftOut(entry, poolRequest)) {
         candidates.push({ entry, inFlight, isAvoided, isSlow, slowness: run?.estimate(now) ?? 1 });
       }
     }
--- a/packages/gateway/tests/listeners/requestsSentAhead.test.ts
+++ b/packages/gateway/tests/listeners/requestsSentAhead.test.ts
@@ -151,6 +151,18 @@
     );
     expect(fixture.replicas[0]!.receivedRequests.length).toBe(2);
   });
+
+  it('wait as long as the caller of the refused one is told to', async () => {
+    const fixture = await startGateway(unsafeRoute, [allDone]);
+    fixture.removeReplica(0);
+    await new Promise(resolve => setTimeout(resolve, 3_000));
+    const caller = openCaller(fixture);
+    const startedAt = performance.now();
+    caller.socket.write(Array.from({ length: 12 }, (_unused, index) => length(index)).join(''));
+    await waitUntil(() => caller.text().split('HTTP/1.1 503').length === 13);
+    // Four begin at once, and each of the others waits for the 150 ms of those before it.
+    expect(performance.now() - startedAt).toBeGreaterThan(150);
+  });
 });
 
 describe('a caller that leaves in the middle of a body', () => {
--- a/packages/gateway/tests/support/samples.ts
+++ b/packages/gateway/tests/support/samples.ts
@@ -171,6 +171,7 @@
       ...facts,
     }),
     headers: [],
+    isSentAhead: false,
     method: 'POST',
     path: '/summaries/1',
     route: sampleRoute(),
--- a/packages/gateway/tests/upstreams/replicaPool.test.ts
+++ b/packages/gateway/tests/upstreams/replicaPool.test.ts
@@ -3,6 +3,7 @@
 import { ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
+import type { ReplicaEntry } from '../../src/upstreams/replica.js';
 import type { PromptPart, RequestFacts, SessionId } from '../../src/callers/requestFacts.js';
 
 import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
@@ -81,6 +82,23 @@
     })?.id;
   }
 
+  // Guards against one client whose requests take all connections to the replicas.
+  it('leaves the last connections of a replica to requests that were not sent ahead', async () => {
+    const pool = await makePool();
+    const request = {
+      excluded: new Set<ReplicaEntry['runId']>(),
+      facts: sampleFacts(),
+      isSticky: false,
+      service: engineService,
+      softwareVersion: undefined,
+    };
+    for (let index = 0; index < REPLICAS; index++) {
+      pool.loads.findOrAddState(sampleReplica(`r${String(index)}`)).inFlight = 12;
+    }
+    expect(pool.choose({ ...request, isSentAhead: true })).toBe(undefined);
+    expect(pool.choose(request)).toBeDefined();
+  });
+
   it('sends sub-agents to the engine that has the prompt of their parent, at every instance', async () => {
     const [pool, other] = [await makePool(), await makePool()];
     for (let program = 0; program < 20; program++) {
