--- a/packages/gateway/src/listeners/createListenerContext.ts
+++ b/packages/gateway/src/listeners/createListenerContext.ts
@@ -12,7 +12,7 @@
 import { deriveListenerLimits } from './listenerLimits.js';
 
 /**
- * Creates what the listeners of an instance share, bounded by what its machine has.
+ * Creates what the listeners of an instance share, bounded by the memory and descriptors of the instance.
  *
  * @example
  * const context = createListenerContext(options, { logger, metrics, timers });
--- a/packages/gateway/src/listeners/listenerLimits.ts
+++ b/packages/gateway/src/listeners/listenerLimits.ts
@@ -10,7 +10,7 @@
   readonly readiness: number;
 }
 
-/** Bounds of what an instance takes in, derived from what its machine has. */
+/** Bounds of what an instance takes in, derived from its memory and descriptors. */
 export interface ListenerLimits {
   readonly connections: ConnectionLimits;
   /** Most requests of callers that may be in progress at a time. */
@@ -26,7 +26,7 @@
   peers: 0.2,
   readiness: 0.05,
 };
-/** Most connections of each listener, whatever its machine has. */
+/** Most connections of each listener, however much memory it has. */
 const MAXIMUM_CONNECTIONS: ConnectionLimits = {
   callers: 16_384,
   metrics: 16,
@@ -38,11 +38,11 @@
 /** Share of the memory for all requests of callers, besides their heads and bodies. */
 const REQUEST_MEMORY_SHARE = 0.25;
 const MAXIMUM_CALLER_REQUESTS = 4_096;
-/** Connections and requests that fit into every machine. */
+/** Connections and requests that every instance has room for. */
 const MINIMUM_COUNT = 16;
 
 /**
- * Derives the bounds of the listeners from the descriptors and the memory of the machine.
+ * Derives the bounds of the listeners from the descriptors and the memory of an instance.
  *
  * @example
  * deriveListenerLimits({ ...options, descriptors: 8_200, memoryBytes: 210_000_000 }).connections.callers; // 3204
--- a/packages/gateway/tests/listeners/listenerLimits.test.ts
+++ b/packages/gateway/tests/listeners/listenerLimits.test.ts
@@ -20,7 +20,7 @@
       1_602,
     ],
     [{}, { callers: 16_384, metrics: 16, peers: 4_096, readiness: 64 }, 4_096],
-  ])('derives the bounds of a machine with %o', (machine, connections, callerRequests) => {
+  ])('derives the bounds of an instance with %o', (machine, connections, callerRequests) => {
     expect(deriveListenerLimits(machine)).toEqual({ callerRequests, connections });
   });
 
--- a/packages/gateway/tests/support/makeListenerContext.ts
+++ b/packages/gateway/tests/support/makeListenerContext.ts
@@ -9,7 +9,7 @@
 import { BytePacer } from '../../src/util/bytePacer.js';
 import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
 
-/** Makes what a listener needs on a machine without bounds. */
+/** Makes what a listener needs on an instance without bounds. */
 export function makeListenerContext(overrides: Partial<ListenerContext> = {}): ListenerContext {
   const timers = new SystemTimerService();
   const pacer = new BytePacer(timers);
