--- a/packages/core/tests/http/failWithConnection.test.ts
+++ b/packages/core/tests/http/failWithConnection.test.ts
@@ -47,6 +47,43 @@
   });
 }
 
+/** Size of a body that no system takes in at once, in bytes. */
+const UPLOAD_BYTES = 16_000_000;
+/** Time after which an upload that nobody reads waits for room, in milliseconds. */
+const UPLOAD_PAUSE_MILLISECONDS = 20;
+
+/** Starts a server that leaves an upload unread and calls the function once the rest of it waits for room. */
+async function startServerForUploads(respond: (socket: Socket) => void): Promise<number> {
+  const hasReceived = new WeakSet<Socket>();
+  return await startServer(socket => {
+    socket.pause();
+    if (!hasReceived.has(socket)) {
+      hasReceived.add(socket);
+      setTimeout(() => {
+        respond(socket);
+      }, UPLOAD_PAUSE_MILLISECONDS);
+    }
+  });
+}
+
+/** Returns the body of the response to an upload; rejects if it could not be read to its end. */
+async function upload(port: number): Promise<string> {
+  return await new Promise((resolve, reject) => {
+    const outgoing = request({ agent: false, host: '127.0.0.1', method: 'POST', port });
+    outgoing.on('response', incoming => {
+      expect(incoming.socket.writableLength).toBeGreaterThan(0);
+      failWithConnection(outgoing, incoming);
+      let body = '';
+      incoming.on('data', chunk => (body += String(chunk)));
+      incoming.on('error', reject);
+      incoming.on('end', () => {
+        resolve(body);
+      });
+    });
+    outgoing.end(Buffer.alloc(UPLOAD_BYTES));
+  });
+}
+
 const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
 
 describe(failWithConnection, () => {
@@ -101,3 +138,42 @@
     expect(counts[0]).toBeDefined();
   });
 });
+
+const unframedHeads = [UNFRAMED_HEAD, 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n'];
+const parts = ['', 'x'.repeat(650), 'x'.repeat(60_000)];
+const responses = unframedHeads.flatMap(head => parts.map(part => [head, part] as const));
+
+// Both ends of the connection are in this process, so that the client reads the part and the reset at once.
+describe('an unframed response to an upload that is still being written', () => {
+  // Guards against: the waiting write took the error of the reset, and the part looked like the whole body.
+  it.each(responses)('is broken off by a reset together with its part: %j', async (head, part) => {
+    const port = await startServerForUploads(socket => {
+      socket.write(head + part);
+      socket.resetAndDestroy();
+    });
+    await expect(upload(port)).rejects.toThrow('ECONNRESET');
+  });
+
+  it.each(responses)('is broken off by a reset after its part: %j', async (head, part) => {
+    const port = await startServerForUploads(socket => {
+      socket.write(head + part);
+      setTimeout(() => socket.resetAndDestroy(), 5);
+    });
+    await expect(upload(port)).rejects.toThrow('ECONNRESET');
+  });
+
+  it.each(responses)('is whole after an orderly end: %j', async (head, part) => {
+    const port = await startServerForUploads(socket => socket.end(head + part));
+    expect(await upload(port)).toBe(part);
+  });
+
+  it.each(responses)(
+    'is whole after an orderly end together with a reset: %j',
+    async (head, part) => {
+      const port = await startServerForUploads(socket => {
+        socket.end(head + part, () => socket.resetAndDestroy());
+      });
+      expect(await upload(port)).toBe(part);
+    },
+  );
+});
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -10,7 +10,7 @@
 import type { ReplicaRequest } from '../../src/upstreams/replicaExchange.js';
 import type { RelayOutcome } from '../../src/upstreams/replicaTransport.js';
 import type { StreamEnd } from '../../src/upstreams/streamRelay.js';
-import type { Behaviour } from '../support/fakeReplica.js';
+import type { Behaviour, ConnectionEnd } from '../support/fakeReplica.js';
 
 import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
 import { PeerServer } from '../../src/peers/peerServer.js';
@@ -37,6 +37,7 @@
   streamsEvents,
   streamsUnframed,
   truncatesBody,
+  withBodyUnread,
 } from '../support/fakeReplica.js';
 import { waitUntil } from '../support/gatewayFixture.js';
 import { sampleReplica } from '../support/samples.js';
@@ -51,6 +52,8 @@
   onEnded: () => undefined,
   onStarted: () => undefined,
 };
+/** Size of an upload that waits for room while nobody reads it, in bytes. */
+const UPLOAD_BYTES = 12_000_000;
 const cleanups: (() => void)[] = [];
 
 afterEach(() => {
@@ -210,6 +213,21 @@
     expect(['broken', 'lost']).toContain(await readBody(outcome));
   });
 
+  // Guards against: a part that arrived at the relaying instance with a reset, during an upload, looked whole.
+  it.each<[string, ConnectionEnd, string]>([
+    ['never returns a part as complete', 'immediate-reset', 'broken'],
+    ['returns the body', 'close', 'part'],
+    ['returns the body', 'close-and-reset', 'part'],
+  ])(
+    '%s if its replica leaves the upload unread and ends by %s',
+    async (_name, connectionEnd, expected) => {
+      const { entry } = await startReplica(withBodyUnread(respondsUnframed('part', connectionEnd)));
+      const request = makeRequest({ body: Buffer.alloc(UPLOAD_BYTES), headers: ['Host', 'r0'] });
+      const outcome = await makeClient([await startRelay(entry)]).exchange(entry, request);
+      expect(await readBody(outcome)).toBe(expected);
+    },
+  );
+
   it.each<[string, Behaviour, StreamEnd]>([
     ['in chunks, whole', streamsEvents([1, 2], 'whole'), 'complete'],
     ['in chunks, closed between events', streamsEvents([1, 2], 'break'), 'broken'],
--- a/packages/gateway/tests/support/fakeReplica.ts
+++ b/packages/gateway/tests/support/fakeReplica.ts
@@ -11,7 +11,14 @@
 }
 
 /** Handles one request by writing to its connection. */
-export type Behaviour = (socket: Socket, request: ReceivedRequest) => void;
+export interface Behaviour {
+  (socket: Socket, request: ReceivedRequest): void;
+  /** Whether it handles a request as soon as its head has been received, and leaves the body unread. */
+  readonly leavesBodyUnread?: boolean;
+}
+
+/** Time after which an upload that is not read waits for room, in milliseconds. */
+const UPLOAD_PAUSE_MILLISECONDS = 20;
 
 /** A replica on a plain socket, so that tests determine each byte of its responses. */
 export class FakeReplica {
@@ -50,6 +57,10 @@
     let pending = '';
     socket.on('data', chunk => {
       pending += chunk.toString('latin1');
+      if (this.nextBehaviour?.leavesBodyUnread === true) {
+        this.respondEarly(socket, pending);
+        return;
+      }
       for (let parsed = parseRequest(pending); parsed !== undefined;) {
         pending = pending.slice(parsed.length);
         this.respond(socket, parsed.request);
@@ -58,13 +69,42 @@
     });
   }
 
+  private get nextBehaviour(): Behaviour | undefined {
+    return this.behaviours[Math.min(this.receivedRequests.length, this.behaviours.length - 1)];
+  }
+
   private respond(socket: Socket, request: ReceivedRequest): void {
-    const index = Math.min(this.receivedRequests.length, this.behaviours.length - 1);
+    const behaviour = this.nextBehaviour;
     this.receivedRequests.push(request);
-    this.behaviours[index]?.(socket, request);
+    behaviour?.(socket, request);
+  }
+
+  /** Responds to a request of which the head and a part of the body were received. */
+  private respondEarly(socket: Socket, text: string): void {
+    const headEnd = text.indexOf('\r\n\r\n');
+    if (headEnd === -1) {
+      return;
+    }
+    socket.pause();
+    const head = parseHead(text.slice(0, headEnd));
+    setTimeout(() => {
+      this.respond(socket, { ...head, body: text.slice(headEnd + 4) });
+    }, UPLOAD_PAUSE_MILLISECONDS);
   }
 }
 
+function parseHead(text: string): Omit<ReceivedRequest, 'body'> {
+  const [requestLine = '', ...headerLines] = text.split('\r\n');
+  const [method = '', path = ''] = requestLine.split(' ');
+  const headers = new Map(
+    headerLines.map(line => {
+      const colon = line.indexOf(':');
+      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()] as const;
+    }),
+  );
+  return { headers, method, path };
+}
+
 function parseRequest(
   text: string,
 ): { readonly length: number; readonly request: ReceivedRequest } | undefined {
@@ -72,14 +112,7 @@
   if (end === -1) {
     return undefined;
   }
-  const [requestLine = '', ...headerLines] = text.slice(0, end).split('\r\n');
-  const [method = '', path = ''] = requestLine.split(' ');
-  const headers = new Map(
-    headerLines.map(line => {
-      const colon = line.indexOf(':');
-      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
-    }),
-  );
+  const { headers, method, path } = parseHead(text.slice(0, end));
   if (headers.get('transfer-encoding') === 'chunked') {
     const chunked = parseChunks(text, end + 4);
     return (
@@ -115,6 +148,11 @@
   }
 }
 
+/** Responds to uploads without reading them, once their senders wait for room. */
+export function withBodyUnread(behaviour: Behaviour): Behaviour {
+  return Object.assign(behaviour.bind(undefined), { leavesBodyUnread: true });
+}
+
 /** Handles the first request by the first behaviour, also if another replica receives the second one. */
 export function inOrder(...behaviours: readonly Behaviour[]): Behaviour {
   let received = 0;
@@ -287,9 +325,10 @@
 
 /**
  * How a fake replica ends the connection of a response without framing. An `immediate-reset` arrives
- * together with the bytes before it.
+ * together with the bytes before it, and so do both ends of `close-and-reset`.
  */
-export type ConnectionEnd = 'close' | 'half-event' | 'immediate-reset' | 'reset' | 'stall';
+export type ConnectionEnd =
+  'close' | 'close-and-reset' | 'half-event' | 'immediate-reset' | 'reset' | 'stall';
 
 /** Pause before a connection is reset, in milliseconds, so that the bytes written before it are received. */
 const RESET_PAUSE_MILLISECONDS = 5;
@@ -305,6 +344,9 @@
       case 'close':
         socket.end();
         return;
+      case 'close-and-reset':
+        socket.end(() => socket.resetAndDestroy());
+        return;
       case 'half-event':
         socket.end('id: 99\ndata: ha');
         return;
--- a/packages/gateway/tests/support/gatewayFixture.ts
+++ b/packages/gateway/tests/support/gatewayFixture.ts
@@ -66,6 +66,8 @@
 export interface GatewayFixtureOptions {
   /** Memory of each instance, in bytes; not bounded by default. */
   readonly memoryBytes?: number;
+  /** Maximum size of the body of a request, in bytes; that of the sample configuration by default. */
+  readonly maximumBodyBytes?: number;
   readonly logger?: Logger;
   /** Availability zones of the replicas; `nelson` by default. */
   readonly availabilityZones?: readonly string[];
@@ -132,6 +134,7 @@
   behaviours: readonly (readonly Behaviour[])[],
   {
     logger = silentLogger,
+    maximumBodyBytes,
     memoryBytes,
     random = () => 0,
     ratePerSecond = 0,
@@ -165,9 +168,14 @@
     registrations.push(registration);
     registerReplica(store, registration);
   }
+  const { callerLimits } = sampleConfiguration(1);
   store.put(
     configurationAddress,
     sampleConfiguration(1, {
+      callerLimits: {
+        ...callerLimits,
+        maximumBodyBytes: maximumBodyBytes ?? callerLimits.maximumBodyBytes,
+      },
       routes: [route],
       services: [engineService, { ...plainService, warmUp }],
       workspaces: [
--- a/packages/instance/tests/upstreams/upstreamRequest.test.ts
+++ b/packages/instance/tests/upstreams/upstreamRequest.test.ts
@@ -44,10 +44,14 @@
   };
 }
 
-async function readAll(address: string, read: typeof readLines | typeof readText): Promise<string> {
+async function readAll(
+  address: string,
+  read: typeof readLines | typeof readText,
+  body = Buffer.alloc(0),
+): Promise<string> {
   const response = await sendRequest({
     address,
-    body: '',
+    body,
     headers: {},
     method: 'POST',
     path: '/',
@@ -77,6 +81,22 @@
     },
   );
 
+  // Guards against: the waiting write took the error of the reset, and the part looked like the whole response.
+  it.each([
+    ['text', readText],
+    ['lines', readLines],
+  ])('never presents %s as complete if a reset arrives during an upload', async (_name, read) => {
+    const address = await startUpstream(socket => {
+      socket.pause();
+      // By then the rest of the upload waits for room.
+      setTimeout(() => {
+        socket.write('HTTP/1.1 200 OK\r\n\r\none\ntwo\n');
+        socket.resetAndDestroy();
+      }, 20);
+    }, '');
+    await expect(readAll(address, read, Buffer.alloc(16_000_000))).rejects.toThrow('ECONNRESET');
+  });
+
   it('never takes a part of a head for a response', async () => {
     const head = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
     for (let bytes = 1; bytes < head.length; bytes++) {
--- a/packages/platform/tests/httpClient.test.ts
+++ b/packages/platform/tests/httpClient.test.ts
@@ -47,6 +47,35 @@
     expect(response.ok).toBe(isComplete);
   });
 
+  // Guards against: the waiting write took the error of the reset, and the part was taken for the whole response.
+  it.each([
+    ['the end of its connection', end, true],
+    ['a reset together with its body', reset, false],
+  ])('reads an unframed response to an unread request up to %s', async (_name, finish, isWhole) => {
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.pause();
+        // By then the rest of the request waits for room.
+        setTimeout(() => {
+          socket.write('HTTP/1.1 200 OK\r\n\r\n{}');
+          finish(socket);
+        }, 20);
+      });
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${String(port)}`;
+    const client = new HttpClient({ address, timeoutMilliseconds: 5_000 });
+    const body = Buffer.alloc(16_000_000);
+    const response = await client.send({ body, isRetrySafe: true, method: 'PUT', path: '/' });
+    client.close();
+    server.close();
+    expect(response.ok).toBe(isWhole);
+  });
+
   it.each([
     ['no response', ''],
     ['a part of a response', 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{'],
