fix(upstreams): events that arrive together take one piece of memory

Callers saw: while a faulty replica sent an event stream without end, nobody was answered for seconds, and the process grew until its machine ended it with all requests.

Cause: every event, and every blank line as an event of its own, became several objects and a write of its own towards the caller. 64 KB of blank lines are 65,536 events; the bound of unread bytes counts bytes, of which each of these writes has one. The events of one read were also forwarded without any other work in between.

Evidence: platform/tests/crowds/floods.process.test.ts, a real process with 210 MB and a replica that answers 8 requests at a time without end, 18 forms. Before, four of the six forms of streams fail: blank lines 2,737 MB, comments 2,564 MB, small events 707 MB, chunks of one byte 703 MB, and with blank lines and comments the ordinary request is not served within 40 s. Now all 18 pass.

Why this mends it: what one read completes is forwarded in one piece. Blank lines and comments are no events (they were counted and measured as such); they are forwarded with the events around them, and a stream without a length that has nothing else is broken off. An incomplete event is collected in few buffers instead of being copied with each piece.

Changed test: eventSplitter.test.ts asserts the same of groups (bytes, ids, data, other text), and now that blank lines and comments are no events, with chunks of one byte too.

--- a/packages/gateway/src/upstreams/attemptLoop.ts
+++ b/packages/gateway/src/upstreams/attemptLoop.ts
@@ -3,7 +3,7 @@
 import { discardBody, sleep, ZincringError } from '@zincring/core';
 
 import type { ResponseSink, StreamObserver } from '../callers/responseSink.js';
-import type { StreamEvent } from '../callers/eventSplitter.js';
+import type { EventGroup } from '../callers/eventSplitter.js';
 import type { RequestFacts } from '../callers/requestFacts.js';
 import type { GatewayRoute, GatewayService } from '../configuration/gatewayConfiguration.js';
 import type { AttemptLoopDependencies } from './attemptLoopDependencies.js';
@@ -352,14 +352,15 @@
     response: ReplicaResponse,
   ): Promise<AttemptResult> {
     const end = await relayStream(response, {
-      onEvent: async event => {
-        this.timing?.recordEvent();
+      onEvents: async group => {
+        group.events.forEach(() => this.timing?.recordEvent());
         if (!(await this.recordVersion(entry))) {
           return false;
         }
-        this.observer?.onEvent(event.data);
-        await this.forwardEvent(response, event);
-        this.timing?.recordForwarded();
+        await this.forwardEvents(response, group);
+        if (group.events.length > 0) {
+          this.timing?.recordForwarded();
+        }
         return true;
       },
       signal: this.control.signal,
@@ -379,11 +380,17 @@
     return this.describeServed(response);
   }
 
-  private async forwardEvent(response: ReplicaResponse, event: StreamEvent): Promise<void> {
+  private async forwardEvents(
+    response: ReplicaResponse,
+    { bytes, events }: EventGroup,
+  ): Promise<void> {
     this.startStream(response);
-    this.lastEventId = event.id ?? this.lastEventId;
-    this.forwardedEvents++;
-    await this.sink.write(event.bytes);
+    for (const { data, id } of events) {
+      this.observer?.onEvent(data);
+      this.lastEventId = id ?? this.lastEventId;
+    }
+    this.forwardedEvents += events.length;
+    await this.sink.write(bytes);
   }
 
   /** Binds the stream to the version of its first event. A record that failed may still take effect. */
--- a/packages/gateway/src/upstreams/streamRelay.ts
+++ b/packages/gateway/src/upstreams/streamRelay.ts
@@ -1,4 +1,4 @@
-import type { StreamEvent } from '../callers/eventSplitter.js';
+import type { EventGroup } from '../callers/eventSplitter.js';
 import type { ReplicaResponse } from './replicaExchange.js';
 
 import { EventSplitter } from '../callers/eventSplitter.js';
@@ -9,8 +9,8 @@
 
 /** Options of {@link relayStream}. */
 export interface StreamRelayOptions {
-  /** Returns whether to go on; otherwise the response is discarded. */
-  readonly onEvent: (event: StreamEvent) => Promise<boolean>;
+  /** Called with what arrived together; returns whether to go on, otherwise the response is discarded. */
+  readonly onEvents: (group: EventGroup) => Promise<boolean>;
   readonly signal: AbortSignal;
 }
 
@@ -49,12 +49,12 @@
 }
 
 /**
- * Forwards the events of a stream as they arrive, each only when it is complete. A stream that
- * ends inside an event, or with its connection before any event, is broken, and so is one with an
+ * Forwards the events of a stream as they arrive, each only when it is complete, and those that arrive together
+ * in one piece. A stream that ends inside an event, or with its connection before any event, is broken, and so is one with an
  * event that exceeds the maximum size, or with text that is no event, such as the head of another response.
  *
  * @example
- * const end = await relayStream(response, { onEvent: forward, signal });
+ * const end = await relayStream(response, { onEvents: forward, signal });
  */
 export async function relayStream(
   response: ReplicaResponse,
@@ -64,18 +64,14 @@
   let hasEvents = false;
   try {
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
-      for (const event of eventSplitter.push(chunk)) {
-        if (!event.isValid) {
-          response.discard();
-          return 'broken';
-        }
-        hasEvents = true;
-        if (!(await options.onEvent(event))) {
-          response.discard();
-          return 'stopped';
-        }
+      const group = eventSplitter.push(chunk);
+      hasEvents ||= group.events.length > 0;
+      if (group.bytes.length > 0 && !(await options.onEvents(group))) {
+        response.discard();
+        return 'stopped';
       }
-      if (options.signal.aborted || eventSplitter.pendingBytes > MAXIMUM_EVENT_BYTES) {
+      const isTooLarge = eventSplitter.pendingBytes > MAXIMUM_EVENT_BYTES;
+      if (options.signal.aborted || group.hasOtherText || isTooLarge) {
         response.discard();
         return 'broken';
       }
