fix(programs): the output of a turn is collected up to 1 MB

Callers saw: on routes that store turns, a stream without end made the process keep all of its output, until its machine ended it with all other requests.

Cause: the draft of a turn kept the data of every event, and a buffer for each, without a bound; the size is checked only when the turn is stored.

Evidence: by reading and by a test that adds 1.1 MB; it fails before (the turn is stored, whatever its size).

Below, the output lies in few buffers.

--- a/packages/gateway/src/programs/turnStore.ts
+++ b/packages/gateway/src/programs/turnStore.ts
@@ -10,6 +10,7 @@
 import type { StoredTurn } from './storedTurnRows.js';
 
 import { computeBackoffMilliseconds } from '../store/backoff.js';
+import { BodyContent } from '../util/bodyContent.js';
 import { decodeTurn, encodeTurn, isChunkOf, TURN_TABLE, turnPartitions } from './storedTurnRows.js';
 
 /** A turn in progress that is stored when it ends. */
@@ -41,6 +42,8 @@
 
 /** Size of the cache of turns, in bytes: a small part of the memory of the smallest instance. */
 const CACHE_BYTES = 12 * 1024 * 1024;
+/** Maximum size of the output of a turn that is stored, in bytes. */
+const MAXIMUM_OUTPUT_BYTES = 1024 * 1024;
 /** First and longest pause between attempts while the store fails, in milliseconds: a few times its usual response time. */
 const RETRY_PAUSES = { initialMilliseconds: 30, maximumMilliseconds: 150 };
 /** Maximum number of reads of one turn while the store fails. */
@@ -182,19 +185,33 @@
     if (facts.requestId === undefined) {
       return undefined;
     }
-    const outputs: Buffer[] = [];
+    const output = new BodyContent();
+    let outputBytes = 0;
     const id = facts.requestId as string as TurnId;
     return {
       addOutput: data => {
-        outputs.push(data, LINE_FEED);
+        outputBytes += data.length + LINE_FEED.length;
+        if (outputBytes > MAXIMUM_OUTPUT_BYTES) {
+          output.clear();
+          return;
+        }
+        output.append(data);
+        output.append(LINE_FEED);
       },
       save: async signal => {
+        if (outputBytes > MAXIMUM_OUTPUT_BYTES) {
+          this.dependencies.logger.warn(
+            { event: 'turn-too-large', outputBytes, request: id },
+            'a turn is too large to be stored',
+          );
+          return false;
+        }
         const turn: StoredTurn = {
           ancestors: chain.map(ancestor => ancestor.id),
           expiresAt: this.dependencies.timers.wallClock() + 2 * route.retentionMilliseconds,
           id,
           input: request.body,
-          output: Buffer.concat(outputs),
+          output: output.complete(),
           workspace,
         };
         return await this.store(turn, signal);
--- a/packages/gateway/tests/programs/turnStore.test.ts
+++ b/packages/gateway/tests/programs/turnStore.test.ts
@@ -117,6 +117,19 @@
     expect(body).toBe(`${large}1\n${large}\nB`);
   });
 
+  // Guards against: the output of a stream without end was collected until memory ran out.
+  it('stores no turn whose output is larger than one may be', async () => {
+    const composed = await compose(makeInstance(), 'a', 'A');
+    const piece = Buffer.alloc(1_000, 'x');
+    for (let pieces = 0; pieces < 1_100; pieces++) {
+      (composed.ok ? composed.val.turn : undefined)?.addOutput(piece);
+    }
+    const saving = composed.ok ? composed.val.turn?.save(signal) : undefined;
+    expect(await finish(saving ?? Promise.resolve(true))).toBe(false);
+    const next = await compose(makeInstance(), 'b', 'B', 'a');
+    expect(next.err && next.val.status).toBe(404);
+  });
+
   it('responds with 404 to a turn that continues one that has not ended', async () => {
     const instance = makeInstance();
     await compose(instance, 'a', 'A');
