fix(upstreams): large and fast responses are read in turns

Callers saw: while a faulty replica sent bodies, errors, refusals or streams in chunks of one byte, or streams of blank lines, comments or small events, all without end, every other request at the machine waited, for up to several seconds.

Cause: Node's parser makes objects of every chunk, and events cost more than they have bytes. Each connection was parsed for as long as the replica sent, before any other work.

Why this mends it: 16 KB of a response, and 64 KB a second, are parsed as they arrive. Nothing is refused for its framing, and a slow reader is waited for as before. What follows a complete response closes the connection, also when it arrives later than the response.

--- a/packages/gateway/src/listeners/intakeTurns.ts
+++ b/packages/gateway/src/listeners/intakeTurns.ts
@@ -13,6 +13,12 @@
 /** Time in each iteration of the event loop for connections that take turns, in milliseconds. */
 const MILLISECONDS_PER_ITERATION = 2;
 
+/** Bounds of connections that take turns together. */
+export interface IntakeTurnsOptions {
+  /** Bytes in each iteration of the event loop, for work that follows a turn; unlimited by default. */
+  readonly bytesPerIteration?: number;
+}
+
 /**
  * Lets connections that send more than an ordinary request take turns, so that parsing what they send
  * takes a bounded share of each iteration of the event loop, however many they are.
@@ -28,6 +34,7 @@
   public constructor(
     private readonly timers: TimerService,
     private readonly pacer: BytePacer,
+    private readonly options: IntakeTurnsOptions = {},
   ) {}
 
   /** Adds a connection unless it waits already. */
@@ -61,12 +68,19 @@
 
   private run(): void {
     const endsAt = this.timers.now() + MILLISECONDS_PER_ITERATION;
+    let remainingBytes = this.options.bytesPerIteration ?? Infinity;
     for (const intake of this.waiting) {
-      if (this.pacer.delayMilliseconds() > 0 || this.timers.now() >= endsAt) {
+      if (
+        this.pacer.delayMilliseconds() > 0 ||
+        this.timers.now() >= endsAt ||
+        remainingBytes <= 0
+      ) {
         return;
       }
       this.waiting.delete(intake);
-      this.pacer.record(intake.takeTurn());
+      const bytes = intake.takeTurn();
+      remainingBytes -= bytes;
+      this.pacer.record(bytes);
       if (intake.canParse) {
         this.waiting.add(intake);
       }
--- a/packages/gateway/src/observation/gatewayMetrics.ts
+++ b/packages/gateway/src/observation/gatewayMetrics.ts
@@ -90,6 +90,17 @@
     name: 'zincring_paced_bytes_total',
     registers: [this.registry],
   });
+  public readonly turnBytes = new Counter({
+    help: 'Bytes of responses that are larger or faster than ordinary ones, which are read in turns.',
+    name: 'zincring_response_turn_bytes_total',
+    registers: [this.registry],
+  });
+  public readonly floods = new Counter({
+    help: 'Responses of which more than 2 MB were read in turns, by service.',
+    labelNames: ['service'] as const,
+    name: 'zincring_response_floods_total',
+    registers: [this.registry],
+  });
   public readonly closedConnections = new Counter({
     help: 'Connections of clients that were closed because of what they take up, by listener and reason.',
     labelNames: ['listener', 'reason'] as const,
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -1,6 +1,5 @@
 import type { Region, TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
 
 import { endsWithConnection, failWithConnection, runExchange } from '@zincring/core';
 
@@ -10,6 +9,7 @@
 import type { ExchangeWatch } from './reachability/exchangeWatch.js';
 import type { ReplicaAgent } from './replicaAgent.js';
 import type { ResponseIdentity } from './responseIdentity.js';
+import type { ResponseTurns } from './responseTurns.js';
 
 /** Failure of an exchange that was ended because this instance has lost its links to the replicas. */
 export class PathLostError extends Error {}
@@ -77,6 +77,8 @@
 export interface ExchangeTarget {
   readonly entry: ReplicaEntry;
   readonly agent: ReplicaAgent;
+  /** Turns that large and fast responses take. */
+  readonly turns: ResponseTurns;
   readonly watch: ExchangeWatch;
 }
 
@@ -85,11 +87,11 @@
  * instance to a port out of range, is `not-sent`.
  *
  * @example
- * const outcome = await exchangeWithReplica(timers, { agent, entry, watch }, request);
+ * const outcome = await exchangeWithReplica(timers, { agent, entry, turns, watch }, request);
  */
 export async function exchangeWithReplica(
   timers: TimerService,
-  { agent, entry, watch }: ExchangeTarget,
+  { agent, entry, turns, watch }: ExchangeTarget,
   { body, headers, method, path, signal }: ReplicaRequest,
 ): Promise<ExchangeOutcome> {
   let connection: ObservedConnection | undefined;
@@ -113,6 +115,7 @@
     },
     onStarted: outgoing => {
       connection = observeConnection(timers, outgoing, watch);
+      observeData(outgoing, { entry, turns, watch });
       outgoing.end(body);
     },
   });
@@ -144,7 +147,6 @@
     watch.onEnded();
   });
   outgoing.on('socket', socket => {
-    observeData(outgoing, socket, watch);
     if (!socket.connecting) {
       isOpen = true;
       return;
@@ -163,24 +165,26 @@
 }
 
 /** Reports data that arrives, and fails a request whose replica sends bytes without end that never become a head. */
-function observeData(outgoing: ClientRequest, socket: Socket, watch: ExchangeWatch): void {
+function observeData(
+  outgoing: ClientRequest,
+  { entry, turns, watch }: Pick<ExchangeTarget, 'entry' | 'turns' | 'watch'>,
+): void {
   let receivedBytes = 0;
   let hasHead = false;
-  const onData = (chunk: Buffer): void => {
+  outgoing.once('response', () => {
+    hasHead = true;
+  });
+  const onParsed = (bytes: number): void => {
     watch.onData();
-    receivedBytes += chunk.length;
+    receivedBytes += bytes;
     if (!hasHead && receivedBytes > MAXIMUM_HEAD_BYTES) {
       outgoing.destroy(
         new Error(`no head of a response within ${String(MAXIMUM_HEAD_BYTES)} bytes`),
       );
     }
   };
-  socket.on('data', onData);
-  outgoing.once('response', () => {
-    hasHead = true;
-  });
-  outgoing.once('close', () => {
-    socket.off('data', onData);
+  outgoing.on('socket', socket => {
+    turns.read(outgoing, socket, { entry, onParsed });
   });
 }
 
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -24,6 +24,7 @@
 import { ReplicaLoads } from './replicaLoads.js';
 import { ReplicaPool } from './replicaPool.js';
 import { ReplicaTransport } from './replicaTransport.js';
+import { ResponseTurns } from './responseTurns.js';
 
 /** What the operator asks of availability zones. */
 export interface Zones extends ReturnedZones {
@@ -119,6 +120,7 @@
       reachability,
       relay,
       timers,
+      turns: new ResponseTurns({ logger, metrics, timers }),
     });
     const { announcements, transport } = this;
     this.crashes = makeCrashDetector(dependencies, loads, transport);
--- a/packages/gateway/src/upstreams/replicaTransport.ts
+++ b/packages/gateway/src/upstreams/replicaTransport.ts
@@ -7,6 +7,7 @@
 import type { ExchangeOutcome, IdentifiedRequest, ReplicaRequest } from './replicaExchange.js';
 import type { ReplicaLoads } from './replicaLoads.js';
 import type { IdentifiedOutcome } from './responseIdentity.js';
+import type { ResponseTurns } from './responseTurns.js';
 
 import { exchangeWithReplica } from './replicaExchange.js';
 import { identifyResponse } from './responseIdentity.js';
@@ -28,6 +29,7 @@
   readonly loads: ReplicaLoads;
   readonly reachability: ReplicaReachability;
   readonly relay: ReplicaRelay;
+  readonly turns: ResponseTurns;
 }
 
 /**
@@ -64,14 +66,14 @@
     entry: ReplicaEntry,
     request: IdentifiedRequest,
   ): Promise<IdentifiedOutcome> {
-    const { loads, reachability, timers } = this.dependencies;
+    const { loads, reachability, timers, turns } = this.dependencies;
     const { agent } = loads.findOrAddState(entry);
     if (!request.isRepeatable && !reachability.hasEvidence) {
       // A kept connection may be dead; opening a new one shows that the path works.
       agent.closeIdleConnections();
     }
     const watch = reachability.watch(entry, request.isRepeatable);
-    const outcome = await exchangeWithReplica(timers, { agent, entry, watch }, request);
+    const outcome = await exchangeWithReplica(timers, { agent, entry, turns, watch }, request);
     return outcome.kind === 'answered'
       ? this.identify(entry, request, outcome)
       : { ...outcome, isPathFault: outcome.isPathFault || this.isPathSuspect };
--- /dev/null
+++ b/packages/gateway/src/upstreams/responseIntake.ts
@@ -0,0 +1,156 @@
+import type { TimerService } from '@zincring/core';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type { IntakeTurns, WaitingIntake } from '../listeners/intakeTurns.js';
+
+/** What a {@link ResponseIntake} needs. */
+export interface ResponseIntakeDependencies {
+  readonly timers: TimerService;
+  readonly turns: IntakeTurns;
+  /** Called with the number of bytes of each piece, after it has been parsed. */
+  readonly onParsed: (bytes: number) => void;
+  /** Called once, when the response has taken more in turns than any response that is buffered has. */
+  readonly onFlood: () => void;
+}
+
+/** Node's listener for the bytes of a connection, which parses them. */
+type Parse = (this: Socket, bytes: Buffer) => void;
+
+/** Bytes that are parsed as they arrive, at once and for each millisecond; for the rest a response takes turns. */
+const UNDIVIDED = { bytes: 16_384, perMillisecond: 64 };
+/** Most bytes that are parsed in one turn. */
+const MAXIMUM_TURN_BYTES = 8_192;
+/** Bytes in turns above which a response is reported. */
+const FLOOD_BYTES = 2 * 1024 * 1024;
+
+/**
+ * Hands what a replica sends to Node's HTTP parser. A response that is larger or faster than ordinary ones takes
+ * turns with others: the parser makes objects of every chunk, so that some kilobytes can take milliseconds.
+ *
+ * @example
+ * outgoing.on('socket', socket => new ResponseIntake(outgoing, socket, dependencies));
+ */
+export class ResponseIntake implements WaitingIntake {
+  private readonly parse: Parse;
+  private incoming: IncomingMessage | undefined;
+  private undividedBytes = UNDIVIDED.bytes;
+  private updatedAt: number;
+  private turnBytes = 0;
+  private isTurn = false;
+
+  public constructor(
+    outgoing: ClientRequest,
+    private readonly socket: Socket,
+    private readonly dependencies: ResponseIntakeDependencies,
+  ) {
+    const [parse] = socket.listeners('data') as Parse[];
+    if (parse === undefined) {
+      throw new Error('the HTTP client does not listen for the bytes of its connection');
+    }
+    this.parse = parse;
+    this.updatedAt = dependencies.timers.now();
+    const accept = (bytes: Buffer): void => {
+      this.accept(bytes);
+    };
+    const holdBack = (): void => {
+      this.holdBack();
+    };
+    socket.off('data', parse);
+    socket.on('data', accept);
+    // Node resumes a connection for the next piece of a body, whatever waits here.
+    socket.on('resume', holdBack);
+    outgoing.once('response', incoming => {
+      this.incoming = incoming;
+    });
+    outgoing.once('close', () => {
+      dependencies.turns.remove(this);
+      socket.off('data', accept);
+      socket.off('resume', holdBack);
+    });
+  }
+
+  public get canParse(): boolean {
+    return !this.socket.destroyed && this.socket.readableLength > 0 && !this.isBodyFull;
+  }
+
+  public takeTurn(): number {
+    if (!this.canParse) {
+      return 0;
+    }
+    const bytes = Math.min(MAXIMUM_TURN_BYTES, this.socket.readableLength);
+    this.isTurn = true;
+    // Reading reports the bytes to the listener for data too.
+    this.socket.read(bytes);
+    this.isTurn = false;
+    this.recordTurn(bytes);
+    if (this.socket.readableLength === 0 && !this.isBodyFull) {
+      this.socket.resume();
+    }
+    return bytes;
+  }
+
+  /** Whether the reader of the body has to go on first. */
+  private get isBodyFull(): boolean {
+    const { incoming } = this;
+    return incoming !== undefined && incoming.readableLength >= incoming.readableHighWaterMark;
+  }
+
+  private accept(bytes: Buffer): void {
+    if (this.isTurn) {
+      this.parsePiece(bytes);
+      return;
+    }
+    const undivided = this.takeUndivided(bytes.length);
+    if (undivided > 0) {
+      this.parsePiece(bytes.subarray(0, undivided));
+    }
+    if (undivided < bytes.length && !this.socket.destroyed) {
+      this.socket.pause();
+      this.socket.unshift(bytes.subarray(undivided));
+      this.waitForTurn();
+    }
+  }
+
+  private holdBack(): void {
+    if (this.socket.readableLength > 0) {
+      this.socket.pause();
+      this.waitForTurn();
+    }
+  }
+
+  private waitForTurn(): void {
+    if (this.canParse) {
+      this.dependencies.turns.add(this);
+    }
+  }
+
+  private parsePiece(bytes: Buffer): void {
+    if (this.incoming?.complete === true) {
+      // What follows a response belongs to no request.
+      this.socket.destroy();
+      return;
+    }
+    this.parse.call(this.socket, bytes);
+    this.dependencies.onParsed(bytes.length);
+  }
+
+  /** Returns how many bytes may be parsed without a turn. */
+  private takeUndivided(bytes: number): number {
+    const now = this.dependencies.timers.now();
+    const earnedBytes = (now - this.updatedAt) * UNDIVIDED.perMillisecond;
+    this.updatedAt = now;
+    this.undividedBytes = Math.min(UNDIVIDED.bytes, this.undividedBytes + earnedBytes);
+    const taken = Math.min(bytes, Math.floor(this.undividedBytes));
+    this.undividedBytes -= taken;
+    return taken;
+  }
+
+  private recordTurn(bytes: number): void {
+    const hadFlooded = this.turnBytes > FLOOD_BYTES;
+    this.turnBytes += bytes;
+    if (!hadFlooded && this.turnBytes > FLOOD_BYTES) {
+      this.dependencies.onFlood();
+    }
+  }
+}
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -20,6 +20,7 @@
 import { RelayServer } from '../../src/peers/relayServer.js';
 import { ReplicaAgent } from '../../src/upstreams/replicaAgent.js';
 import { exchangeWithReplica } from '../../src/upstreams/replicaExchange.js';
+import { ResponseTurns } from '../../src/upstreams/responseTurns.js';
 import { relayStream } from '../../src/upstreams/streamRelay.js';
 import { getPort, listenOn } from '../../src/util/listen.js';
 import { readBoundedBody } from '../../src/util/readBoundedBody.js';
@@ -54,6 +55,7 @@
 };
 /** Size of an upload that waits for room while nobody reads it, in bytes. */
 const UPLOAD_BYTES = 12_000_000;
+const turns = new ResponseTurns({ logger: silentLogger, metrics: new GatewayMetrics(), timers });
 const cleanups: (() => void)[] = [];
 
 afterEach(() => {
@@ -85,7 +87,7 @@
         ? { entry, kind: 'accepted' }
         : { kind: 'unavailable', reason: 'unknown replica' },
     exchange: async (known, request) =>
-      await exchangeWithReplica(timers, { agent, entry: known, watch: idleWatch }, request),
+      await exchangeWithReplica(timers, { agent, entry: known, turns, watch: idleWatch }, request),
     ...overrides,
   };
   const server = new PeerServer(
--- a/packages/gateway/tests/upstreams/foreignResponses.test.ts
+++ b/packages/gateway/tests/upstreams/foreignResponses.test.ts
@@ -11,6 +11,7 @@
 import { ReplicaReachability } from '../../src/upstreams/reachability/replicaReachability.js';
 import { ReplicaLoads } from '../../src/upstreams/replicaLoads.js';
 import { ReplicaTransport } from '../../src/upstreams/replicaTransport.js';
+import { ResponseTurns } from '../../src/upstreams/responseTurns.js';
 import {
   FakeReplica,
   refuses,
@@ -117,10 +118,11 @@
     const entry = sampleReplica('r0', { port: await replica.start() });
     const timers = new SystemTimerService();
     const loads = new ReplicaLoads(timers, () => 1);
+    const metrics = new GatewayMetrics();
     const transport = new ReplicaTransport({
       headerCodec: plainHeaderCodec,
       loads,
-      metrics: new GatewayMetrics(),
+      metrics,
       reachability: new ReplicaReachability({
         listReplicas: () => [entry],
         logger: silentLogger,
@@ -132,6 +134,7 @@
         exchange: async () => await Promise.resolve({ kind: 'unavailable', reason: 'no peer' }),
       },
       timers,
+      turns: new ResponseTurns({ logger: silentLogger, metrics, timers }),
     });
     onTestFinished(() => {
       replica.stop();
