fix(core): every client bounds what it reads, not only that of replicas

Callers saw: nothing yet; the same cause, looked for wherever responses are read. A store or an instance in trouble that sends bytes without end takes the memory of the process and holds up all its requests, as a replica did.

Cause: only exchanges with replicas bounded the bytes before a head and took turns. The client of the store and of other instances kept each chunk as an object, up to 64 MB for each response; the relaying side wrote each chunk on its own.

Why this mends it: `runExchange`, through which all HTTP/1.1 clients go (replicas, relays, other instances, store, the upstream client of the stand-alone product), reads each response in turns and gives up after 64 KB without a head. Bodies are collected in few buffers. Relays join what has arrived before they write it.

`BodyContent`, `BytePacer` and `IntakeTurns` move from gateway to core with their tests.

--- a/packages/gateway/src/util/bytePacer.ts
+++ b/packages/core/src/http/bytePacer.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from '@zincring/core';
+import type { TimerService } from '../time/timerService.js';
 
 /** Bytes that may pass at a time. */
 const MAXIMUM_BURST_BYTES = 1_048_576;
--- a/packages/gateway/src/listeners/intakeTurns.ts
+++ b/packages/core/src/http/intakeTurns.ts
@@ -1,6 +1,5 @@
-import type { TimerService } from '@zincring/core';
-
-import type { BytePacer } from '../util/bytePacer.js';
+import type { TimerService } from '../time/timerService.js';
+import type { BytePacer } from './bytePacer.js';
 
 /** A connection with bytes that wait to be parsed. */
 export interface WaitingIntake {
--- a/packages/gateway/src/upstreams/responseIntake.ts
+++ b/packages/core/src/http/responseIntake.ts
@@ -1,17 +1,22 @@
-import type { TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
-import type { IntakeTurns, WaitingIntake } from '../listeners/intakeTurns.js';
+import type { TimerService } from '../time/timerService.js';
+import type { IntakeTurns, WaitingIntake } from './intakeTurns.js';
+
+/** What is told of the reading of a response. */
+export interface ResponseObserver {
+  /** Called after a piece has been parsed. */
+  readonly onData?: () => void;
+  /** Called once, when more of the response has been read in turns than ordinary responses have. */
+  readonly onFlood?: () => void;
+}
 
 /** What a {@link ResponseIntake} needs. */
 export interface ResponseIntakeDependencies {
   readonly timers: TimerService;
   readonly turns: IntakeTurns;
-  /** Called with the number of bytes of each piece, after it has been parsed. */
-  readonly onParsed: (bytes: number) => void;
-  /** Called once, when the response has taken more in turns than any response that is buffered has. */
-  readonly onFlood: () => void;
+  readonly observer: ResponseObserver;
 }
 
 /** Node's listener for the bytes of a connection, which parses them. */
@@ -21,12 +26,15 @@
 const UNDIVIDED = { bytes: 16_384, perMillisecond: 64 };
 /** Most bytes that are parsed in one turn. */
 const MAXIMUM_TURN_BYTES = 8_192;
+/** Maximum size of everything before the end of the head of a response, in bytes: more than the parser accepts as a head. */
+const MAXIMUM_HEAD_BYTES = 65_536;
 /** Bytes in turns above which a response is reported. */
 const FLOOD_BYTES = 2 * 1024 * 1024;
 
 /**
- * Hands what a replica sends to Node's HTTP parser. A response that is larger or faster than ordinary ones takes
+ * Hands what a server sends to Node's HTTP parser. A response that is larger or faster than ordinary ones takes
  * turns with others: the parser makes objects of every chunk, so that some kilobytes can take milliseconds.
+ * Bytes without end that never become a head fail the request.
  *
  * @example
  * outgoing.on('socket', socket => new ResponseIntake(outgoing, socket, dependencies));
@@ -34,13 +42,15 @@
 export class ResponseIntake implements WaitingIntake {
   private readonly parse: Parse;
   private incoming: IncomingMessage | undefined;
+  /** Bytes before the end of the head, informational responses included. */
+  private headBytes = 0;
   private undividedBytes = UNDIVIDED.bytes;
   private updatedAt: number;
   private turnBytes = 0;
   private isTurn = false;
 
   public constructor(
-    outgoing: ClientRequest,
+    private readonly outgoing: ClientRequest,
     private readonly socket: Socket,
     private readonly dependencies: ResponseIntakeDependencies,
   ) {
@@ -132,7 +142,13 @@
       return;
     }
     this.parse.call(this.socket, bytes);
-    this.dependencies.onParsed(bytes.length);
+    this.dependencies.observer.onData?.();
+    this.headBytes += bytes.length;
+    if (this.incoming === undefined && this.headBytes > MAXIMUM_HEAD_BYTES) {
+      this.outgoing.destroy(
+        new Error(`no head of a response within ${String(MAXIMUM_HEAD_BYTES)} bytes`),
+      );
+    }
   }
 
   /** Returns how many bytes may be parsed without a turn. */
@@ -150,7 +166,7 @@
     const hadFlooded = this.turnBytes > FLOOD_BYTES;
     this.turnBytes += bytes;
     if (!hadFlooded && this.turnBytes > FLOOD_BYTES) {
-      this.dependencies.onFlood();
+      this.dependencies.observer.onFlood?.();
     }
   }
 }
--- a/packages/core/src/http/runExchange.ts
+++ b/packages/core/src/http/runExchange.ts
@@ -2,6 +2,9 @@
 
 import { request as startRequest } from 'node:http';
 
+import type { ResponseObserver } from './responseIntake.js';
+import type { ResponseTurns } from './responseTurns.js';
+
 /** What becomes of an exchange; exactly one of `onResponse` and `onFailure` is called, once, and gives its outcome. */
 export interface ExchangeHandlers<Outcome> {
   /** Called with the request, which it must send; not called if no request can be made of the options. */
@@ -12,6 +15,12 @@
   onFailure(failure: Error): Outcome | Promise<Outcome>;
 }
 
+/** How the response of an exchange is read. */
+export interface ResponseReading extends ResponseObserver {
+  /** Shared by all exchanges that read similar responses. */
+  readonly turns: ResponseTurns;
+}
+
 /** Lowest status of a response; lower ones are informational or none at all. */
 const MINIMUM_FINAL_STATUS = 200;
 
@@ -25,11 +34,12 @@
  *   onFailure: () => undefined,
  *   onResponse: (outgoing, incoming) => incoming.statusCode,
  *   onStarted: outgoing => outgoing.end(),
- * });
+ * }, { turns });
  */
 export async function runExchange<Outcome>(
   options: RequestOptions,
   handlers: ExchangeHandlers<Outcome>,
+  reading: ResponseReading,
 ): Promise<Outcome> {
   return await new Promise(resolve => {
     const outgoing = tryToStart(options);
@@ -37,6 +47,7 @@
       resolve(handlers.onFailure(outgoing));
       return;
     }
+    reading.turns.read(outgoing, reading);
     let hasEnded = false;
     const fail = (failure: Error): void => {
       if (!hasEnded) {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,10 +7,16 @@
 export { toZincringError, ZincringError } from './errors/zincringError.js';
 export { Err, Ok } from './result/result.js';
 export type { Result } from './result/result.js';
+export { BodyContent } from './http/bodyContent.js';
+export { BytePacer } from './http/bytePacer.js';
 export { discardBody } from './http/discardBody.js';
 export { endsWithConnection } from './http/endsWithConnection.js';
 export { failWithConnection } from './http/failWithConnection.js';
-export type { ExchangeHandlers } from './http/runExchange.js';
+export type { IntakeTurnsOptions, WaitingIntake } from './http/intakeTurns.js';
+export { IntakeTurns } from './http/intakeTurns.js';
+export type { ResponseObserver } from './http/responseIntake.js';
+export { ResponseTurns } from './http/responseTurns.js';
+export type { ExchangeHandlers, ResponseReading } from './http/runExchange.js';
 export { runExchange } from './http/runExchange.js';
 export { probeConnection, type ProbeOutcome } from './http/probeConnection.js';
 export type { SessionCheckOptions } from './http2/sessionManager.js';
--- a/packages/gateway/tests/listeners/bodyContent.test.ts
+++ b/packages/core/tests/http/bodyContent.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { BodyContent } from '../../src/util/bodyContent.js';
+import { BodyContent } from '../../src/http/bodyContent.js';
 
 const sizes = fc.array(
   fc.oneof(fc.integer({ max: 9, min: 1 }), fc.integer({ max: 100_000, min: 1 })),
--- a/packages/gateway/tests/listeners/intakeTurns.test.ts
+++ b/packages/core/tests/http/intakeTurns.test.ts
@@ -1,11 +1,11 @@
-import { SystemTimerService } from '@zincring/core';
 import { setImmediate, setTimeout as pause } from 'node:timers/promises';
 import { describe, expect, it } from 'vitest';
 
-import type { WaitingIntake } from '../../src/listeners/intakeTurns.js';
+import type { WaitingIntake } from '../../src/http/intakeTurns.js';
 
-import { IntakeTurns } from '../../src/listeners/intakeTurns.js';
-import { BytePacer } from '../../src/util/bytePacer.js';
+import { IntakeTurns } from '../../src/http/intakeTurns.js';
+import { BytePacer } from '../../src/http/bytePacer.js';
+import { SystemTimerService } from '../../src/time/systemTimerService.js';
 
 /** A connection that always has more to parse, and records its turns. */
 function makeIntake(name: string, turns: string[], bytes: number): WaitingIntake {
--- a/packages/gateway/src/callers/eventSplitter.ts
+++ b/packages/gateway/src/callers/eventSplitter.ts
@@ -1,4 +1,4 @@
-import { BodyContent } from '../util/bodyContent.js';
+import { BodyContent } from '@zincring/core';
 
 /** One complete event of a server-sent event stream. */
 export interface StreamEvent {
--- a/packages/gateway/src/listeners/connectionIntake.ts
+++ b/packages/gateway/src/listeners/connectionIntake.ts
@@ -1,9 +1,8 @@
-import type { TimerService, TimerSubscription } from '@zincring/core';
+import type { IntakeTurns, TimerService, TimerSubscription, WaitingIntake } from '@zincring/core';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 import type { Droppable, HeldMemory, ReleaseMemory } from '../callers/memory/heldMemory.js';
-import type { IntakeTurns, WaitingIntake } from './intakeTurns.js';
 
 import { BlankLineFinder } from './blankLineFinder.js';
 
--- a/packages/gateway/src/listeners/createListenerContext.ts
+++ b/packages/gateway/src/listeners/createListenerContext.ts
@@ -1,3 +1,5 @@
+import { BytePacer, IntakeTurns } from '@zincring/core';
+
 import type { GatewayOptions } from '../lifecycle/gatewayOptions.js';
 import type { ListenerContext } from './httpListener.js';
 
@@ -6,9 +8,7 @@
   deriveHeldMemoryOptions,
   deriveResponseMemoryOptions,
 } from '../lifecycle/gatewayOptions.js';
-import { BytePacer } from '../util/bytePacer.js';
 import { ClientChecks } from './clientChecks.js';
-import { IntakeTurns } from './intakeTurns.js';
 import { deriveListenerLimits } from './listenerLimits.js';
 
 /**
--- a/packages/gateway/src/listeners/httpListener.ts
+++ b/packages/gateway/src/listeners/httpListener.ts
@@ -1,4 +1,4 @@
-import type { Logger, TimerService } from '@zincring/core';
+import type { BytePacer, IntakeTurns, Logger, TimerService } from '@zincring/core';
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
@@ -7,11 +7,9 @@
 import type { HeldMemory } from '../callers/memory/heldMemory.js';
 import type { ListenAddress } from '../lifecycle/gatewayOptions.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
-import type { BytePacer } from '../util/bytePacer.js';
 import type { ClientChecks } from './clientChecks.js';
 import type { ConnectionLimits, ListenerLimits } from './listenerLimits.js';
 import type { ConnectionIntakeDependencies } from './connectionIntake.js';
-import type { IntakeTurns } from './intakeTurns.js';
 
 import { countUnsentBytes } from '../callers/memory/countUnsentBytes.js';
 import { MAXIMUM_PARSED_HEADER_BYTES } from '../util/httpLimits.js';
--- a/packages/gateway/src/listeners/requestBody.ts
+++ b/packages/gateway/src/listeners/requestBody.ts
@@ -1,12 +1,10 @@
 import type { Result, TimerService } from '@zincring/core';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { Err, Ok } from '@zincring/core';
+import { BodyContent, Err, Ok } from '@zincring/core';
 
 import type { Droppable, HeldMemory, ReleaseMemory } from '../callers/memory/heldMemory.js';
 
-import { BodyContent } from '../util/bodyContent.js';
-
 /**
  * Reason for which a body was not read completely: the connection was lost, the body is larger than
  * allowed, or it was given up because the instance cannot hold it.
--- a/packages/gateway/src/peers/peerClients.ts
+++ b/packages/gateway/src/peers/peerClients.ts
@@ -20,6 +20,8 @@
 
 /** Timeout of a call to another instance, in milliseconds: longer than an owner waits for the store, shorter than callers notice. */
 const CALL_TIMEOUT_MILLISECONDS = 150;
+/** Maximum size of a reply, in bytes: far more than any has. */
+const MAXIMUM_REPLY_BYTES = 1024 * 1024;
 const STATUS_OK = 200;
 
 /**
@@ -157,7 +159,11 @@
     if (known !== undefined) {
       return known;
     }
-    const client = new HttpClient({ address, timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS });
+    const client = new HttpClient({
+      address,
+      maximumResponseBytes: MAXIMUM_REPLY_BYTES,
+      timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
+    });
     this.clients.set(address, client);
     return client;
   }
--- a/packages/gateway/src/peers/relayClient.ts
+++ b/packages/gateway/src/peers/relayClient.ts
@@ -1,7 +1,7 @@
 import type { Logger, TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
-import { runExchange } from '@zincring/core';
+import { ResponseTurns, runExchange } from '@zincring/core';
 import { Agent } from 'node:http';
 
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
@@ -65,7 +65,11 @@
 export class RelayClient implements ReplicaRelay {
   private readonly agent = new Agent({ keepAlive: true, timeout: IDLE_TIMEOUT_MILLISECONDS });
 
-  public constructor(private readonly dependencies: RelayClientDependencies) {}
+  private readonly turns: ResponseTurns;
+
+  public constructor(private readonly dependencies: RelayClientDependencies) {
+    this.turns = new ResponseTurns(dependencies.timers);
+  }
 
   public async exchange(entry: ReplicaEntry, request: ReplicaRequest): Promise<RelayOutcome> {
     const { candidates, logger, metrics, timers } = this.dependencies;
@@ -115,22 +119,26 @@
       signal: request.signal,
     };
     let acceptance: Acceptance | undefined;
-    return await runExchange<RelayOutcome>(options, {
-      onFailure: ({ message: reason }) => {
-        acceptance?.stop();
-        return acceptance?.isAccepted() === true
-          ? { isPathFault: true, kind: 'lost', reason }
-          : { kind: 'unavailable', reason };
-      },
-      onResponse: (outgoing, incoming) => {
-        acceptance?.stop();
-        return readOutcome(request.method, outgoing, incoming);
+    return await runExchange<RelayOutcome>(
+      options,
+      {
+        onFailure: ({ message: reason }) => {
+          acceptance?.stop();
+          return acceptance?.isAccepted() === true
+            ? { isPathFault: true, kind: 'lost', reason }
+            : { kind: 'unavailable', reason };
+        },
+        onResponse: (outgoing, incoming) => {
+          acceptance?.stop();
+          return readOutcome(request.method, outgoing, incoming);
+        },
+        onStarted: outgoing => {
+          acceptance = this.awaitAcceptance(outgoing, content);
+          outgoing.flushHeaders();
+        },
       },
-      onStarted: outgoing => {
-        acceptance = this.awaitAcceptance(outgoing, content);
-        outgoing.flushHeaders();
-      },
-    });
+      { turns: this.turns },
+    );
   }
 
   /** Sends the content once the other instance has accepted it, and fails if it does not in time. */
--- a/packages/gateway/src/peers/relayServer.ts
+++ b/packages/gateway/src/peers/relayServer.ts
@@ -120,7 +120,12 @@
     `answered ${framing}`,
   ]);
   response.flushHeaders();
-  await pipeline(body, response);
+  await pipeline(joinPieces(body), response);
+}
+
+/** Iterating over a body joins the pieces that have arrived, each of which would be written on its own otherwise. */
+async function* joinPieces(body: IncomingMessage): AsyncGenerator<Buffer> {
+  yield* body as AsyncIterable<Buffer>;
 }
 
 function sendFailure(response: ServerResponse, failure: RelayFailure, reason: string): void {
--- a/packages/gateway/src/programs/turnStore.ts
+++ b/packages/gateway/src/programs/turnStore.ts
@@ -1,7 +1,7 @@
 import type { Logger, Result, TimerService } from '@zincring/core';
 import type { PartitionedRow, PlatformError } from '@zincring/platform';
 
-import { Err, failureText, Ok, sleep, ZincringError } from '@zincring/core';
+import { BodyContent, Err, failureText, Ok, sleep, ZincringError } from '@zincring/core';
 import { LRUCache } from 'lru-cache';
 
 import type { TurnId } from '../callers/requestFacts.js';
@@ -10,7 +10,6 @@
 import type { StoredTurn } from './storedTurnRows.js';
 
 import { computeBackoffMilliseconds } from '../store/backoff.js';
-import { BodyContent } from '../util/bodyContent.js';
 import { decodeTurn, encodeTurn, isChunkOf, TURN_TABLE, turnPartitions } from './storedTurnRows.js';
 
 /** A turn in progress that is stored when it ends. */
--- a/packages/gateway/src/upstreams/attemptLoopDependencies.ts
+++ b/packages/gateway/src/upstreams/attemptLoopDependencies.ts
@@ -1,7 +1,6 @@
-import type { Logger, TimerService } from '@zincring/core';
+import type { BytePacer, Logger, TimerService } from '@zincring/core';
 
 import type { HeldMemory } from '../callers/memory/heldMemory.js';
-import type { BytePacer } from '../util/bytePacer.js';
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
 import type { Announcements } from './announcements.js';
--- a/packages/gateway/src/upstreams/readResponseBody.ts
+++ b/packages/gateway/src/upstreams/readResponseBody.ts
@@ -1,9 +1,8 @@
-import type { TimerService } from '@zincring/core';
+import type { BytePacer, TimerService } from '@zincring/core';
 
 import { sleep } from '@zincring/core';
 
 import type { HeldMemory, ReleaseMemory } from '../callers/memory/heldMemory.js';
-import type { BytePacer } from '../util/bytePacer.js';
 import type { ReplicaResponse } from './replicaExchange.js';
 
 import { toHeaderMap } from '../util/headerList.js';
--- a/packages/gateway/src/upstreams/replicaExchange.ts
+++ b/packages/gateway/src/upstreams/replicaExchange.ts
@@ -1,4 +1,4 @@
-import type { Region, TimerService } from '@zincring/core';
+import type { Region, ResponseReading, TimerService } from '@zincring/core';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 
 import { endsWithConnection, failWithConnection, runExchange } from '@zincring/core';
@@ -9,7 +9,6 @@
 import type { ExchangeWatch } from './reachability/exchangeWatch.js';
 import type { ReplicaAgent } from './replicaAgent.js';
 import type { ResponseIdentity } from './responseIdentity.js';
-import type { ResponseTurns } from './responseTurns.js';
 
 /** Failure of an exchange that was ended because this instance has lost its links to the replicas. */
 export class PathLostError extends Error {}
@@ -70,15 +69,11 @@
 /** Timeout of opening a connection, in milliseconds; a replica normally accepts within about one. */
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 
-/** Maximum size of everything before the end of the head of a response, in bytes: more than the parser accepts as a head. */
-const MAXIMUM_HEAD_BYTES = 65_536;
-
 /** The replica of an exchange, and how it is reached. */
 export interface ExchangeTarget {
   readonly entry: ReplicaEntry;
   readonly agent: ReplicaAgent;
-  /** Turns that large and fast responses take. */
-  readonly turns: ResponseTurns;
+  readonly reading: Pick<ResponseReading, 'onFlood' | 'turns'>;
   readonly watch: ExchangeWatch;
 }
 
@@ -87,38 +82,46 @@
  * instance to a port out of range, is `not-sent`.
  *
  * @example
- * const outcome = await exchangeWithReplica(timers, { agent, entry, turns, watch }, request);
+ * const outcome = await exchangeWithReplica(timers, { agent, entry, reading, watch }, request);
  */
 export async function exchangeWithReplica(
   timers: TimerService,
-  { agent, entry, turns, watch }: ExchangeTarget,
+  { agent, entry, reading, watch }: ExchangeTarget,
   { body, headers, method, path, signal }: ReplicaRequest,
 ): Promise<ExchangeOutcome> {
   let connection: ObservedConnection | undefined;
   const options = { agent, headers, host: entry.host, method, path, port: entry.port, signal };
-  return await runExchange<ExchangeOutcome>(options, {
-    onFailure: failure => {
-      connection?.stop();
-      const isOpen = connection?.isOpen() === true;
-      if (connection !== undefined && !isOpen && !signal.aborted) {
-        watch.onConnectionFailed();
-      }
-      return {
-        isPathFault: connection === undefined || failure instanceof PathLostError,
-        kind: isOpen ? 'lost' : 'not-sent',
-        reason: failure.message,
-      };
-    },
-    onResponse: (outgoing, incoming) => {
-      connection?.stop();
-      return { kind: 'answered', response: buildResponse(outgoing, incoming) };
+  return await runExchange<ExchangeOutcome>(
+    options,
+    {
+      onFailure: failure => {
+        connection?.stop();
+        const isOpen = connection?.isOpen() === true;
+        if (connection !== undefined && !isOpen && !signal.aborted) {
+          watch.onConnectionFailed();
+        }
+        return {
+          isPathFault: connection === undefined || failure instanceof PathLostError,
+          kind: isOpen ? 'lost' : 'not-sent',
+          reason: failure.message,
+        };
+      },
+      onResponse: (outgoing, incoming) => {
+        connection?.stop();
+        return { kind: 'answered', response: buildResponse(outgoing, incoming) };
+      },
+      onStarted: outgoing => {
+        connection = observeConnection(timers, outgoing, watch);
+        outgoing.end(body);
+      },
     },
-    onStarted: outgoing => {
-      connection = observeConnection(timers, outgoing, watch);
-      observeData(outgoing, { entry, turns, watch });
-      outgoing.end(body);
+    {
+      ...reading,
+      onData: () => {
+        watch.onData();
+      },
     },
-  });
+  );
 }
 
 interface ObservedConnection {
@@ -164,30 +167,6 @@
   };
 }
 
-/** Reports data that arrives, and fails a request whose replica sends bytes without end that never become a head. */
-function observeData(
-  outgoing: ClientRequest,
-  { entry, turns, watch }: Pick<ExchangeTarget, 'entry' | 'turns' | 'watch'>,
-): void {
-  let receivedBytes = 0;
-  let hasHead = false;
-  outgoing.once('response', () => {
-    hasHead = true;
-  });
-  const onParsed = (bytes: number): void => {
-    watch.onData();
-    receivedBytes += bytes;
-    if (!hasHead && receivedBytes > MAXIMUM_HEAD_BYTES) {
-      outgoing.destroy(
-        new Error(`no head of a response within ${String(MAXIMUM_HEAD_BYTES)} bytes`),
-      );
-    }
-  };
-  outgoing.on('socket', socket => {
-    turns.read(outgoing, socket, { entry, onParsed });
-  });
-}
-
 /**
  * Builds the response of an exchange from its head.
  *
--- a/packages/gateway/src/upstreams/replicaNetwork.ts
+++ b/packages/gateway/src/upstreams/replicaNetwork.ts
@@ -11,7 +11,7 @@
 import type { ReplicaRelay } from './replicaTransport.js';
 import type { ReplicaCosts } from './load/replicaCosts.js';
 
-import { probeConnection } from '@zincring/core';
+import { probeConnection, ResponseTurns } from '@zincring/core';
 
 import { Announcements } from './announcements.js';
 import { CrashDetector } from './crashDetector.js';
@@ -24,7 +24,6 @@
 import { ReplicaLoads } from './replicaLoads.js';
 import { ReplicaPool } from './replicaPool.js';
 import { ReplicaTransport } from './replicaTransport.js';
-import { ResponseTurns } from './responseTurns.js';
 
 /** What the operator asks of availability zones. */
 export interface Zones extends ReturnedZones {
@@ -116,11 +115,12 @@
     this.transport = new ReplicaTransport({
       headerCodec,
       loads,
+      logger,
       metrics,
       reachability,
       relay,
       timers,
-      turns: new ResponseTurns({ logger, metrics, timers }),
+      turns: makeTurns(dependencies),
     });
     const { announcements, transport } = this;
     this.crashes = makeCrashDetector(dependencies, loads, transport);
@@ -146,6 +146,12 @@
   }
 }
 
+function makeTurns({ metrics, timers }: ReplicaNetworkDependencies): ResponseTurns {
+  return new ResponseTurns(timers, bytes => {
+    metrics.turnBytes.inc(bytes);
+  });
+}
+
 function makeReachability({
   directory,
   logger,
--- a/packages/gateway/src/upstreams/replicaTransport.ts
+++ b/packages/gateway/src/upstreams/replicaTransport.ts
@@ -1,4 +1,4 @@
-import type { TimerService } from '@zincring/core';
+import type { Logger, ResponseTurns, TimerService } from '@zincring/core';
 
 import type { HeaderCodec } from '../callers/requestFacts.js';
 import type { GatewayMetrics } from '../observation/gatewayMetrics.js';
@@ -7,7 +7,6 @@
 import type { ExchangeOutcome, IdentifiedRequest, ReplicaRequest } from './replicaExchange.js';
 import type { ReplicaLoads } from './replicaLoads.js';
 import type { IdentifiedOutcome } from './responseIdentity.js';
-import type { ResponseTurns } from './responseTurns.js';
 
 import { exchangeWithReplica } from './replicaExchange.js';
 import { identifyResponse } from './responseIdentity.js';
@@ -24,6 +23,7 @@
 /** Dependencies of a {@link ReplicaTransport}. */
 export interface ReplicaTransportDependencies {
   readonly headerCodec: HeaderCodec;
+  readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly timers: TimerService;
   readonly loads: ReplicaLoads;
@@ -73,12 +73,27 @@
       agent.closeIdleConnections();
     }
     const watch = reachability.watch(entry, request.isRepeatable);
-    const outcome = await exchangeWithReplica(timers, { agent, entry, turns, watch }, request);
+    const reading = {
+      onFlood: () => {
+        this.recordFlood(entry);
+      },
+      turns,
+    };
+    const outcome = await exchangeWithReplica(timers, { agent, entry, reading, watch }, request);
     return outcome.kind === 'answered'
       ? this.identify(entry, request, outcome)
       : { ...outcome, isPathFault: outcome.isPathFault || this.isPathSuspect };
   }
 
+  private recordFlood({ id, service }: ReplicaEntry): void {
+    const { logger, metrics } = this.dependencies;
+    metrics.floods.inc({ service });
+    logger.warn(
+      { event: 'response-flood', replica: id, service },
+      'a replica sends far more than an ordinary response',
+    );
+  }
+
   private identify(
     { service }: ReplicaEntry,
     { requestId }: IdentifiedRequest,
--- a/packages/gateway/src/util/readBoundedBody.ts
+++ b/packages/gateway/src/util/readBoundedBody.ts
@@ -1,9 +1,7 @@
 import type { Result } from '@zincring/core';
 import type { IncomingMessage } from 'node:http';
 
-import { Err, Ok } from '@zincring/core';
-
-import { BodyContent } from './bodyContent.js';
+import { BodyContent, Err, Ok } from '@zincring/core';
 
 /** Reason for which a body was not read completely: the connection was lost, or the body is larger than allowed. */
 export type BodyReadFailure = 'broken' | 'too-large';
--- a/packages/gateway/tests/peers/relays.test.ts
+++ b/packages/gateway/tests/peers/relays.test.ts
@@ -1,7 +1,7 @@
 import type { Region } from '@zincring/core';
 import type { Socket } from 'node:net';
 
-import { silentLogger, SystemTimerService } from '@zincring/core';
+import { ResponseTurns, silentLogger, SystemTimerService } from '@zincring/core';
 import { createServer } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
 
@@ -20,7 +20,6 @@
 import { RelayServer } from '../../src/peers/relayServer.js';
 import { ReplicaAgent } from '../../src/upstreams/replicaAgent.js';
 import { exchangeWithReplica } from '../../src/upstreams/replicaExchange.js';
-import { ResponseTurns } from '../../src/upstreams/responseTurns.js';
 import { relayStream } from '../../src/upstreams/streamRelay.js';
 import { getPort, listenOn } from '../../src/util/listen.js';
 import { readBoundedBody } from '../../src/util/readBoundedBody.js';
@@ -33,6 +32,7 @@
   responds,
   respondsMisdirected,
   respondsUnframed,
+  respondsWithHeaders,
   sendsMalformedResponse,
   stopsAfter,
   streamsEvents,
@@ -55,7 +55,13 @@
 };
 /** Size of an upload that waits for room while nobody reads it, in bytes. */
 const UPLOAD_BYTES = 12_000_000;
-const turns = new ResponseTurns({ logger: silentLogger, metrics: new GatewayMetrics(), timers });
+const reading = { turns: new ResponseTurns(timers) };
+const chunks = '1\r\nx\r\n'.repeat(50_000);
+const tinyChunks = respondsWithHeaders(
+  '200 OK',
+  ['Transfer-Encoding: chunked'],
+  `${chunks}0\r\n\r\n`,
+);
 const cleanups: (() => void)[] = [];
 
 afterEach(() => {
@@ -87,7 +93,11 @@
         ? { entry, kind: 'accepted' }
         : { kind: 'unavailable', reason: 'unknown replica' },
     exchange: async (known, request) =>
-      await exchangeWithReplica(timers, { agent, entry: known, turns, watch: idleWatch }, request),
+      await exchangeWithReplica(
+        timers,
+        { agent, entry: known, reading, watch: idleWatch },
+        request,
+      ),
     ...overrides,
   };
   const server = new PeerServer(
@@ -193,6 +203,7 @@
   it.each<[string, Behaviour, object, RegExp]>([
     ['a stream', streamsEvents([1, 2], 'whole'), { framing: 'chunked' }, /piece 2\n\n$/],
     ['an unframed body', respondsUnframed('all', 'close'), { framing: 'connection' }, /^all$/],
+    ['a large body in chunks of one byte', tinyChunks, { framing: 'chunked' }, /^x{50000}$/],
     ['a failure', responds('no', '500 Failed'), { framing: 'length', status: 500 }, /^no$/],
     ['a refusal', refuses, { status: 503 }, /^$/],
     ['another replica', respondsMisdirected, { status: 421 }, /^$/],
--- a/packages/gateway/tests/support/makeListenerContext.ts
+++ b/packages/gateway/tests/support/makeListenerContext.ts
@@ -1,12 +1,10 @@
-import { silentLogger, SystemTimerService } from '@zincring/core';
+import { BytePacer, IntakeTurns, silentLogger, SystemTimerService } from '@zincring/core';
 
 import type { ListenerContext } from '../../src/listeners/httpListener.js';
 
 import { HeldMemory } from '../../src/callers/memory/heldMemory.js';
 import { ClientChecks } from '../../src/listeners/clientChecks.js';
-import { IntakeTurns } from '../../src/listeners/intakeTurns.js';
 import { deriveListenerLimits } from '../../src/listeners/listenerLimits.js';
-import { BytePacer } from '../../src/util/bytePacer.js';
 import { GatewayMetrics } from '../../src/observation/gatewayMetrics.js';
 
 /** Makes what a listener needs on an instance without bounds. */
--- a/packages/gateway/tests/upstreams/foreignResponses.test.ts
+++ b/packages/gateway/tests/upstreams/foreignResponses.test.ts
@@ -1,4 +1,4 @@
-import { createLogger, silentLogger, SystemTimerService } from '@zincring/core';
+import { ResponseTurns, createLogger, silentLogger, SystemTimerService } from '@zincring/core';
 import { describe, expect, it, onTestFinished } from 'vitest';
 
 import type { GatewayRoute } from '../../src/configuration/gatewayConfiguration.js';
@@ -11,7 +11,6 @@
 import { ReplicaReachability } from '../../src/upstreams/reachability/replicaReachability.js';
 import { ReplicaLoads } from '../../src/upstreams/replicaLoads.js';
 import { ReplicaTransport } from '../../src/upstreams/replicaTransport.js';
-import { ResponseTurns } from '../../src/upstreams/responseTurns.js';
 import {
   FakeReplica,
   refuses,
@@ -118,11 +117,11 @@
     const entry = sampleReplica('r0', { port: await replica.start() });
     const timers = new SystemTimerService();
     const loads = new ReplicaLoads(timers, () => 1);
-    const metrics = new GatewayMetrics();
     const transport = new ReplicaTransport({
       headerCodec: plainHeaderCodec,
       loads,
-      metrics,
+      logger: silentLogger,
+      metrics: new GatewayMetrics(),
       reachability: new ReplicaReachability({
         listReplicas: () => [entry],
         logger: silentLogger,
@@ -134,7 +133,7 @@
         exchange: async () => await Promise.resolve({ kind: 'unavailable', reason: 'no peer' }),
       },
       timers,
-      turns: new ResponseTurns({ logger: silentLogger, metrics, timers }),
+      turns: new ResponseTurns(timers),
     });
     onTestFinished(() => {
       replica.stop();
--- a/packages/instance/src/upstreams/upstreamRequest.ts
+++ b/packages/instance/src/upstreams/upstreamRequest.ts
@@ -1,11 +1,14 @@
 import type { IncomingMessage } from 'node:http';
 
-import { failWithConnection, runExchange } from '@zincring/core';
+import { failWithConnection, ResponseTurns, runExchange, SystemTimerService } from '@zincring/core';
 import { Agent } from 'node:http';
 
 /** Pool of connections to upstreams, which are kept open between requests. */
 const agent = new Agent({ keepAlive: true, maxSockets: 512 });
 
+/** Turns that large and fast responses of all upstreams take. */
+const turns = new ResponseTurns(new SystemTimerService());
+
 /** HTTP request to an upstream. */
 export interface UpstreamRequest {
   /** IP address and port. */
@@ -25,16 +28,20 @@
   const [host, port] = options.address.split(':');
   const { body, headers, method, path, signal } = options;
   const request = { agent, headers: { ...headers }, host, method, path, port, signal };
-  return await runExchange<IncomingMessage>(request, {
-    onFailure: async failure => await Promise.reject(failure),
-    onResponse: (outgoing, incoming) => {
-      failWithConnection(outgoing, incoming);
-      return incoming;
-    },
-    onStarted: outgoing => {
-      outgoing.end(body);
+  return await runExchange<IncomingMessage>(
+    request,
+    {
+      onFailure: async failure => await Promise.reject(failure),
+      onResponse: (outgoing, incoming) => {
+        failWithConnection(outgoing, incoming);
+        return incoming;
+      },
+      onStarted: outgoing => {
+        outgoing.end(body);
+      },
     },
-  });
+    { turns },
+  );
 }
 
 /** Maximum length of a line, or of a response read as text, in characters. */
--- a/packages/platform/src/http/httpClient.ts
+++ b/packages/platform/src/http/httpClient.ts
@@ -1,7 +1,15 @@
 import type { Result, TimerService } from '@zincring/core';
 import type { IncomingMessage } from 'node:http';
 
-import { Err, failWithConnection, Ok, runExchange, SystemTimerService } from '@zincring/core';
+import {
+  BodyContent,
+  Err,
+  failWithConnection,
+  Ok,
+  ResponseTurns,
+  runExchange,
+  SystemTimerService,
+} from '@zincring/core';
 import { Agent } from 'node:http';
 
 import { PlatformError } from '../platformError.js';
@@ -12,6 +20,8 @@
   readonly address: string;
   /** Timeout for a complete response, in milliseconds. */
   readonly timeoutMilliseconds: number;
+  /** Maximum size of the body of a response, in bytes; 64 MB by default. */
+  readonly maximumResponseBytes?: number;
   /** Defaults to those of the system. */
   readonly timers?: TimerService;
 }
@@ -34,8 +44,7 @@
   readonly body: Buffer;
 }
 
-/** Maximum accepted size of a response body, in bytes. */
-const MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024;
+const DEFAULT_MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024;
 /** Status of a request that the platform did not execute. */
 const STATUS_UNAVAILABLE = 503;
 /** Status of a request that the platform rejected because of its rate limit. */
@@ -48,9 +57,11 @@
 export class HttpClient {
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 32 });
   private readonly timers: TimerService;
+  private readonly turns: ResponseTurns;
 
   public constructor(private readonly options: PlatformEndpointOptions) {
     this.timers = options.timers ?? new SystemTimerService();
+    this.turns = new ResponseTurns(this.timers);
   }
 
   /** Sends a request and reads the complete response. */
@@ -88,51 +99,58 @@
     const [host, port] = this.options.address.split(':');
     const { body, headers, method, path } = platformRequest;
     const options = { agent: this.agent, headers, host, method, path, port };
-    return await runExchange<HttpClientResponse>(options, {
-      onFailure: async failure => await Promise.reject(failure),
-      onResponse: async (outgoing, response) => {
-        failWithConnection(outgoing, response);
-        return { body: await readBody(response), status: response.statusCode ?? 0 };
+    return await runExchange<HttpClientResponse>(
+      options,
+      {
+        onFailure: async failure => await Promise.reject(failure),
+        onResponse: async (outgoing, response) => {
+          failWithConnection(outgoing, response);
+          return { body: await this.readBody(response), status: response.statusCode ?? 0 };
+        },
+        onStarted: outgoing => {
+          // A timer that ends with the exchange takes less time than an abort signal, which stays until it fires.
+          const timeout = this.timers.after(
+            platformRequest.timeoutMilliseconds ?? this.options.timeoutMilliseconds,
+            () => {
+              outgoing.destroy(new Error('the platform did not respond in time'));
+            },
+          );
+          outgoing.on('close', () => {
+            timeout.stop();
+          });
+          outgoing.end(body);
+        },
       },
-      onStarted: outgoing => {
-        // A timer that ends with the exchange takes less time than an abort signal, which stays until it fires.
-        const timeout = this.timers.after(
-          platformRequest.timeoutMilliseconds ?? this.options.timeoutMilliseconds,
-          () => {
-            outgoing.destroy(new Error('the platform did not respond in time'));
-          },
-        );
-        outgoing.on('close', () => {
-          timeout.stop();
-        });
-        outgoing.end(body);
-      },
-    });
+      { turns: this.turns },
+    );
   }
-}
 
-/** Reads a complete body by listeners, which take much less time than iterating over the response. */
-async function readBody(response: IncomingMessage): Promise<Buffer> {
-  return await new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    response.on('data', (chunk: Buffer) => {
-      receivedBytes += chunk.length;
-      chunks.push(chunk);
-      if (receivedBytes > MAXIMUM_RESPONSE_BYTES) {
-        response.destroy(new Error('the answer of the platform is too large'));
-      }
+  /** Reads a complete body by listeners, which take much less time than iterating over the response. */
+  private async readBody(response: IncomingMessage): Promise<Buffer> {
+    const { maximumResponseBytes = DEFAULT_MAXIMUM_RESPONSE_BYTES } = this.options;
+    return await new Promise((resolve, reject) => {
+      const content = new BodyContent();
+      let receivedBytes = 0;
+      response.on('data', (chunk: Buffer) => {
+        receivedBytes += chunk.length;
+        if (receivedBytes > maximumResponseBytes) {
+          response.destroy(new Error('the answer of the platform is too large'));
+          return;
+        }
+        content.append(chunk);
+      });
+      response.on('error', reject);
+      // A connection that fails after the last byte, but before the response closes, is an error too.
+      response.on('close', () => {
+        if (response.complete && response.readableEnded) {
+          resolve(content.complete());
+          return;
+        }
+        content.clear();
+        reject(new Error('the answer of the platform broke off'));
+      });
     });
-    response.on('error', reject);
-    // A connection that fails after the last byte, but before the response closes, is an error too.
-    response.on('close', () => {
-      if (response.complete && response.readableEnded) {
-        resolve(Buffer.concat(chunks));
-        return;
-      }
-      reject(new Error('the answer of the platform broke off'));
-    });
-  });
+  }
 }
 
 function classifyFailure(failure: unknown, isRetrySafe: boolean): PlatformError {
--- a/packages/platform/tests/httpClient.test.ts
+++ b/packages/platform/tests/httpClient.test.ts
@@ -47,6 +47,41 @@
     expect(response.ok).toBe(isComplete);
   });
 
+  // Guards against: the body of a response without end was kept until memory ran out.
+  it.each([
+    ['without a length', ''],
+    ['in chunks of one byte', 'Transfer-Encoding: chunked\r\n'],
+  ])('gives up a response %s that is larger than any may be', async (_name, headerLine) => {
+    const piece = headerLine === '' ? 'x' : '1\r\nx\r\n';
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        const sendMore = (): void => {
+          while (!socket.destroyed && socket.write(piece.repeat(10_000))) {
+            // Goes on until the buffer is full.
+          }
+        };
+        socket.write(`HTTP/1.1 200 OK\r\n${headerLine}\r\n`);
+        socket.on('drain', sendMore);
+        sendMore();
+      });
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${String(port)}`;
+    const client = new HttpClient({
+      address,
+      maximumResponseBytes: 100_000,
+      timeoutMilliseconds: 30_000,
+    });
+    const response = await client.send({ isRetrySafe: true, method: 'GET', path: '/' });
+    client.close();
+    server.close();
+    expect(response.err && response.val.message).toContain('too large');
+  });
+
   // Guards against: the waiting write took the error of the reset, and the part was taken for the whole response.
   it.each([
     ['the end of its connection', end, true],
