fix(core): a status above 599 is no response

Callers saw: status 700 or 999 of a replica in trouble, passed on with its body.

Cause: only statuses below 200 were kept out.

Evidence: six of the gateway's tests fail before (600, 700 and 999, unsafe and streaming), and one each of the store's client and the upstream client of the stand-alone product.

Why this mends it: HTTP defines statuses of five classes and calls all others invalid (RFC 9110, section 15). What sent one is no sound replica, and a caller can't tell what it promises, so it counts as a response that is none, like 000: the attempt is lost, and the caller gets 502 unless the request may run again. `runExchange` decides it for all clients.

--- a/packages/core/src/http/runExchange.ts
+++ b/packages/core/src/http/runExchange.ts
@@ -21,8 +21,8 @@
   readonly turns: ResponseTurns;
 }
 
-/** Lowest status of a response; lower ones are informational or none at all. */
-const MINIMUM_FINAL_STATUS = 200;
+/** Statuses of responses; lower ones are informational or none at all, and higher ones have no meaning. */
+const FINAL_STATUSES = { maximum: 599, minimum: 200 };
 
 /**
  * Runs an exchange up to the head of the response; it ends in one outcome and never throws. Node.js throws where it
@@ -57,7 +57,7 @@
     };
     outgoing.on('response', incoming => {
       const status = incoming.statusCode ?? 0;
-      if (status < MINIMUM_FINAL_STATUS) {
+      if (status < FINAL_STATUSES.minimum || status > FINAL_STATUSES.maximum) {
         outgoing.destroy(new Error(`the status ${String(status)} is none of a response`));
         return;
       }
--- a/packages/gateway/tests/upstreams/oddHeads.test.ts
+++ b/packages/gateway/tests/upstreams/oddHeads.test.ts
@@ -44,7 +44,15 @@
   ['a carriage return in a value', ['Odd: a\rb', LENGTH]],
 ];
 
-const oddStatuses = ['000 None', '099 None', '20 Few', '2000 Many'];
+const oddStatuses = [
+  '000 None',
+  '099 None',
+  '600 None',
+  '700 None',
+  '999 None',
+  '20 Few',
+  '2000 Many',
+];
 
 const oddHeads: readonly (readonly [string, Behaviour])[] = [
   ...oddLines.map(([name, lines]) => [name, writesHead('200 OK', [...lines, 'After: x'])] as const),
--- a/packages/instance/tests/upstreams/upstreamRequest.test.ts
+++ b/packages/instance/tests/upstreams/upstreamRequest.test.ts
@@ -117,13 +117,15 @@
     },
   );
 
-  it.each(['101 Switching\r\nConnection: Upgrade\r\nUpgrade: x', '000 None', '099 None'])(
-    'fails at once if the upstream sends no response but %j',
-    async status => {
-      const address = await startUpstream(() => undefined, `HTTP/1.1 ${status}\r\n\r\n`);
-      await expect(readAll(address, readText)).rejects.toThrow(/status|without a response/);
-    },
-  );
+  it.each([
+    '101 Switching\r\nConnection: Upgrade\r\nUpgrade: x',
+    '000 None',
+    '099 None',
+    '700 None',
+  ])('fails at once if the upstream sends no response but %j', async status => {
+    const address = await startUpstream(() => undefined, `HTTP/1.1 ${status}\r\n\r\n`);
+    await expect(readAll(address, readText)).rejects.toThrow(/status|without a response/);
+  });
 
   it('rejects an address that cannot be sent to', async () => {
     await expect(readAll('127.0.0.1:70000', readText)).rejects.toThrow('70000');
--- a/packages/platform/tests/httpClient.test.ts
+++ b/packages/platform/tests/httpClient.test.ts
@@ -148,6 +148,7 @@
     ],
     ['status 000', 'HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n'],
     ['status 099', 'HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n'],
+    ['status 700', 'HTTP/1.1 700 None\r\nContent-Length: 0\r\n\r\n'],
   ])('never waits for more after %s', async (_name, text) => {
     const server = createServer(socket => {
       socket.on('error', () => undefined);
