fix(core): 64 KB of a response are parsed as they arrive

Callers would have seen: 502 for an answer of 16 to 64 KB, sent in full and closed in order to an upload that nobody reads, if a reset of the connection follows at once. The write that waits fails then, and Node.js drops what the process holds unparsed.

Evidence: by reading; the new cases with 60,000 bytes (orderly, with and without a reset, and the resets, which stay 502) pass with this bound. Also new: bodies with a length or chunks, cut and whole, after a request and during an upload, closed, reset, or both: the framing decides; these passed before.

Why this mends it: as for the requests of callers, 64 KB are parsed as they arrive.

--- a/packages/core/src/http/responseIntake.ts
+++ b/packages/core/src/http/responseIntake.ts
@@ -23,7 +23,7 @@
 type Parse = (this: Socket, bytes: Buffer) => void;
 
 /** Bytes that are parsed as they arrive, at once and for each millisecond; for the rest a response takes turns. */
-const UNDIVIDED = { bytes: 16_384, perMillisecond: 64 };
+const UNDIVIDED = { bytes: 65_536, perMillisecond: 64 };
 /** Most bytes that are parsed in one turn. */
 const MAXIMUM_TURN_BYTES = 8_192;
 /** Maximum size of everything before the end of the head of a response, in bytes: more than the parser accepts as a head. */
--- a/packages/core/tests/http/failWithConnection.test.ts
+++ b/packages/core/tests/http/failWithConnection.test.ts
@@ -177,3 +177,40 @@
     },
   );
 });
+
+const framedHeads = [
+  ['a length', 'Content-Length: 9\r\n\r\n', 'part', 'body body'],
+  ['chunks', 'Transfer-Encoding: chunked\r\n\r\n', '4\r\npart\r\n', '9\r\nbody body\r\n0\r\n\r\n'],
+] as const;
+const connectionEnds = [
+  ['closed', (socket: Socket) => socket.end()],
+  ['reset', (socket: Socket) => socket.resetAndDestroy()],
+  ['closed and reset', (socket: Socket) => socket.end(() => socket.resetAndDestroy())],
+] as const;
+const framed = framedHeads.flatMap(([framing, ...texts]) =>
+  connectionEnds.map(([name, end]) => [framing, name, end, ...texts] as const),
+);
+
+// Guards against: the framing of a response was not what decided whether it is whole.
+describe.each([
+  ['after a request', startServer, readBody],
+  ['during an upload', startServerForUploads, upload],
+])('a response with framing, %s', (_name, start, read) => {
+  it.each(framed)('is broken off inside its %s if its connection is %s', async (...row) => {
+    const [, , end, head, part] = row;
+    const port = await start(socket => {
+      socket.write(`HTTP/1.1 200 OK\r\n${head}${part}`);
+      end(socket);
+    });
+    await expect(read(port)).rejects.toThrow();
+  });
+
+  it.each(framed)('is whole at the end of its %s if its connection is %s then', async (...row) => {
+    const [, , end, head, , whole] = row;
+    const port = await start(socket => {
+      socket.write(`HTTP/1.1 200 OK\r\n${head}${whole}`);
+      end(socket);
+    });
+    expect(await read(port)).toBe('body body');
+  });
+});
--- a/packages/gateway/tests/upstreams/resetDuringUpload.test.ts
+++ b/packages/gateway/tests/upstreams/resetDuringUpload.test.ts
@@ -25,6 +25,7 @@
 const resets: readonly ConnectionEnd[] = ['immediate-reset', 'reset'];
 const orderlyEnds: readonly ConnectionEnd[] = ['close', 'close-and-reset'];
 const part = 'x'.repeat(650);
+const LARGE_PART_BYTES = 60_000;
 
 // Guards against: a part that arrived with a reset, during an upload, reached callers as a whole response.
 describe('an unframed response to an upload that its replica does not read', () => {
@@ -82,4 +83,20 @@
     );
     expect(await fixture.send(upload)).toMatchObject({ isComplete: true, status: 200 });
   });
+
+  it.each([...resets, ...orderlyEnds])(
+    'is whole only after an orderly end, if it is as large as what is read at once: %s',
+    async end => {
+      const largePart = 'x'.repeat(LARGE_PART_BYTES);
+      const fixture = await startGateway(
+        unsafeRoute,
+        [[withBodyUnread(respondsUnframed(largePart, end))]],
+        options,
+      );
+      const { body, status } = await fixture.send(upload);
+      const isOrderly = orderlyEnds.includes(end);
+      expect(status).toBe(isOrderly ? 200 : 502);
+      expect(body === largePart).toBe(isOrderly);
+    },
+  );
 });
