--- a/packages/instance/tests/upstreams/upstreamRequest.test.ts
+++ b/packages/instance/tests/upstreams/upstreamRequest.test.ts
@@ -48,6 +48,7 @@
   address: string,
   read: typeof readLines | typeof readText,
   body = Buffer.alloc(0),
+  timeoutMilliseconds = 5_000,
 ): Promise<string> {
   const response = await sendRequest({
     address,
@@ -55,7 +56,7 @@
     headers: {},
     method: 'POST',
     path: '/',
-    signal: AbortSignal.timeout(5_000),
+    signal: AbortSignal.timeout(timeoutMilliseconds),
   });
   if (read === readText) {
     return await readText(response);
@@ -97,6 +98,17 @@
     await expect(readAll(address, read, Buffer.alloc(16_000_000))).rejects.toThrow('ECONNRESET');
   });
 
+  it.each([
+    ['a length', 'Content-Length: 9\r\n\r\npart\n'],
+    ['chunks', 'Transfer-Encoding: chunked\r\n\r\n5\r\npart\n\r\n'],
+    ['no framing', '\r\npart\n'],
+  ])('fails when the rest of a response with %s does not come in time', async (_name, text) => {
+    const address = await startUpstream(() => undefined, `HTTP/1.1 200 OK\r\n${text}`);
+    for (const read of [readText, readLines]) {
+      await expect(readAll(address, read, undefined, 100)).rejects.toThrow(/abort|timeout/i);
+    }
+  });
+
   it('never takes a part of a head for a response', async () => {
     const head = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
     for (let bytes = 1; bytes < head.length; bytes++) {
--- a/packages/platform/tests/httpClient.test.ts
+++ b/packages/platform/tests/httpClient.test.ts
@@ -111,6 +111,31 @@
     expect(response.ok).toBe(isWhole);
   });
 
+  it.each([
+    ['a length', 'Content-Length: 9\r\n\r\n{}', end],
+    ['a length', 'Content-Length: 9\r\n\r\n{}', reset],
+    ['chunks', 'Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n', end],
+    ['chunks', 'Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n', reset],
+  ])('never takes a part of a response with %s for all of it', async (_name, text, finish) => {
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write(`HTTP/1.1 200 OK\r\n${text}`);
+        finish(socket);
+      });
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const address = `127.0.0.1:${String(port)}`;
+    const client = new HttpClient({ address, timeoutMilliseconds: 5_000 });
+    const response = await client.send({ isRetrySafe: false, method: 'POST', path: '/' });
+    client.close();
+    server.close();
+    expect(response.err && response.val.failure).toBe('outcome-unknown');
+  });
+
   it.each([
     ['no response', ''],
     ['a part of a response', 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{'],
