fix(core): a connection with bytes behind its response is not used again

Callers saw: nothing; found by reading the change of the reader. If a response ends with a turn, and what its server sent behind it still waits, a plain agent would keep the connection, and the next request would take those bytes for its response.

Why this mends it: when an exchange ends with bytes left, its connection is closed. The new test sends such bytes at the end of a turn; it passes without the change as well, since the next turn mostly comes first and closes the connection, so it doesn't show the fault.

--- a/packages/core/src/http/responseIntake.ts
+++ b/packages/core/src/http/responseIntake.ts
@@ -77,6 +77,10 @@
       dependencies.turns.remove(this);
       socket.off('data', accept);
       socket.off('resume', holdBack);
+      if (socket.readableLength > 0) {
+        // What follows a response belongs to no request, so the connection cannot be used again.
+        socket.destroy();
+      }
     });
   }
 
--- a/packages/core/tests/http/responseTurns.test.ts
+++ b/packages/core/tests/http/responseTurns.test.ts
@@ -1,11 +1,13 @@
 import type { AddressInfo, Socket } from 'node:net';
 
+import { Agent } from 'node:http';
 import { createServer } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 
 import { ResponseTurns } from '../../src/http/responseTurns.js';
 import { runExchange } from '../../src/http/runExchange.js';
+import { ManualTimerService } from '../../src/time/manualTimerService.js';
 import { SystemTimerService } from '../../src/time/systemTimerService.js';
 
 const sockets = new Set<Socket>();
@@ -49,6 +51,8 @@
 const BYTES_PER_ITERATION = 32_768;
 /** Wire bytes of each response that are parsed at once. */
 const UNDIVIDED_BYTES = 65_536;
+/** Wire bytes of a turn. */
+const TURN_BYTES = 8_192;
 const RESPONSES = 8;
 const ITERATIONS = 300;
 
@@ -89,6 +93,48 @@
     expect(most).toBeGreaterThan(0);
   });
 
+  // Guards against: what followed a response, behind the last turn, was taken for the response to the next request.
+  it('leaves nothing behind a response on a connection that is used again', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nContent-Length: ';
+    const headBytes = head.length + '12345\r\n\r\n'.length;
+    const bodyBytes = UNDIVIDED_BYTES + TURN_BYTES - headBytes;
+    const response = `${head}${String(bodyBytes)}\r\n\r\n${'x'.repeat(bodyBytes)}`;
+    const surplus = `${head}7\r\n\r\nsurplus`;
+    const server = createServer(socket => {
+      sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('data', () => socket.write(response + surplus));
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    cleanups.push(() => {
+      agent.destroy();
+      server.close();
+    });
+    const turns = new ResponseTurns(new ManualTimerService());
+    for (let request = 0; request < 3; request++) {
+      const received = await runExchange<number>(
+        { agent, host: '127.0.0.1', port },
+        {
+          onFailure: () => -1,
+          onResponse: async (_outgoing, incoming) => {
+            let bytes = 0;
+            for await (const chunk of incoming as AsyncIterable<Buffer>) {
+              bytes += chunk.length;
+            }
+            return bytes;
+          },
+          onStarted: outgoing => outgoing.end(),
+        },
+        { turns },
+      );
+      expect(received).toBe(bodyBytes);
+    }
+  });
+
   // Guards against: a client waited, or read on, while nothing of what came became the head of a response.
   it.each([
     ['blank lines', '', '\r\n'],
