fix(programs): the history of a turn is stored for as long as the turn is kept

Cause: a turn is stored once, with an expiry of twice its retention from then, and names its ancestors. A later turn did not change their expiry, and the sweeper looks at each row alone, so it removed the first rows of a chain in use. The move to another zone is only one way to see it.

Now a turn is stored only after all rows that it names are sure to outlive its retention. Rows never change; where one would expire too early, the whole history is stored again first, in segments that the new turn names instead. A turn past its retention whose chain is gone is answered 404, no longer 503 without an end.

The stand-in of the store refuses transactions above the platform's limits, as the platform does.

--- a/packages/gateway/src/programs/storedTurnRows.ts
+++ b/packages/gateway/src/programs/storedTurnRows.ts
@@ -17,8 +17,23 @@
   readonly output: Buffer;
   /** Earliest time at which the turn may be removed, on the wall clock, in milliseconds. */
   readonly expiresAt: number;
+  /**
+   * Time until which the turn may be continued, so that all its ancestors are stored, on the wall clock, in
+   * milliseconds; absent in rows of builds up to 6151ff0.
+   */
+  readonly keptUntil?: number | undefined;
+  /**
+   * Time at which the first turn of the conversation was stored, on the wall clock, in milliseconds; absent in
+   * rows of builds up to 6151ff0.
+   */
+  readonly beganAt?: number | undefined;
+  /** Whether this is a part of a history that was stored again, which no caller can continue. */
+  readonly isSegment?: boolean | undefined;
 }
 
+/** Turns whose inputs and outputs are the history of a turn, oldest first. */
+export type TurnChain = readonly StoredTurn[];
+
 /** One row of a stored turn. */
 export interface TurnChunk {
   readonly key: string;
@@ -27,9 +42,12 @@
 
 interface TurnHead {
   readonly ancestors: readonly string[];
+  readonly beganAt?: number | undefined;
   readonly chunks: number;
   readonly expiresAt: number;
   readonly inputBytes: number;
+  readonly isSegment?: boolean | undefined;
+  readonly keptUntil?: number | undefined;
   readonly workspace: string | null;
 }
 
@@ -60,9 +78,12 @@
   }
   const head: TurnHead = {
     ancestors: turn.ancestors,
+    beganAt: turn.beganAt,
     chunks: pieces.length,
     expiresAt: turn.expiresAt,
     inputBytes: turn.input.length,
+    isSegment: turn.isSegment,
+    keptUntil: turn.keptUntil,
     workspace: turn.workspace ?? null,
   };
   const headLine = Buffer.from(`${JSON.stringify(head)}\n`);
@@ -79,7 +100,8 @@
 /** Reads the head of a turn; throws if the row holds none, since its numbers become sizes. */
 function readHead(value: Buffer): TurnHead {
   const head: unknown = JSON.parse(value.subarray(0, value.indexOf(LINE_FEED)).toString());
-  const { ancestors, chunks, expiresAt, inputBytes, workspace } = toFields(head);
+  const fields = toFields(head);
+  const { ancestors, chunks, expiresAt, inputBytes, workspace } = fields;
   if (
     !isTextList(ancestors) ||
     !isNumber(chunks) ||
@@ -90,7 +112,16 @@
   ) {
     throw new TypeError('the row holds no turn');
   }
-  return { ancestors, chunks, expiresAt, inputBytes, workspace };
+  return {
+    ancestors,
+    beganAt: isNumber(fields['beganAt']) ? fields['beganAt'] : undefined,
+    chunks,
+    expiresAt,
+    inputBytes,
+    isSegment: fields['isSegment'] === true,
+    keptUntil: isNumber(fields['keptUntil']) ? fields['keptUntil'] : undefined,
+    workspace,
+  };
 }
 
 /** Description of the stored turns for the removal of expired rows. */
@@ -119,9 +150,12 @@
   const content = Buffer.concat([first.value.subarray(end + 1), ...pieces]);
   return {
     ancestors: head.ancestors as readonly TurnId[],
+    beganAt: head.beganAt,
     expiresAt: head.expiresAt,
     id,
     input: content.subarray(0, head.inputBytes),
+    isSegment: head.isSegment,
+    keptUntil: head.keptUntil,
     output: content.subarray(head.inputBytes),
     workspace: (head.workspace ?? undefined) as WorkspaceName | undefined,
   };
--- a/packages/gateway/src/programs/turnStore.ts
+++ b/packages/gateway/src/programs/turnStore.ts
@@ -1,16 +1,15 @@
 import type { Logger, Result, TimerService } from '@zincring/core';
-import type { PartitionedRow, PlatformError } from '@zincring/platform';
 
-import { BodyContent, Err, failureText, Ok, sleep, ZincringError } from '@zincring/core';
-import { LRUCache } from 'lru-cache';
+import { BodyContent, Err, Ok, ZincringError } from '@zincring/core';
 
 import type { TurnId } from '../callers/requestFacts.js';
 import type { RunnableRequest } from '../upstreams/attemptLoop.js';
-import type { MonitoredTable } from '../store/monitoredTable.js';
-import type { StoredTurn } from './storedTurnRows.js';
+import type { StoredTurn, TurnChain } from './storedTurnRows.js';
+import type { TurnRowsDependencies } from './turnRows.js';
 
-import { computeBackoffMilliseconds } from '../store/backoff.js';
-import { decodeTurn, encodeTurn, isChunkOf, TURN_TABLE, turnPartitions } from './storedTurnRows.js';
+import { HistoryRenewal } from './historyRenewal.js';
+import { computeExpiry, computeKeptMilliseconds, findBeginning } from './turnRetention.js';
+import { TurnRows } from './turnRows.js';
 
 /** A turn in progress that is stored when it ends. */
 export interface TurnDraft {
@@ -29,43 +28,30 @@
 }
 
 /** Dependencies of the turn store. */
-export interface TurnStoreDependencies {
-  readonly table: MonitoredTable;
+export interface TurnStoreDependencies extends TurnRowsDependencies {
   readonly timers: TimerService;
   readonly logger: Logger;
-  /** Maximum size of a row, in bytes. */
-  readonly rowBytes: number;
-  /** Returns a number from 0 to 1, for the jitter of the pauses. */
-  readonly random: () => number;
 }
 
-/** Size of the cache of turns, in bytes: a small part of the memory of the smallest instance. */
-const CACHE_BYTES = 12 * 1024 * 1024;
 /** Maximum size of the output of a turn that is stored, in bytes. */
 const MAXIMUM_OUTPUT_BYTES = 1024 * 1024;
-/** First and longest pause between attempts while the store fails, in milliseconds: a few times its usual response time. */
-const RETRY_PAUSES = { initialMilliseconds: 30, maximumMilliseconds: 150 };
-/** Maximum number of reads of one turn while the store fails. */
-const MAXIMUM_READS = 4;
-
-/** Earlier turns of a conversation, oldest first. */
-type TurnChain = readonly StoredTurn[];
 
 /**
  * Stores the conversation history of routes on which callers send only their new input. Each turn
  * is stored with its own input and output and the ids of its ancestors before its caller receives
- * the end of the response.
+ * the end of the response; the ancestors are then stored for as long as the turn may be continued.
  *
  * @example
  * const composed = await turnStore.compose(request, signal);
  */
 export class TurnStore {
-  private readonly cache = new LRUCache<TurnId, StoredTurn>({
-    maxSize: CACHE_BYTES,
-    sizeCalculation: turn => turn.input.length + turn.output.length + 200,
-  });
+  private readonly rows: TurnRows;
+  private readonly renewal: HistoryRenewal;
 
-  public constructor(private readonly dependencies: TurnStoreDependencies) {}
+  public constructor(private readonly dependencies: TurnStoreDependencies) {
+    this.rows = new TurnRows(dependencies);
+    this.renewal = new HistoryRenewal({ ...dependencies, rows: this.rows });
+  }
 
   /** Prepends the history to the new input of a request. */
   public async compose(
@@ -101,92 +87,65 @@
     if (facts.previousTurn === undefined) {
       return Ok([]);
     }
-    const last = await this.load(facts.previousTurn, signal);
+    const last = await this.rows.load(facts.previousTurn, signal);
     if (last.err) {
       return last;
     }
-    if (last.val === undefined || last.val.workspace !== workspace) {
+    if (last.val === undefined || last.val.workspace !== workspace || last.val.isSegment === true) {
       this.dependencies.logger.warn(
         { event: 'turn-unknown', previousTurn: facts.previousTurn, request: facts.requestId },
         'the workspace has no stored turn with this id',
       );
       return Err(new ZincringError('program-not-found', { detail: 'no such turn is kept' }));
     }
-    const ancestors = await Promise.all(last.val.ancestors.map(id => this.load(id, signal)));
+    return await this.loadAncestors(last.val, facts.requestId, signal);
+  }
+
+  private async loadAncestors(
+    last: StoredTurn,
+    request: RunnableRequest['facts']['requestId'],
+    signal: AbortSignal,
+  ): Promise<Result<TurnChain, ZincringError>> {
+    const ancestors = await Promise.all(
+      last.ancestors.map(async id => await this.rows.load(id, signal)),
+    );
     const chain: StoredTurn[] = [];
     for (const ancestor of ancestors) {
       if (ancestor.err) {
         return ancestor;
       }
       if (ancestor.val === undefined) {
-        return Err(this.createStoreUnavailableError('an earlier turn of the chain is missing'));
+        return Err(this.refuseIncompleteChain(last, request));
       }
       chain.push(ancestor.val);
     }
-    return Ok([...chain, last.val]);
-  }
-
-  private async load(
-    id: TurnId,
-    signal: AbortSignal,
-  ): Promise<Result<StoredTurn | undefined, ZincringError>> {
-    const cached = this.cache.get(id);
-    if (cached !== undefined) {
-      return Ok(cached);
-    }
-    let failure = 'the store is away';
-    for (
-      let attempts = 0;
-      attempts < MAXIMUM_READS && !signal.aborted && !this.dependencies.table.isUnavailable;
-      attempts++
-    ) {
-      const rows = await this.readRows(id);
-      if (rows.ok) {
-        return this.decode(id, rows.val);
-      }
-      failure = rows.val.message;
-      await this.pause(attempts + 1, signal);
-    }
-    return Err(this.createStoreUnavailableError(failure));
+    return Ok([...chain, last]);
   }
 
-  private decode(
-    id: TurnId,
-    rows: readonly PartitionedRow[],
-  ): Result<StoredTurn | undefined, ZincringError> {
-    try {
-      const turn = decodeTurn(id, rows);
-      if (turn !== undefined) {
-        this.cache.set(id, turn);
-      }
-      return Ok(turn);
-    } catch (failure) {
-      this.dependencies.logger.warn(
-        { event: 'row-unreadable', failure: failureText(failure), row: id, table: TURN_TABLE },
-        'a stored turn cannot be read, so it is kept',
-      );
-      return Err(this.createStoreUnavailableError('the turn cannot be read'));
-    }
-  }
-
-  private async readRows(id: TurnId): Promise<Result<readonly PartitionedRow[], PlatformError>> {
-    const page = await this.dependencies.table.read({
-      from: id,
-      partition: turnPartitions.of(id),
-      table: TURN_TABLE,
-      to: `${id}\u007f`,
-    });
-    return page.ok ? Ok(page.val.rows.filter(row => isChunkOf(id, row.key))) : page;
+  /** Returns the refusal of a turn whose history is no longer stored: a final one once its retention is over. */
+  private refuseIncompleteChain(
+    { expiresAt, id, keptUntil = expiresAt }: StoredTurn,
+    request: RunnableRequest['facts']['requestId'],
+  ): ZincringError {
+    const millisecondsLeft = keptUntil - this.dependencies.timers.wallClock();
+    this.dependencies.logger.warn(
+      { event: 'history-incomplete', millisecondsLeft, previousTurn: id, request },
+      'an earlier turn of the chain is not stored',
+    );
+    return millisecondsLeft < 0
+      ? new ZincringError('program-not-found', {
+          detail: 'the chain of the turn is no longer kept',
+        })
+      : this.rows.createUnavailableError('an earlier turn of the chain is missing');
   }
 
   private createDraft(request: RunnableRequest, chain: TurnChain): TurnDraft | undefined {
-    const { facts, route, workspace } = request;
-    if (facts.requestId === undefined) {
+    const id = request.facts.requestId;
+    if (id === undefined) {
       return undefined;
     }
     const output = new BodyContent();
     let outputBytes = 0;
-    const id = facts.requestId as string as TurnId;
     return {
       addOutput: data => {
         outputBytes += data.length + LINE_FEED.length;
@@ -205,69 +164,45 @@
           );
           return false;
         }
-        const turn: StoredTurn = {
-          ancestors: chain.map(ancestor => ancestor.id),
-          expiresAt: this.dependencies.timers.wallClock() + 2 * route.retentionMilliseconds,
-          id,
-          input: request.body,
-          output: output.complete(),
-          workspace,
-        };
-        return await this.store(turn, signal);
+        const turn = { chain, id: id as string as TurnId, output: output.complete(), request };
+        return await this.saveTurn(turn, signal);
       },
     };
   }
 
-  private createStoreUnavailableError(detail: string): ZincringError {
-    const { retryAfterSeconds } = this.dependencies.table;
-    return new ZincringError('store-unavailable', { detail, retryAfterSeconds });
-  }
-
-  private async store(turn: StoredTurn, signal: AbortSignal): Promise<boolean> {
-    const partition = turnPartitions.of(turn.id);
-    const writes = encodeTurn(turn, this.dependencies.rowBytes).map(chunk => ({
-      ...chunk,
-      partition,
-      table: TURN_TABLE,
-    }));
-    for (let attempts = 1; !signal.aborted; attempts++) {
-      const outcome = await this.dependencies.table.essential.transact({
-        checks: [{ key: turn.id, partition, table: TURN_TABLE, version: 0 }],
-        removals: [],
-        writes,
-      });
-      if (
-        outcome.ok &&
-        (outcome.val.status === 'committed' || isAlreadyStored(outcome.val.rows, writes))
-      ) {
-        this.cache.set(turn.id, turn);
-        return true;
-      }
-      if (outcome.ok) {
-        return false;
-      }
-      this.dependencies.logger.warn(
-        { event: 'turn-not-kept', failure: outcome.val.message, request: turn.id },
-        'could not store a turn',
-      );
-      await this.pause(attempts, signal);
+  /** Stores a turn once all rows that it names are sure to outlive its retention. */
+  private async saveTurn(
+    { chain, id, output, request }: EndedTurn,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const { body, route, workspace } = request;
+    const ancestors = await this.renewal.keep(request, chain, signal);
+    if (ancestors === undefined) {
+      return false;
     }
-    return false;
+    const now = this.dependencies.timers.wallClock();
+    const beganAt = findBeginning(chain) ?? now;
+    const turn: StoredTurn = {
+      ancestors,
+      beganAt,
+      expiresAt: computeExpiry(route, now, beganAt),
+      id,
+      input: body,
+      keptUntil: now + computeKeptMilliseconds(route),
+      output,
+      workspace,
+    };
+    return await this.rows.store(turn, signal);
   }
+}
 
-  private async pause(failures: number, signal: AbortSignal): Promise<void> {
-    const { random, timers } = this.dependencies;
-    await sleep(timers, computeBackoffMilliseconds(failures, { ...RETRY_PAUSES, random }), signal);
-  }
+/** A turn whose response is complete. */
+interface EndedTurn {
+  readonly id: TurnId;
+  readonly request: RunnableRequest;
+  /** Turns that the turn continues, oldest first. */
+  readonly chain: TurnChain;
+  readonly output: Buffer;
 }
 
 const LINE_FEED = Buffer.from('\n');
-
-function isAlreadyStored(
-  rows: readonly PartitionedRow[],
-  writes: readonly { readonly key: string; readonly value: Buffer }[],
-): boolean {
-  return rows.some(row =>
-    writes.some(({ key, value }) => key === row.key && value.equals(row.value)),
-  );
-}
--- a/packages/gateway/tests/support/memoryTable.ts
+++ b/packages/gateway/tests/support/memoryTable.ts
@@ -34,6 +34,11 @@
 /** Timeout of a client for a call without an answer, in milliseconds. */
 const CLIENT_TIMEOUT_MILLISECONDS = 400;
 
+/** Limits of one transaction, as the platform states them. */
+const MAXIMUM_TRANSACTION_ENTRIES = 100;
+const MAXIMUM_TRANSACTION_BYTES = 1_000_000;
+const MAXIMUM_ROW_BYTES = 65_536;
+
 /** In-memory store on a manual clock, with faults that tests switch on and off. */
 export class MemoryTable {
   public readonly faults: StoreFaults = {
@@ -50,6 +55,8 @@
   public transactions = 0;
   /** Number of transactions that the store did not refuse by its rate. */
   public acceptedTransactions = 0;
+  /** Size of all values that were written, in bytes. */
+  public writtenBytes = 0;
   private readonly acceptedTransactionTimes: number[] = [];
   private readonly rows = new Map<string, PartitionedRow>();
   private history: RowChange[] = [];
@@ -154,6 +161,10 @@
     if (this.isOverRate(faults)) {
       return Err(new PlatformError('rate-limited', 'over the rate of the store'));
     }
+    const limit = findExceededLimit(transaction);
+    if (limit !== undefined) {
+      return Err(new PlatformError('unavailable', `the transaction is refused: ${limit}`));
+    }
     const failure = await this.startCall(faults, 'outcome-unknown');
     if (failure !== undefined) {
       return Err(failure);
@@ -166,6 +177,7 @@
     }
     this.version++;
     transaction.writes.forEach(write => {
+      this.writtenBytes += write.value.length;
       this.writeRow(write, write.value);
     });
     transaction.removals.forEach(address => {
@@ -220,6 +232,26 @@
   }
 }
 
+/** Returns the limit of the platform that a transaction exceeds; `undefined` if it exceeds none. */
+function findExceededLimit({
+  checks,
+  removals,
+  writes,
+}: PartitionedTransaction): string | undefined {
+  const entries: readonly RowAddress[] = [...checks, ...removals, ...writes];
+  if (entries.length > MAXIMUM_TRANSACTION_ENTRIES) {
+    return `${String(entries.length)} entries`;
+  }
+  if (new Set(entries.map(({ partition }) => partition)).size > 1) {
+    return 'several partitions';
+  }
+  if (writes.some(({ value }) => value.length > MAXIMUM_ROW_BYTES)) {
+    return 'a row that is too large';
+  }
+  const bytes = writes.reduce((sum, { value }) => sum + (value.length * 4) / 3, 0);
+  return bytes > MAXIMUM_TRANSACTION_BYTES ? `${String(bytes)} bytes` : undefined;
+}
+
 function formatAddress({ key, partition, table }: RowAddress): string {
   return `${table}/${partition}/${key}`;
 }
