fix(programs): the account of a budget is kept while its program goes on

Without a kill, a program that was refused because its budget was spent, and came back again and again, got it anew once the row of its account had expired.

Cause: the row expires a fixed time after its last write. Turns granted from tokens reserved in advance write nothing, and neither do refusals, so the sweeper removed the row while the program went on. The class of lost histories: a row in use that nothing extends.

Now a turn is decided without the store only while the row has half of its lifetime left; below three quarters the row is written in the background, also by refusals, without reserving more. An account that has gone is restored from what its owner knows. An object whose tokens reserved in advance stay in the row is kept until the row has expired, since a program with pauses above 20 s would lose a quarter of what is left with each pause now that its row stays; at a planned stop such objects are left as before.

--- a/packages/gateway/src/programs/budgetRow.ts
+++ b/packages/gateway/src/programs/budgetRow.ts
@@ -34,8 +34,8 @@
   readonly waitingDemands: readonly BudgetDemand[];
   /** Expected demand of further turns. */
   readonly expectedDemand: BudgetDemand;
-  /** Whether tokens may be reserved in advance; not if the holder is about to stop. */
-  readonly reservesAhead: boolean;
+  /** Maximum number of tokens that may be reserved in advance; 0 if the holder is about to stop. */
+  readonly maximumAdvanceTokens: number;
   readonly expiresAt: number;
 }
 
@@ -83,10 +83,9 @@
     return true;
   });
   const remainingTokens = expectedDemand.budget - committed;
-  const advanceTokens = computeAdvanceTokens(
-    remainingTokens,
-    expectedDemand.maximumTokens,
-    request.reservesAhead,
+  const advanceTokens = Math.min(
+    request.maximumAdvanceTokens,
+    computeAdvanceTokens(remainingTokens, expectedDemand.maximumTokens),
   );
   const reservation = { tokens: tokens + advanceTokens, write };
   return {
@@ -104,15 +103,9 @@
   };
 }
 
-function computeAdvanceTokens(
-  remainingTokens: number,
-  maximumTokens: number,
-  reservesAhead: boolean,
-): number {
+function computeAdvanceTokens(remainingTokens: number, maximumTokens: number): number {
   const isAmple = remainingTokens >= MINIMUM_TURNS_FOR_ADVANCE * maximumTokens;
-  return reservesAhead && isAmple
-    ? Math.max(maximumTokens, Math.floor(remainingTokens * ADVANCE_SHARE))
-    : 0;
+  return isAmple ? Math.max(maximumTokens, Math.floor(remainingTokens * ADVANCE_SHARE)) : 0;
 }
 
 /**
--- a/packages/gateway/src/programs/programBudget.ts
+++ b/packages/gateway/src/programs/programBudget.ts
@@ -9,7 +9,7 @@
 
 import { computeBackoffMilliseconds } from '../store/backoff.js';
 import { absentRow, editRow, readRow } from '../store/editRow.js';
-import { isNumber, toFields } from '../util/jsonFields.js';
+import { decodeAccount, encodeAccount } from './budgetAccountCodec.js';
 import { emptyAccount, grantTokens, releaseTokens } from './budgetRow.js';
 
 /**
@@ -48,14 +48,18 @@
   decide(decision: BudgetDecision): void;
 }
 
+/** Share of its lifetime that the row of the account must have left when a turn is decided without the store. */
+const MINIMUM_LIFETIME_SHARE = 1 / 2;
+/** Share of its lifetime below which the row is written again, while turns are still decided without the store. */
+const RENEWAL_LIFETIME_SHARE = 3 / 4;
 /** Maximum wait of a turn for its tokens, in milliseconds: a few response times of a slow store. */
 const MAXIMUM_WAIT_MILLISECONDS = 1_200;
 /** Number of store failures up to which a write is retried while turns wait for it. */
 const MAXIMUM_FAILURES = 4;
 /** Time without a turn after which reserved tokens are released, in milliseconds: longer than most pauses between turns. */
 const RELEASE_AFTER_IDLE_MILLISECONDS = 2_000;
-/** Time without a turn after which the object of a program may be discarded, in milliseconds. */
-const DISCARD_AFTER_IDLE_MILLISECONDS = 20_000;
+/** Time without a turn after which a program is dormant, in milliseconds. */
+const DORMANT_AFTER_IDLE_MILLISECONDS = 20_000;
 /** Interval at which a release checks whether the write in progress has ended, in milliseconds. */
 const WRITE_CHECK_MILLISECONDS = 10;
 /** First and longest pause before a failed write is retried, in milliseconds; no turn waits for the retry. */
@@ -94,6 +98,10 @@
   private isBudgetLow = false;
   private lastDemand: BudgetDemand = { budget: 0, maximumTokens: 0 };
   private lastExpiresAt = 0;
+  /** Lifetime of the row from the last turn on, in milliseconds. */
+  private lastLifetimeMilliseconds = 0;
+  /** Expiry that the row is known to state, on the wall clock, in milliseconds. */
+  private rowExpiresAt = 0;
   private isStopping = false;
   private lastUsedAt: number;
 
@@ -112,16 +120,25 @@
     return this.isFirstWriter && this.startedTurns === 1;
   }
 
-  /** Whether the object can be discarded without losing reservations or spent tokens. */
-  public get isDiscardable(): boolean {
+  /** Whether the program has had no turn here for some time and holds nothing that others may need soon. */
+  public get isDormant(): boolean {
     return (
       (this.isReleased || this.mayKeepUnused) &&
       !this.isWriting &&
       this.turnsInFlight + this.waitingTurns.length === 0 &&
-      this.idleMilliseconds() > DISCARD_AFTER_IDLE_MILLISECONDS
+      this.idleMilliseconds() > DORMANT_AFTER_IDLE_MILLISECONDS
     );
   }
 
+  /**
+   * Whether the object can be discarded without losing spent tokens, or reserved ones that later turns of the
+   * program could use.
+   */
+  public get isDiscardable(): boolean {
+    const isRowExpired = this.dependencies.timers.wallClock() >= this.rowExpiresAt;
+    return this.isDormant && (this.isReleased || isRowExpired);
+  }
+
   /** Reserves the maximum number of tokens that a turn may generate. */
   public async reserve(
     demand: BudgetDemand,
@@ -130,11 +147,13 @@
   ): Promise<BudgetDecision> {
     this.lastDemand = demand;
     this.lastExpiresAt = expiresAt;
+    this.lastLifetimeMilliseconds = expiresAt - this.dependencies.timers.wallClock();
     this.lastUsedAt = this.dependencies.timers.now();
-    if (this.advanceTokens >= demand.maximumTokens) {
-      this.advanceTokens -= demand.maximumTokens;
-      this.usedAdvanceTokens += demand.maximumTokens;
-      this.startTurn(demand.maximumTokens);
+    if (
+      this.advanceTokens >= demand.maximumTokens &&
+      this.hasLeft(MINIMUM_LIFETIME_SHARE, this.rowExpiresAt)
+    ) {
+      this.reserveFromAdvance(demand.maximumTokens);
       return 'held-ahead';
     }
     if (this.dependencies.table.isUnavailable) {
@@ -173,7 +192,7 @@
   /** Reserves no more tokens in advance and releases those that no turn uses. */
   public stopReservingAhead(): void {
     this.isStopping = true;
-    if (this.advanceTokens > 0) {
+    if (this.advanceTokens > 0 && !this.isDormant) {
       this.startWriting();
     }
   }
@@ -183,7 +202,7 @@
     while (this.isWriting) {
       await sleep(this.dependencies.timers, WRITE_CHECK_MILLISECONDS);
     }
-    if (this.isReleased) {
+    if (this.isReleased || this.isDormant) {
       return;
     }
     this.isWriting = true;
@@ -206,6 +225,21 @@
     }
   }
 
+  private reserveFromAdvance(maximumTokens: number): void {
+    this.advanceTokens -= maximumTokens;
+    this.usedAdvanceTokens += maximumTokens;
+    this.startTurn(maximumTokens);
+    if (!this.hasLeft(RENEWAL_LIFETIME_SHARE, this.rowExpiresAt)) {
+      this.startWriting();
+    }
+  }
+
+  /** Whether a row with an expiry has at least a share of its lifetime left. */
+  private hasLeft(share: number, expiresAt: number): boolean {
+    const millisecondsLeft = expiresAt - this.dependencies.timers.wallClock();
+    return millisecondsLeft >= share * this.lastLifetimeMilliseconds;
+  }
+
   private startTurn(maximumTokens: number): void {
     this.inFlightTokens += maximumTokens;
     this.turnsInFlight++;
@@ -282,11 +316,12 @@
     if (edited === undefined) {
       return undefined;
     }
-    const { grant, sentWrite } = edited.result;
+    const { expiresAt, grant, sentWrite } = edited.result;
     if (grant.isGranted.includes(false) && !edited.isConfirmed && !isJustRead) {
       const fresh = await readRow(this.dependencies.table, this.address);
       return fresh.err ? undefined : await this.requestTokens(requestingTurns, fresh.val.row, true);
     }
+    this.rowExpiresAt = expiresAt;
     this.settledTokens -= sentWrite.settledTokens;
     this.advanceTokens =
       grant.advanceTokens - (this.usedAdvanceTokens - sentWrite.usedAdvanceTokens);
@@ -298,7 +333,7 @@
   }
 
   private propose(requestingTurns: readonly WaitingTurn[], row: KnownRow): RowEdit<Proposal> {
-    const account = decodeAccount(row.value);
+    const account = this.readAccount(row);
     const ownReservation = account.holds[this.dependencies.holder];
     if (this.startedTurns === 0) {
       this.isFirstWriter = isUnused(account, this.dependencies.holder);
@@ -315,7 +350,7 @@
       holder: this.dependencies.holder,
       inFlightTokens: this.inFlightTokens,
       expectedDemand: this.lastDemand,
-      reservesAhead: !this.isStopping,
+      maximumAdvanceTokens: this.findMaximumAdvance(requestingTurns),
       waitingDemands: requestingTurns,
       write: writeNumber,
     });
@@ -327,13 +362,30 @@
     if (
       !grant.isGranted.includes(true) &&
       this.settledTokens === recordedTokens &&
-      proposedTokens === ownReservation?.tokens
+      proposedTokens === ownReservation?.tokens &&
+      (account === emptyAccount || this.hasLeft(RENEWAL_LIFETIME_SHARE, account.expiresAt))
     ) {
-      return { result: { grant, sentWrite }, kind: 'leave' };
+      return { result: { expiresAt: account.expiresAt, grant, sentWrite }, kind: 'leave' };
     }
     this.advanceTokens = Math.min(this.advanceTokens, grant.advanceTokens);
     this.unconfirmedWrites.set(writeNumber, sentWrite);
-    return { result: { grant, sentWrite }, kind: 'write', value: encodeAccount(grant.account) };
+    const { expiresAt } = grant.account;
+    const value = encodeAccount(grant.account);
+    return { result: { expiresAt, grant, sentWrite }, kind: 'write', value };
+  }
+
+  /** Returns how much may be reserved in advance: no more than before if the row is only written so that it is kept. */
+  private findMaximumAdvance(requestingTurns: readonly WaitingTurn[]): number {
+    if (this.isStopping) {
+      return 0;
+    }
+    const isRenewal = requestingTurns.length === 0 && !this.isBudgetLow;
+    return isRenewal ? this.advanceTokens : Infinity;
+  }
+
+  /** Reads the account; only a sweep removes rows, so one that has gone while it was in use is restored as it was. */
+  private readAccount(row: KnownRow): BudgetAccount {
+    return decodeAccount(row.value ?? this.row.value);
   }
 
   private async release(): Promise<void> {
@@ -341,7 +393,7 @@
     const edited = await this.editRow(
       this.row,
       row => {
-        const account = decodeAccount(row.value);
+        const account = this.readAccount(row);
         if (this.isSettledIn(account)) {
           return { result: undefined, kind: 'leave' };
         }
@@ -405,6 +457,8 @@
 }
 
 interface Proposal {
+  /** Expiry that the row states after the edit, on the wall clock, in milliseconds. */
+  readonly expiresAt: number;
   readonly grant: BudgetGrant;
   readonly sentWrite: SentWrite;
 }
@@ -413,26 +467,3 @@
 function isUnused({ holds, spent }: BudgetAccount, holder: string): boolean {
   return spent === 0 && Object.keys(holds).every(name => name === holder);
 }
-
-/** Reads a stored account; throws if the row holds none, since a guess could exceed the budget. */
-function decodeAccount(value: Buffer | undefined): BudgetAccount {
-  if (value === undefined) {
-    return emptyAccount;
-  }
-  const account: unknown = JSON.parse(value.toString());
-  const { expiresAt, holds, spent } = toFields(account);
-  const reserved = Object.values(toFields(holds)).map(hold => toFields(hold)['tokens']);
-  if (
-    !isNumber(spent) ||
-    !isNumber(expiresAt) ||
-    holds === undefined ||
-    !reserved.every(isNumber)
-  ) {
-    throw new TypeError('the row holds no account');
-  }
-  return account as BudgetAccount;
-}
-
-function encodeAccount(account: BudgetAccount): Buffer {
-  return Buffer.from(JSON.stringify(account));
-}
--- a/packages/gateway/src/programs/turnBudgets.ts
+++ b/packages/gateway/src/programs/turnBudgets.ts
@@ -8,6 +8,7 @@
 
 import { readRow } from '../store/editRow.js';
 import { makeBudgetAddress } from './storeTokenAccounts.js';
+import { computeKeptMilliseconds } from './turnRetention.js';
 
 /** Tokens reserved for one turn. */
 export interface BudgetReservation {
@@ -31,6 +32,8 @@
 
 /** Minimum retention of an account after its last turn, in milliseconds: a stopped program may continue. */
 const MINIMUM_RETENTION_MILLISECONDS = 60_000;
+/** Lifetime of the row of an account, as a multiple of the time for which it must be kept after a turn. */
+const LIFETIME_FACTOR = 2;
 /** Parts in the prompt of a program's first turn: a prefix shared by many programs, and the program's own input. */
 const PROMPT_PARTS_OF_FIRST_TURN = 2;
 
@@ -94,13 +97,13 @@
     if (route.kind !== 'streaming' || budget === undefined || facts.programId === undefined) {
       return undefined;
     }
-    const retentionMilliseconds = Math.max(
-      MINIMUM_RETENTION_MILLISECONDS,
-      2 * route.retentionMilliseconds,
-    );
+    const keptMilliseconds = computeKeptMilliseconds({
+      ...route,
+      retentionMilliseconds: Math.max(MINIMUM_RETENTION_MILLISECONDS, route.retentionMilliseconds),
+    });
     return {
       budget,
-      expiresAt: this.dependencies.timers.wallClock() + retentionMilliseconds,
+      expiresAt: this.dependencies.timers.wallClock() + LIFETIME_FACTOR * keptMilliseconds,
       hasEarlierTurns: hasEarlierTurns(request),
       maximumTokens: facts.maximumOutputTokens ?? budget,
       program: makeProgramKey(request),
