fix(programs): segments of a history fit into a transaction of small rows

What callers would see where the store takes rows of less than 13 KB: a segment of 512 KB needs more than the 100 entries of a transaction, so a turn that has to renew a longer history is never stored and its stream is broken off each time.

Cause: the size of a segment did not depend on that of a row. Evidence: the new case of "is whole when it is larger than one transaction", rows of 12 KB and a history of 1.2 MB.

--- a/packages/gateway/src/programs/historyRenewal.ts
+++ b/packages/gateway/src/programs/historyRenewal.ts
@@ -8,6 +8,7 @@
 import type { StoredTurn, TurnChain } from './storedTurnRows.js';
 import type { TurnRows } from './turnRows.js';
 
+import { computeSegmentBytes } from './storedTurnRows.js';
 import {
   computeExpiry,
   computeKeptMilliseconds,
@@ -18,6 +19,8 @@
 /** Dependencies of a {@link HistoryRenewal}. */
 export interface HistoryRenewalDependencies {
   readonly rows: TurnRows;
+  /** Maximum size of a row, in bytes. */
+  readonly rowBytes: number;
   readonly timers: TimerService;
   readonly logger: Logger;
 }
@@ -28,8 +31,6 @@
   readonly expiresAt: number;
 }
 
-/** Size of a segment, in bytes: together with the encoding of the store it fits into one transaction of 1 MB. */
-const SEGMENT_BYTES = 512 * 1024;
 /** Maximum number of turns of which this instance remembers their renewed history. */
 const MAXIMUM_RENEWED_HISTORIES = 10_000;
 /** Length of the digest in the id of a segment. */
@@ -108,18 +109,19 @@
 
   private makeSegments(request: RunnableRequest, chain: TurnChain): TurnChain {
     const { facts, route, workspace } = request;
+    const segmentBytes = computeSegmentBytes(this.dependencies.rowBytes);
     const now = this.dependencies.timers.wallClock();
     const beganAt = findBeginning(chain) ?? now;
     const history = Buffer.concat(chain.flatMap(turn => [turn.input, turn.output]));
     const digest = sha256Hex(`${workspace ?? ''}\n${facts.requestId ?? ''}`);
     const name = digest.slice(0, DIGEST_LENGTH);
-    const count = Math.ceil(history.length / SEGMENT_BYTES);
+    const count = Math.ceil(history.length / segmentBytes);
     return Array.from({ length: count }, (_unused, index) => ({
       ancestors: [],
       beganAt,
       expiresAt: computeExpiry(route, now, beganAt),
       id: `history-${name}-${String(index)}` as TurnId,
-      input: history.subarray(index * SEGMENT_BYTES, (index + 1) * SEGMENT_BYTES),
+      input: history.subarray(index * segmentBytes, (index + 1) * segmentBytes),
       isSegment: true,
       keptUntil: now + computeKeptMilliseconds(route),
       output: Buffer.alloc(0),
--- a/packages/gateway/src/programs/storedTurnRows.ts
+++ b/packages/gateway/src/programs/storedTurnRows.ts
@@ -61,8 +61,22 @@
 const HEAD_BYTES = 8_192;
 /** Maximum number of rows of a turn: the store's own limit for a transaction. */
 const MAXIMUM_CHUNKS = 100;
+/** Maximum number of bytes that are stored as one turn, so that with the encoding of the store they fit into one transaction of 1 MB. */
+const MAXIMUM_SEGMENT_BYTES = 512 * 1024;
 const LINE_FEED = 0x0a;
 
+/**
+ * Returns how many bytes of a history may be stored as one segment.
+ *
+ * @param rowBytes maximum size of a row, in bytes
+ * @example
+ * computeSegmentBytes(65_536); // 524_288
+ */
+export function computeSegmentBytes(rowBytes: number): number {
+  // Each chunk is an entry of the transaction, and so is the check of the first one.
+  return Math.min(MAXIMUM_SEGMENT_BYTES, (MAXIMUM_CHUNKS - 1) * (rowBytes - HEAD_BYTES));
+}
+
 /**
  * Splits a turn into rows within the size limit of the store; the first row also contains the head.
  *
--- a/packages/gateway/tests/programs/historyRetention.test.ts
+++ b/packages/gateway/tests/programs/historyRetention.test.ts
@@ -241,16 +241,20 @@
   });
 
   // Guards against: a history above the size of one transaction could not be stored again.
-  it('is whole when it is larger than one transaction', async () => {
-    const piece = 'x'.repeat(600_000);
+  it.each([
+    { inputBytes: 600_000, rowBytes: 65_536 },
+    { inputBytes: 200_000, rowBytes: 12_288 },
+  ])('is whole when it is larger than one transaction (%o)', async ({ inputBytes, rowBytes }) => {
+    const instances = new ConversationFleet(timers, store, rowBytes);
+    const input = 'x'.repeat(inputBytes);
     for (let turn = 0; turn < 6; turn++) {
       const previous = turn === 0 ? undefined : `t${String(turn - 1)}`;
-      const ran = await fleet.run(fleet.start(), {
+      const ran = await instances.run(instances.start(), {
         id: `t${String(turn)}`,
-        input: piece,
+        input,
         previous,
       });
-      expect(ran.body?.length).toBe(piece.length * (turn + 1));
+      expect(ran.body?.length).toBe(inputBytes * (turn + 1));
       expect(ran.isStored).toBe(true);
       await timers.advance(PAUSE_MILLISECONDS);
       await fleet.sweep();
--- a/packages/gateway/tests/support/conversation.ts
+++ b/packages/gateway/tests/support/conversation.ts
@@ -41,6 +41,7 @@
   public constructor(
     private readonly timers: ManualTimerService,
     private readonly store: MemoryTable,
+    private readonly rowBytes = 65_536,
   ) {}
 
   /** Starts an instance, which knows nothing of what others have cached. */
@@ -48,7 +49,7 @@
     return new TurnStore({
       logger: silentLogger,
       random: () => 0.5,
-      rowBytes: 65_536,
+      rowBytes: this.rowBytes,
       table: new MonitoredTable(client, this.timers),
       timers: this.timers,
     });
