--- a/packages/gateway/src/programs/storedTurnRows.ts
+++ b/packages/gateway/src/programs/storedTurnRows.ts
@@ -61,7 +61,7 @@
 const HEAD_BYTES = 8_192;
 /** Maximum number of rows of a turn: the store's own limit for a transaction. */
 const MAXIMUM_CHUNKS = 100;
-/** Maximum number of bytes that are stored as one turn, so that with the encoding of the store they fit into one transaction of 1 MB. */
+/** Maximum size of a segment, in bytes: as the store encodes it, it fits into one transaction of 1 MB. */
 const MAXIMUM_SEGMENT_BYTES = 512 * 1024;
 const LINE_FEED = 0x0a;
 
