fix(configuration): an empty list of workspaces admits nobody

Cause: the codec decoded an absent list of tenants as an empty one, and admission asked for a key only if the list had entries. Evidence: before the change the unknown key gets 401; a list whose one workspace has no key closes the route on; an empty one opens it, also after a restart of all.

Open routes and configurations that never contained the list are served as before.

The log line of a new configuration says how many workspaces it has.

--- a/packages/gateway/src/callers/admitByConfiguration.ts
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -49,7 +49,7 @@
     return Err(new ZincringError('not-found'));
   }
   const workspace = facts.key === undefined ? undefined : index.findWorkspace(facts.key);
-  if (!route.isOpen && index.configuration.workspaces.length > 0 && workspace === undefined) {
+  if (index.needsKey(route) && workspace === undefined) {
     return Err(new ZincringError(facts.key === undefined ? 'key-missing' : 'key-rejected'));
   }
   if (facts.requestId === undefined) {
--- a/packages/gateway/src/configuration/configurationFollower.ts
+++ b/packages/gateway/src/configuration/configurationFollower.ts
@@ -153,6 +153,7 @@
         event: 'configuration-in-force',
         previous: previousVersion,
         version: configuration.version,
+        workspaces: configuration.workspaces?.length,
       },
       'a new configuration is in force',
     );
--- a/packages/gateway/src/configuration/configurationIndex.ts
+++ b/packages/gateway/src/configuration/configurationIndex.ts
@@ -30,7 +30,7 @@
     for (const routes of this.routesByHost.values()) {
       routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
-    for (const workspace of configuration.workspaces) {
+    for (const workspace of configuration.workspaces ?? []) {
       for (const key of workspace.keys) {
         this.workspacesByKey.set(key, workspace);
       }
@@ -38,7 +38,7 @@
     this.lowestPriority = Math.max(
       0,
       ...configuration.routes.filter(({ kind }) => kind === 'streaming').map(each => each.priority),
-      ...configuration.workspaces.flatMap(({ priority }) => priority ?? []),
+      ...(configuration.workspaces ?? []).flatMap(({ priority }) => priority ?? []),
     );
     for (const service of configuration.services) {
       this.servicesByName.set(service.name, service);
@@ -50,6 +50,11 @@
     return this.routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
   }
 
+  /** Whether requests of a route need the key of a workspace. */
+  public needsKey({ isOpen }: GatewayRoute): boolean {
+    return !isOpen && this.configuration.workspaces !== undefined;
+  }
+
   /** Finds the workspace to which a key belongs. */
   public findWorkspace(key: string): GatewayWorkspace | undefined {
     return this.workspacesByKey.get(key);
--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -110,6 +110,10 @@
   readonly version: ConfigurationVersion;
   readonly routes: readonly GatewayRoute[];
   readonly services: readonly GatewayService[];
-  readonly workspaces: readonly GatewayWorkspace[];
+  /**
+   * Workspaces whose keys are accepted: none while the list is empty. `undefined` if the configuration contains no
+   * list; its routes then need no key.
+   */
+  readonly workspaces: readonly GatewayWorkspace[] | undefined;
   readonly callerLimits: CallerLimits;
 }
--- a/packages/gateway/src/configuration/review/compareConfigurations.ts
+++ b/packages/gateway/src/configuration/review/compareConfigurations.ts
@@ -17,16 +17,19 @@
   inForce: GatewayConfiguration,
   proposed: GatewayConfiguration,
 ): readonly Finding[] {
+  const earlierWorkspaces = inForce.workspaces ?? [];
+  const laterWorkspaces = proposed.workspaces ?? [];
   return [
     ...compareVersions(inForce, proposed),
+    ...compareWorkspaceLists(inForce, proposed),
     ...compareEntries('route', inForce.routes, proposed.routes),
     ...compareEntries('service', inForce.services, proposed.services),
     ...compareEntries(
       'workspace',
-      inForce.workspaces.map(withoutKeys),
-      proposed.workspaces.map(withoutKeys),
+      earlierWorkspaces.map(withoutKeys),
+      laterWorkspaces.map(withoutKeys),
     ),
-    ...compareKeys(inForce.workspaces, proposed.workspaces),
+    ...compareKeys(earlierWorkspaces, laterWorkspaces),
     ...describeChanges('limits', inForce.callerLimits, proposed.callerLimits),
   ];
 }
@@ -46,6 +49,17 @@
       ];
 }
 
+function compareWorkspaceLists(
+  { workspaces: before }: GatewayConfiguration,
+  { workspaces: after }: GatewayConfiguration,
+): readonly Finding[] {
+  if ((before === undefined) === (after === undefined)) {
+    return [];
+  }
+  const text = after === undefined ? 'the list is removed' : 'the list is added';
+  return [describeChange('workspaces', text)];
+}
+
 function compareEntries(
   noun: string,
   before: readonly NamedEntry[],
--- a/packages/gateway/src/configuration/review/reviewConfiguration.ts
+++ b/packages/gateway/src/configuration/review/reviewConfiguration.ts
@@ -21,7 +21,7 @@
   return [
     ...findRepeatedNames('route', proposed.routes),
     ...findRepeatedNames('service', proposed.services),
-    ...findRepeatedNames('workspace', proposed.workspaces),
+    ...findRepeatedNames('workspace', proposed.workspaces ?? []),
     ...reviewRoutes(proposed),
     ...reviewServices(proposed),
     ...reviewWorkspaces(proposed),
--- a/packages/gateway/src/configuration/review/reviewRoutes.ts
+++ b/packages/gateway/src/configuration/review/reviewRoutes.ts
@@ -39,7 +39,7 @@
   {
     kind: 'unreachable',
     matches: ({ isOpen }, { workspaces }) =>
-      !isOpen && workspaces.length > 0 && workspaces.every(({ keys }) => keys.length === 0),
+      !isOpen && workspaces?.every(({ keys }) => keys.length === 0) === true,
     text: 'it needs a key, and no workspace has one',
   },
   {
--- a/packages/gateway/src/configuration/review/reviewWorkspaces.ts
+++ b/packages/gateway/src/configuration/review/reviewWorkspaces.ts
@@ -32,7 +32,7 @@
  * @example
  * reviewWorkspaces(configuration).map(formatFinding);
  */
-export function reviewWorkspaces({ workspaces }: GatewayConfiguration): readonly Finding[] {
+export function reviewWorkspaces({ workspaces = [] }: GatewayConfiguration): readonly Finding[] {
   return [
     ...workspaces.flatMap(workspace =>
       workspaceChecks
--- a/packages/gateway/src/lifecycle/gateway.ts
+++ b/packages/gateway/src/lifecycle/gateway.ts
@@ -391,7 +391,7 @@
     const credits = new DelegatedCreditSource({ local, owners: peers.owners, timers });
     const rates = new WorkspaceRates(this.options.instance, credits, timers);
     this.configuration.subscribe(index => {
-      rates.recordWorkspaces(index.configuration.workspaces);
+      rates.recordWorkspaces(index.configuration.workspaces ?? []);
     });
     return rates;
   }
