fix(configuration): a list of workspaces that is left out takes its keys away

A configuration without the list, after others that contained it, opened all routes, also to callers whose keys it took away. On the commit before, an instance and a process serve a withdrawn key, an unknown one and none.

Cause: "without the list no key is needed" was decided by the configuration in force alone.

A row of the store now says that there was a list; each instance reads or writes it at its start, and is not fresh, and so not ready, until it knows. In memory alone the knowledge would end with a restart of all processes.

--- a/packages/gateway/src/callers/admitByConfiguration.ts
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -31,6 +31,12 @@
   readonly lowestPriority: number;
 }
 
+/** What is known of the configurations before the one in force. */
+export interface EarlierConfigurations {
+  /** Whether any of them contained a list of workspaces; `undefined` while this is not known. */
+  readonly hadWorkspaces: boolean | undefined;
+}
+
 /** Number of values of a 32-bit hash. */
 const HASH_RANGE = 2 ** 32;
 
@@ -38,18 +44,20 @@
  * Finds the route, the service and the workspace of a request, or why the configuration refuses it.
  *
  * @example
- * const admission = admitByConfiguration(index, incoming);
+ * const admission = admitByConfiguration(index, incoming, follower.workspaceHistory);
  */
 export function admitByConfiguration(
   index: ConfigurationIndex,
   { facts, host, path }: AdmittedRequest,
+  { hadWorkspaces }: EarlierConfigurations,
 ): Result<Admission, ZincringError> {
   const route = index.findRoute(host, path);
   if (route === undefined) {
     return Err(new ZincringError('not-found'));
   }
   const workspace = facts.key === undefined ? undefined : index.findWorkspace(facts.key);
-  if (index.needsKey(route) && workspace === undefined) {
+  const needsKey = !route.isOpen && (index.hasWorkspaces || hadWorkspaces !== false);
+  if (needsKey && workspace === undefined) {
     return Err(new ZincringError(facts.key === undefined ? 'key-missing' : 'key-rejected'));
   }
   if (facts.requestId === undefined) {
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -146,7 +146,7 @@
         }),
       );
     }
-    const admitted = admitByConfiguration(index, incoming);
+    const admitted = admitByConfiguration(index, incoming, configuration.workspaceHistory);
     if (isFresh || (admitted.ok && admitted.val.route.isOpen && configuration.isUsable())) {
       return admitted;
     }
--- a/packages/gateway/src/configuration/configurationFollower.ts
+++ b/packages/gateway/src/configuration/configurationFollower.ts
@@ -12,6 +12,7 @@
 import { TableFollower } from '../store/tableFollower.js';
 import { EvacuatedZones } from '../upstreams/evacuation/evacuatedZones.js';
 import { ConfigurationIndex } from './configurationIndex.js';
+import { WorkspaceHistory } from './workspaceHistory.js';
 
 /** Location of the operator's configuration in the store, and its decoder. */
 export interface ConfigurationSource {
@@ -47,6 +48,8 @@
 export class ConfigurationFollower {
   /** The availability zones that the operator evacuates: as current as the configuration, since both are read together. */
   public readonly evacuatedZones: EvacuatedZones;
+  /** Whether there were workspaces before the configuration in force. */
+  public readonly workspaceHistory: WorkspaceHistory;
   private readonly follower: TableFollower;
   private readonly listeners: ((index: ConfigurationIndex) => void)[] = [];
   private index: ConfigurationIndex | undefined;
@@ -59,6 +62,7 @@
     private readonly options: ConfigurationFollowerOptions,
   ) {
     this.evacuatedZones = new EvacuatedZones(key => source.findEvacuatedZone(key), timers, logger);
+    this.workspaceHistory = new WorkspaceHistory({ logger, table, timers });
     this.follower = new TableFollower(
       table,
       timers,
@@ -94,9 +98,13 @@
     return this.follower.contactMilliseconds();
   }
 
-  /** Whether the configuration counts as current, so that no withdrawn key is accepted. */
+  /** Whether the configuration and the need of a key count as current, so that no withdrawn key is accepted. */
   public isFresh(): boolean {
-    return this.index !== undefined && this.ageMilliseconds() < this.options.freshMilliseconds;
+    return (
+      this.index !== undefined &&
+      this.workspaceHistory.hadWorkspaces !== undefined &&
+      this.ageMilliseconds() < this.options.freshMilliseconds
+    );
   }
 
   /** Whether the configuration is recent enough for routes that need no key. */
@@ -117,6 +125,7 @@
   /** Stops; the configuration in force then ages. */
   public stop(): void {
     this.follower.stop();
+    this.workspaceHistory.stop();
   }
 
   /** Reads the configuration immediately; returns whether it is fresh after the read or the given wait, whichever ends first. */
@@ -148,6 +157,7 @@
       return;
     }
     this.index = new ConfigurationIndex(configuration);
+    this.workspaceHistory.record(configuration);
     this.logger.info(
       {
         event: 'configuration-in-force',
--- a/packages/gateway/src/configuration/configurationIndex.ts
+++ b/packages/gateway/src/configuration/configurationIndex.ts
@@ -50,9 +50,9 @@
     return this.routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
   }
 
-  /** Whether requests of a route need the key of a workspace. */
-  public needsKey({ isOpen }: GatewayRoute): boolean {
-    return !isOpen && this.configuration.workspaces !== undefined;
+  /** Whether the configuration contains a list of workspaces, also an empty one. */
+  public get hasWorkspaces(): boolean {
+    return this.configuration.workspaces !== undefined;
   }
 
   /** Finds the workspace to which a key belongs. */
--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -112,7 +112,7 @@
   readonly services: readonly GatewayService[];
   /**
    * Workspaces whose keys are accepted: none while the list is empty. `undefined` if the configuration contains no
-   * list; its routes then need no key.
+   * list; its routes need no key then, unless an earlier configuration contained one.
    */
   readonly workspaces: readonly GatewayWorkspace[] | undefined;
   readonly callerLimits: CallerLimits;
--- a/packages/gateway/src/configuration/review/compareConfigurations.ts
+++ b/packages/gateway/src/configuration/review/compareConfigurations.ts
@@ -56,7 +56,10 @@
   if ((before === undefined) === (after === undefined)) {
     return [];
   }
-  const text = after === undefined ? 'the list is removed' : 'the list is added';
+  const text =
+    after === undefined
+      ? 'the list is removed: no key is accepted, and routes that are not open get no requests'
+      : 'the list is added';
   return [describeChange('workspaces', text)];
 }
 
--- a/packages/gateway/tests/configuration/absentWorkspaces.test.ts
+++ b/packages/gateway/tests/configuration/absentWorkspaces.test.ts
@@ -14,10 +14,14 @@
 const KEY = 'key-of-clerks';
 
 /** Returns what a request gets: the kind of the error, or `admitted`. */
-function admit(overrides: Partial<GatewayConfiguration>, key: string | undefined): string {
+function admit(
+  overrides: Partial<GatewayConfiguration>,
+  key: string | undefined,
+  hadWorkspaces: boolean | undefined = false,
+): string {
   const index = new ConfigurationIndex(sampleConfiguration(1, overrides));
   const request = { facts: sampleFacts({ key }), host: 'agents.example', path: '/summaries/7' };
-  const admission = admitByConfiguration(index, request);
+  const admission = admitByConfiguration(index, request, { hadWorkspaces });
   return admission.ok ? 'admitted' : admission.val.kind;
 }
 
@@ -32,10 +36,28 @@
     expect(admit({ workspaces }, undefined)).toBe('key-missing');
   });
 
-  it.each([KEY, 'unknown', undefined])('need none without a list (%s)', key => {
+  it.each([KEY, 'unknown', undefined])('need none if there never was a list (%s)', key => {
     expect(admit({ workspaces: undefined }, key)).toBe('admitted');
   });
 
+  it.each([
+    [KEY, 'key-rejected'],
+    ['unknown', 'key-rejected'],
+    [undefined, 'key-missing'],
+  ])('admit nobody once a list was left out (%s)', (key, kind) => {
+    expect(admit({ workspaces: undefined }, key, true)).toBe(kind);
+  });
+
+  it.each([
+    [KEY, 'key-rejected'],
+    [undefined, 'key-missing'],
+  ])('admit nobody while it is not known whether there was a list (%s)', (key, kind) => {
+    const index = new ConfigurationIndex(sampleConfiguration(1, { workspaces: undefined }));
+    const request = { facts: sampleFacts({ key }), host: 'agents.example', path: '/summaries/7' };
+    const admission = admitByConfiguration(index, request, { hadWorkspaces: undefined });
+    expect(admission.err && admission.val.kind).toBe(kind);
+  });
+
   it.each([[undefined], [[]], [[sampleWorkspace()]]])(
     'need none while they are open, whatever the list contains (%j)',
     workspaces => {
--- a/packages/gateway/tests/configuration/configurationFollower.test.ts
+++ b/packages/gateway/tests/configuration/configurationFollower.test.ts
@@ -61,6 +61,37 @@
     expect(follower.current?.configuration.version).toBe(7);
   });
 
+  // Guards against admission without keys while it is not known whether there were any.
+  it('is not fresh without a list of workspaces until it knows whether there was one', async () => {
+    const otherStore = new MemoryTable(timers);
+    const lateTable = otherStore.client();
+    const answers: (() => void)[] = [];
+    const unsure = new ConfigurationFollower(
+      {
+        ...lateTable,
+        read: async request => {
+          if (request.table !== sampleConfigurationSource.table) {
+            await new Promise<void>(resolve => answers.push(resolve));
+          }
+          return await lateTable.read(request);
+        },
+      },
+      sampleConfigurationSource,
+      timers,
+      silentLogger,
+      { freshMilliseconds: FRESH_MILLISECONDS, usableMilliseconds: 5_000, waitMilliseconds: 1_000 },
+    );
+    otherStore.put(configurationAddress, sampleConfiguration(7, { workspaces: undefined }));
+    unsure.start();
+    await timers.advance(200);
+    expect([unsure.isFresh(), unsure.isUsable()]).toEqual([false, true]);
+    answers.forEach(answer => {
+      answer();
+    });
+    await timers.advance(200);
+    expect(unsure.isFresh()).toBe(true);
+  });
+
   it('keeps the version in force when a stored one cannot be decoded', async () => {
     store.put(configurationAddress, 'no configuration');
     await timers.advance(200);
--- a/packages/gateway/tests/configuration/review/reviewConfiguration.test.ts
+++ b/packages/gateway/tests/configuration/review/reviewConfiguration.test.ts
@@ -149,7 +149,7 @@
   it('tells the removal of the list of workspaces from that of all its entries', () => {
     const inForce = sampleConfiguration(6, sound);
     expect(review({ workspaces: undefined }, inForce)).toEqual([
-      'change: workspaces: the list is removed',
+      'change: workspaces: the list is removed: no key is accepted, and routes that are not open get no requests',
       'change: workspace clerks: is removed',
     ]);
     expect(review({ workspaces: [] }, inForce)).toEqual([
--- a/packages/gateway/tests/lifecycle/withdrawnKeys.test.ts
+++ b/packages/gateway/tests/lifecycle/withdrawnKeys.test.ts
@@ -5,7 +5,12 @@
 
 import { responds } from '../support/fakeReplica.js';
 import { countRuns, startGateway, unsafeRoute } from '../support/gatewayFixture.js';
-import { configurationAddress, plainService, sampleConfiguration } from '../support/samples.js';
+import {
+  configurationAddress,
+  plainService,
+  sampleConfiguration,
+  sampleWorkspace,
+} from '../support/samples.js';
 
 /** Time after which instances have noticed a new configuration, in milliseconds. */
 const NOTICE_MILLISECONDS = 150;
@@ -55,3 +60,29 @@
     expect(await sendAll(fixture)).toEqual([200, 200, 200]);
   });
 });
+
+/** Guards against a list that is left out, which opened all routes to those whose keys it took away. */
+describe('instances whose list of workspaces was left out', () => {
+  it('refuse all requests that need a key, and so do those that start later', async () => {
+    const fixture = await startGateway(unsafeRoute, [[responds('done')]]);
+    await configure(fixture, 2, { workspaces: undefined });
+    expect(await sendAll(fixture)).toEqual([401, 401, 401]);
+    expect(await sendAll(await fixture.startInstance())).toEqual([401, 401, 401]);
+    expect(countRuns(fixture)).toBe(0);
+  });
+
+  it('serve an open route', async () => {
+    const fixture = await startGateway(unsafeRoute, [[responds('done')]]);
+    const routes = [{ ...unsafeRoute, isOpen: true }];
+    await configure(fixture, 2, { routes, workspaces: undefined });
+    expect(await sendAll(fixture)).toEqual([200, 200, 200]);
+  });
+
+  it('accept the keys of a later list', async () => {
+    const fixture = await startGateway(unsafeRoute, [[responds('done')]]);
+    await configure(fixture, 2, { workspaces: undefined });
+    await configure(fixture, 3, { workspaces: [sampleWorkspace({ keys: ['new-key'] })] });
+    expect(await sendAll(fixture)).toEqual([401, 401, 401]);
+    expect((await fixture.send({ headers: { key: 'new-key' } })).status).toBe(200);
+  });
+});
