fix(configuration): an empty text among the keys of a workspace is no key

A request with an empty key header ran as the workspace whose keys contained an empty text.

Cause: the index took every text for a key. It leaves empty ones out now, and the review reports them; the other keys of the configuration come into force, so that its withdrawals do.

--- a/packages/gateway/src/configuration/configurationIndex.ts
+++ b/packages/gateway/src/configuration/configurationIndex.ts
@@ -31,7 +31,8 @@
       routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
     }
     for (const workspace of configuration.workspaces ?? []) {
-      for (const key of workspace.keys) {
+      // An empty text is a key that was left out.
+      for (const key of workspace.keys.filter(each => each !== '')) {
         this.workspacesByKey.set(key, workspace);
       }
     }
--- a/packages/gateway/src/configuration/review/reviewRoutes.ts
+++ b/packages/gateway/src/configuration/review/reviewRoutes.ts
@@ -39,7 +39,7 @@
   {
     kind: 'unreachable',
     matches: ({ isOpen }, { workspaces }) =>
-      !isOpen && workspaces?.every(({ keys }) => keys.length === 0) === true,
+      !isOpen && workspaces?.every(({ keys }) => keys.every(key => key === '')) === true,
     text: 'it needs a key, and no workspace has one',
   },
   {
--- a/packages/gateway/src/configuration/review/reviewWorkspaces.ts
+++ b/packages/gateway/src/configuration/review/reviewWorkspaces.ts
@@ -9,6 +9,11 @@
 }
 
 const workspaceChecks: readonly WorkspaceCheck[] = [
+  {
+    kind: 'error',
+    matches: ({ keys }) => keys.includes(''),
+    text: 'one of its keys is empty, which admits nobody',
+  },
   {
     kind: 'unreachable',
     matches: ({ keys }) => keys.length === 0,
@@ -46,19 +51,21 @@
 function findSharedKeys(workspaces: readonly GatewayWorkspace[]): readonly Finding[] {
   const holders = new Map<string, GatewayWorkspace>();
   return workspaces.flatMap(workspace =>
-    workspace.keys.flatMap((key): readonly Finding[] => {
-      const holder = holders.get(key);
-      holders.set(key, workspace);
-      return holder === undefined || holder === workspace
-        ? []
-        : [
-            {
-              kind: 'error',
-              subject: describe(workspace),
-              text: `it has a key that workspace ${holder.name} has too`,
-            },
-          ];
-    }),
+    workspace.keys
+      .filter(key => key !== '')
+      .flatMap((key): readonly Finding[] => {
+        const holder = holders.get(key);
+        holders.set(key, workspace);
+        return holder === undefined || holder === workspace
+          ? []
+          : [
+              {
+                kind: 'error',
+                subject: describe(workspace),
+                text: `it has a key that workspace ${holder.name} has too`,
+              },
+            ];
+      }),
   );
 }
 
--- a/packages/gateway/tests/configuration/absentWorkspaces.test.ts
+++ b/packages/gateway/tests/configuration/absentWorkspaces.test.ts
@@ -30,12 +30,20 @@
   it.each([
     ['a list without entries', []],
     ['a workspace without keys', [sampleWorkspace({ keys: [] })]],
+    ['a workspace whose only key is empty', [sampleWorkspace({ keys: [''] })]],
   ])('admit nobody with %s', (_name, workspaces) => {
     expect(admit({ workspaces }, KEY)).toBe('key-rejected');
     expect(admit({ workspaces }, 'unknown')).toBe('key-rejected');
+    expect(admit({ workspaces }, '')).toBe('key-rejected');
     expect(admit({ workspaces }, undefined)).toBe('key-missing');
   });
 
+  it('admit the keys beside an empty one, and nobody with that', () => {
+    const workspaces = [sampleWorkspace({ keys: ['', KEY] })];
+    expect(admit({ workspaces }, KEY)).toBe('admitted');
+    expect(admit({ workspaces }, '')).toBe('key-rejected');
+  });
+
   it.each([KEY, 'unknown', undefined])('need none if there never was a list (%s)', key => {
     expect(admit({ workspaces: undefined }, key)).toBe('admitted');
   });
--- a/packages/gateway/tests/configuration/review/reviewConfiguration.test.ts
+++ b/packages/gateway/tests/configuration/review/reviewConfiguration.test.ts
@@ -124,6 +124,10 @@
       expected: /^contradiction: workspace clerks: it has a burst/,
       overrides: { workspaces: [sampleWorkspace({ ratePerSecond: 0 })] },
     },
+    {
+      expected: /^error: workspace clerks: one of its keys is empty/,
+      overrides: { workspaces: [sampleWorkspace({ keys: ['key-of-clerks', ''] })] },
+    },
     {
       expected: /^error: workspace crews: it has a key that workspace clerks/,
       overrides: {
