refactor(callers): the admission of requests has a class of its own

RequestPipeline goes from headers to the response; whether the configuration is current and whom it admits is decided before. No behaviour changes.

--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -1,6 +1,6 @@
-import type { Logger, Result, TimerService } from '@zincring/core';
+import type { Logger, Result, TimerService , ZincringError } from '@zincring/core';
 
-import { Err, ZincringError } from '@zincring/core';
+import { Err } from '@zincring/core';
 
 import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import type { BudgetReservation, TurnBudgets } from '../programs/turnBudgets.js';
@@ -24,7 +24,8 @@
 import { hasNotRun } from '../upstreams/runOutcome.js';
 import { findProgramStage } from '../programs/programStage.js';
 import { TurnRecorder } from '../programs/turnRecorder.js';
-import { admitByConfiguration, findPriority } from './admitByConfiguration.js';
+import { findPriority } from './admitByConfiguration.js';
+import { RequestAdmission } from './requestAdmission.js';
 import { RequestLifetimes } from './requestLifetimes.js';
 import { chooseAbortError, findStopRefusal } from './stopRefusals.js';
 
@@ -73,11 +74,6 @@
   readonly reservation: BudgetReservation | undefined;
 }
 
-/** Maximum time that a request waits for a refresh of the configuration, in milliseconds: a few round trips to the store. */
-const MAXIMUM_REFRESH_WAIT_MILLISECONDS = 150;
-/** Retry-After of an instance without a current configuration, in seconds: short, since another instance may have one. */
-const STALE_CONFIGURATION_RETRY_SECONDS = 0.03;
-
 /**
  * Handles a request from its headers to its response: route, key, rate, history and token budget,
  * then the attempts at replicas. Each step may refuse the request, which ends it immediately.
@@ -88,17 +84,19 @@
 export class RequestPipeline {
   private readonly timers: TimerService;
   private readonly logger: Logger;
+  private readonly admission: RequestAdmission;
   private readonly lifetimes: RequestLifetimes;
 
   public constructor(private readonly dependencies: RequestPipelineDependencies) {
     this.timers = dependencies.timers;
+    this.admission = new RequestAdmission(dependencies.configuration);
     this.lifetimes = new RequestLifetimes(dependencies.timers);
     this.logger = dependencies.logger;
   }
 
   /** Handles one request and writes its response to the sink. */
   public async handle(incoming: IncomingRequest, sink: ResponseSink): Promise<void> {
-    const admission = await this.admit(incoming);
+    const admission = await this.admission.admit(incoming);
     if (admission.err) {
       if (await incoming.skipBody()) {
         this.refuse(incoming, sink, admission.val);
@@ -132,36 +130,6 @@
     this.lifetimes.interruptAll();
   }
 
-  private async admit(incoming: IncomingRequest): Promise<Result<Admission, ZincringError>> {
-    const { configuration } = this.dependencies;
-    if (incoming.refusal !== undefined) {
-      return Err(incoming.refusal);
-    }
-    const isFresh = configuration.isFresh() || (await this.refreshConfiguration());
-    const index = configuration.current;
-    if (index === undefined) {
-      return Err(
-        new ZincringError('instance-not-ready', {
-          retryAfterSeconds: STALE_CONFIGURATION_RETRY_SECONDS,
-        }),
-      );
-    }
-    const admitted = admitByConfiguration(index, incoming, configuration.workspaceHistory);
-    if (isFresh || (admitted.ok && admitted.val.route.isOpen && configuration.isUsable())) {
-      return admitted;
-    }
-    return Err(
-      new ZincringError('instance-not-ready', {
-        detail: 'the configuration is not known to be current',
-        retryAfterSeconds: STALE_CONFIGURATION_RETRY_SECONDS,
-      }),
-    );
-  }
-
-  private async refreshConfiguration(): Promise<boolean> {
-    return await this.dependencies.configuration.refresh(MAXIMUM_REFRESH_WAIT_MILLISECONDS);
-  }
-
   private async serve(
     incoming: IncomingRequest,
     admission: Admission,
