fix(callers): a request is admitted again when its body has arrived

A caller who held back the rest of a body kept the admission of the head: the request ran however long after its key was withdrawn, on a route that had ceased to be open, and as the workspace that had the key before.

Cause: admission was decided with the head and never again, and a body has no time limit but that on silence. Once the body is there, the request is admitted again if the configuration has changed or is not known to be current.

--- a/packages/gateway/src/callers/admitByConfiguration.ts
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -22,6 +22,8 @@
 
 /** Route, service and workspace of an admitted request. */
 export interface Admission {
+  /** Configuration that admitted the request. */
+  readonly index: ConfigurationIndex;
   readonly route: GatewayRoute;
   readonly service: GatewayService;
   readonly workspace: GatewayWorkspace | undefined;
@@ -70,6 +72,7 @@
     );
   }
   return Ok({
+    index,
     permittedRegions: combinePermittedRegions(route.permittedRegions, workspace?.permittedRegions),
     lowestPriority: index.lowestPriority,
     route,
--- a/packages/gateway/src/callers/requestAdmission.ts
+++ b/packages/gateway/src/callers/requestAdmission.ts
@@ -1,6 +1,6 @@
 import type { Result } from '@zincring/core';
 
-import { Err, ZincringError } from '@zincring/core';
+import { Err, Ok, ZincringError } from '@zincring/core';
 
 import type { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import type { AdmittedRequest, Admission } from './admitByConfiguration.js';
@@ -54,6 +54,19 @@
     );
   }
 
+  /** Admits a request again once its body has arrived, unless nothing can have changed since it was admitted. */
+  public async confirm(
+    incoming: ArrivedRequest,
+    admission: Admission,
+  ): Promise<Result<Admission, ZincringError>> {
+    const { configuration } = this;
+    const isCurrent =
+      configuration.isFresh() || (admission.route.isOpen && configuration.isUsable());
+    return isCurrent && admission.index === configuration.current
+      ? Ok(admission)
+      : await this.admit(incoming);
+  }
+
   private async refreshConfiguration(): Promise<boolean> {
     return await this.configuration.refresh(MAXIMUM_REFRESH_WAIT_MILLISECONDS);
   }
--- a/packages/gateway/src/callers/requestPipeline.ts
+++ b/packages/gateway/src/callers/requestPipeline.ts
@@ -1,4 +1,4 @@
-import type { Logger, Result, TimerService , ZincringError } from '@zincring/core';
+import type { Logger, Result, TimerService, ZincringError } from '@zincring/core';
 
 import { Err } from '@zincring/core';
 
@@ -114,11 +114,16 @@
       this.refuse(incoming, sink, body.val);
       return;
     }
-    const lifetime = this.lifetimes.begin(incoming, admission.val.route);
+    const confirmed = await this.admission.confirm(incoming, admission.val);
+    if (confirmed.err) {
+      this.refuse(incoming, sink, confirmed.val);
+      return;
+    }
+    const lifetime = this.lifetimes.begin(incoming, confirmed.val.route);
     try {
       const outcome =
         findStopRefusal(this.dependencies.plannedStop, lifetime) ??
-        (await this.serve(incoming, admission.val, body.val, sink, lifetime));
+        (await this.serve(incoming, confirmed.val, body.val, sink, lifetime));
       this.finish(incoming, sink, lifetime, outcome);
     } finally {
       this.lifetimes.end(lifetime);
--- a/packages/gateway/tests/lifecycle/withdrawnKeys.test.ts
+++ b/packages/gateway/tests/lifecycle/withdrawnKeys.test.ts
@@ -1,10 +1,16 @@
+import { once } from 'node:events';
+import { request as startRequest } from 'node:http';
 import { describe, expect, it } from 'vitest';
 
+import type { WorkspaceName } from '@zincring/core';
+import type { IncomingMessage } from 'node:http';
+
 import type { GatewayConfiguration } from '../../src/configuration/gatewayConfiguration.js';
+import type { Behaviour } from '../support/fakeReplica.js';
 import type { GatewayFixture } from '../support/gatewayFixture.js';
 
-import { responds } from '../support/fakeReplica.js';
-import { countRuns, startGateway, unsafeRoute } from '../support/gatewayFixture.js';
+import { responds, respondsWithHeaders, streamsEvents } from '../support/fakeReplica.js';
+import { countRuns, resumableRoute, startGateway, unsafeRoute } from '../support/gatewayFixture.js';
 import {
   configurationAddress,
   plainService,
@@ -86,3 +92,97 @@
     expect((await fixture.send({ headers: { key: 'new-key' } })).status).toBe(200);
   });
 });
+
+/** Sends the head of a request and a part of its body, changes the configuration, and then sends the rest. */
+async function sendAroundChange(
+  fixture: GatewayFixture,
+  overrides: Partial<GatewayConfiguration>,
+): Promise<number> {
+  const outgoing = startRequest({
+    agent: false,
+    headers: {
+      'content-length': '4',
+      host: 'agents.example',
+      key: 'key-of-clerks',
+      'request-id': 'request-1',
+    },
+    host: '127.0.0.1',
+    method: 'POST',
+    path: '/summaries/7',
+    port: fixture.gateway.ports.callers,
+  });
+  const responded = once(outgoing, 'response') as Promise<[IncomingMessage]>;
+  outgoing.write('bo');
+  await new Promise(resolve => setTimeout(resolve, NOTICE_MILLISECONDS));
+  await configure(fixture, 2, overrides);
+  outgoing.end('dy');
+  const [response] = await responded;
+  response.resume();
+  return response.statusCode ?? 0;
+}
+
+/** Guards against requests that were held open with an incomplete body until their key was withdrawn, and then ran. */
+describe('requests whose body ends after a change of the configuration', () => {
+  it.each([
+    ['its workspace has another key', [sampleWorkspace({ keys: ['new-key'] })], 401],
+    ['there are no workspaces any more', [], 401],
+    ['the list is left out', undefined, 401],
+    ['its key is still there', [sampleWorkspace({ priority: 2 })], 200],
+  ])('are admitted by the new one: %s', async (_name, workspaces, status) => {
+    const fixture = await startGateway(unsafeRoute, [[responds('done')]]);
+    expect(await sendAroundChange(fixture, { workspaces })).toBe(status);
+    expect(countRuns(fixture)).toBe(status === 200 ? 1 : 0);
+  });
+
+  it('are refused once their route needs a key that they lack', async () => {
+    const fixture = await startGateway({ ...unsafeRoute, isOpen: true }, [[responds('done')]]);
+    const workspaces = [sampleWorkspace({ keys: ['new-key'] })];
+    expect(await sendAroundChange(fixture, { workspaces })).toBe(401);
+    expect(countRuns(fixture)).toBe(0);
+  });
+
+  it('belong to the workspace that has their key now', async () => {
+    const fixture = await startGateway(unsafeRoute, [[responds('done')]]);
+    const workspaces = [sampleWorkspace({ name: 'crews' as WorkspaceName })];
+    expect(await sendAroundChange(fixture, { workspaces })).toBe(200);
+    expect(fixture.replicas[0]?.receivedRequests[0]?.headers.get('workspace')).toBe('crews');
+  });
+});
+
+/** Sends a stream of two events with a pause between them that is longer than a change of the configuration takes. */
+const streamsSlowly: Behaviour = (socket, request) => {
+  const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+  const headerLines = ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked'];
+  const first = chunk('id: 1\ndata: a\n\n');
+  respondsWithHeaders('200 OK', headerLines, first)(socket, request);
+  setTimeout(() => {
+    socket.write(`${chunk('id: 2\ndata: b\n\n')}0\r\n\r\n`);
+  }, 4 * NOTICE_MILLISECONDS);
+};
+
+/** Guards against the continuation of what began with a key that has been withdrawn since. */
+describe('a stream that runs while its key is withdrawn', () => {
+  it('is sent to its end, since only the time at which it was requested counts', async () => {
+    const fixture = await startGateway(resumableRoute, [[streamsSlowly]]);
+    const pending = fixture.send();
+    await new Promise(resolve => setTimeout(resolve, NOTICE_MILLISECONDS));
+    await configure(fixture, 2, { routes: [resumableRoute], workspaces: [] });
+    expect(await pending).toMatchObject({
+      body: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+      isComplete: true,
+      status: 200,
+    });
+  });
+
+  it.each<Readonly<Record<string, string>>>([
+    { 'last-event-id': '1', resumes: 'request-1' },
+    { 'previous-turn': 'request-1' },
+  ])('is not continued by another request of its caller (%j)', async headers => {
+    const fixture = await startGateway(resumableRoute, [[streamsEvents([1, 2], 'whole')]]);
+    expect((await fixture.send()).status).toBe(200);
+    await configure(fixture, 2, { routes: [resumableRoute], workspaces: [] });
+    const next = { ...headers, 'request-id': 'request-2' };
+    expect((await fixture.send({ headers: next })).status).toBe(401);
+    expect(countRuns(fixture)).toBe(1);
+  });
+});
