fix(callers): an open route is looked for again when the body has arrived

Stand-alone product: a request without a key on an open route ran up to 30 s after its route had been removed or needed a key, if its body arrived that slowly.

Cause: requests with a key look at it again after their body, those without one looked at nothing.

--- a/packages/instance/src/callers/callerRouter.ts
+++ b/packages/instance/src/callers/callerRouter.ts
@@ -98,10 +98,7 @@
   private async handleRouteRequest(routed: RoutedRequest): Promise<void> {
     const { configuration, target } = routed;
     const path = target.pathname + target.search;
-    const route = configuration.routes.find(each => matchesRoute(target.pathname, each));
-    if (route === undefined) {
-      throw new ZincringError('not-found');
-    }
+    const route = findRoute(configuration, target);
     if (route.access === 'key') {
       await this.handleServiceRequest(routed, route.service, path);
       return;
@@ -112,6 +109,7 @@
       response,
     );
     const body = await readBody(request, this.options.bodyLimitBytes);
+    this.requireOpenRoute(target);
     await this.options.serviceRoutes.handle(
       {
         ...prepared,
@@ -126,6 +124,17 @@
     );
   }
 
+  /** Refuses a request without a key whose route has been removed, or closed, while its body arrived. */
+  private requireOpenRoute(target: RequestTarget): void {
+    const configuration = this.options.configuration();
+    if (configuration === undefined) {
+      throw new ZincringError('instance-not-ready');
+    }
+    if (findRoute(configuration, target).access !== 'open') {
+      throw new ZincringError('key-missing');
+    }
+  }
+
   private async handleServiceRequest(
     { configuration, request, response }: RoutedRequest,
     service: ServiceName,
@@ -225,6 +234,15 @@
   return `/${remainingSegments.join('/')}${search}`;
 }
 
+/** Finds the route of a target; throws the kind `not-found` if there is none. */
+function findRoute({ routes }: Configuration, { pathname }: RequestTarget): RouteRule {
+  const route = routes.find(each => matchesRoute(pathname, each));
+  if (route === undefined) {
+    throw new ZincringError('not-found');
+  }
+  return route;
+}
+
 function matchesRoute(pathname: string, { path }: RouteRule): boolean {
   const prefix = path.endsWith('/') ? path : `${path}/`;
   return pathname === path || pathname.startsWith(prefix);
