--- a/packages/gateway/src/configuration/configurationFollower.ts
+++ b/packages/gateway/src/configuration/configurationFollower.ts
@@ -79,10 +79,16 @@
           this.applyRows(
             changes.flatMap(change => (change.kind === 'written' ? [change.row] : [])),
           );
+          if (changes.some(({ kind, row }) => kind === 'removed' && row.key === source.key)) {
+            this.logRemoval();
+          }
         },
         onSnapshot: (rows, version) => {
           this.evacuatedZones.applySnapshot(rows, version);
           this.applyRows(rows);
+          if (this.index !== undefined && rows.every(({ key }) => key !== source.key)) {
+            this.logRemoval();
+          }
         },
       },
     );
@@ -171,4 +177,11 @@
       listener(this.index);
     }
   }
+
+  private logRemoval(): void {
+    this.logger.error(
+      { event: 'configuration-removed', version: this.index?.configuration.version },
+      'the stored configuration was removed; keeping the one in force',
+    );
+  }
 }
--- a/packages/gateway/tests/configuration/configurationFollower.test.ts
+++ b/packages/gateway/tests/configuration/configurationFollower.test.ts
@@ -1,4 +1,4 @@
-import { ManualTimerService, silentLogger } from '@zincring/core';
+import { createLogger, ManualTimerService, silentLogger } from '@zincring/core';
 import { beforeEach, describe, expect, it } from 'vitest';
 
 import type { StoreFaults } from '../support/memoryTable.js';
@@ -19,15 +19,17 @@
   let timers: ManualTimerService;
   let store: MemoryTable;
   let follower: ConfigurationFollower;
+  let logLines: string[];
 
   beforeEach(async () => {
     timers = new ManualTimerService();
     store = new MemoryTable(timers);
+    logLines = [];
     follower = new ConfigurationFollower(
       store.client(),
       sampleConfigurationSource,
       timers,
-      silentLogger,
+      createLogger('info', {}, { write: line => logLines.push(line) }),
       { freshMilliseconds: FRESH_MILLISECONDS, usableMilliseconds: 5_000, waitMilliseconds: 1_000 },
     );
     store.put(configurationAddress, sampleConfiguration(7));
@@ -99,6 +101,43 @@
     expect(follower.isFresh()).toBe(true);
   });
 
+  // Guards against a removal of the configuration that nothing tells of.
+  it.each([
+    ['the feed', () => undefined],
+    [
+      'a snapshot',
+      () => {
+        store.compact();
+      },
+    ],
+  ])('keeps the version in force when its row is removed, as %s shows', async (_name, hide) => {
+    store.remove(configurationAddress);
+    hide();
+    await timers.advance(3_000);
+    expect(follower.current?.configuration.version).toBe(7);
+    expect(follower.isFresh()).toBe(true);
+    expect(logLines.join('')).toContain('"event":"configuration-removed"');
+    store.put(configurationAddress, sampleConfiguration(8, { workspaces: [] }));
+    await timers.advance(200);
+    expect(follower.current?.findWorkspace('key-of-clerks')).toBeUndefined();
+  });
+
+  it('tells of no removal before there was a configuration', async () => {
+    const emptyStore = new MemoryTable(timers);
+    const unconfigured = new ConfigurationFollower(
+      emptyStore.client(),
+      sampleConfigurationSource,
+      timers,
+      createLogger('info', {}, { write: line => logLines.push(line) }),
+      { freshMilliseconds: FRESH_MILLISECONDS, usableMilliseconds: 5_000, waitMilliseconds: 1_000 },
+    );
+    logLines = [];
+    unconfigured.start();
+    await timers.advance(100);
+    expect(unconfigured.current).toBeUndefined();
+    expect(logLines.join('')).not.toContain('configuration-removed');
+  });
+
   it('stays fresh without changes and after the feed history is lost', async () => {
     await timers.advance(20_000);
     store.compact();
