fix(configuration): log a later configuration that has no higher version

Written again with the same or a lower version, for instance by hand to withdraw a key, a configuration has no effect, and nothing told the operator.

The follower left it without a word, since it reads the one in force again after each gap of the feed. It logs configuration-ignored now for a row that was written after the one in force.

--- a/packages/gateway/src/configuration/configurationFollower.ts
+++ b/packages/gateway/src/configuration/configurationFollower.ts
@@ -53,6 +53,8 @@
   private readonly follower: TableFollower;
   private readonly listeners: ((index: ConfigurationIndex) => void)[] = [];
   private index: ConfigurationIndex | undefined;
+  /** Version in the store of the row with the configuration in force. */
+  private appliedRowVersion = -1;
 
   public constructor(
     table: PartitionedTable,
@@ -147,7 +149,7 @@
     for (const row of rows.filter(({ key }) => key === this.source.key)) {
       const decoded = this.source.decode(row.value);
       if (decoded.ok) {
-        this.applyConfiguration(decoded.val);
+        this.applyConfiguration(decoded.val, row.version);
       } else {
         this.logger.error(
           { event: 'configuration-unreadable', failure: decoded.val, rowVersion: row.version },
@@ -157,11 +159,13 @@
     }
   }
 
-  private applyConfiguration(configuration: GatewayConfiguration): void {
+  private applyConfiguration(configuration: GatewayConfiguration, rowVersion: number): void {
     const previousVersion: ConfigurationVersion | undefined = this.index?.configuration.version;
     if (previousVersion !== undefined && configuration.version <= previousVersion) {
+      this.logIgnored(configuration.version, rowVersion);
       return;
     }
+    this.appliedRowVersion = rowVersion;
     this.index = new ConfigurationIndex(configuration);
     this.workspaceHistory.record(configuration);
     this.logger.info(
@@ -184,4 +188,20 @@
       'the stored configuration was removed; keeping the one in force',
     );
   }
+
+  /** Logs a row that was written after the configuration in force and has no higher version. */
+  private logIgnored(version: ConfigurationVersion, rowVersion: number): void {
+    if (rowVersion <= this.appliedRowVersion) {
+      return;
+    }
+    this.logger.error(
+      {
+        event: 'configuration-ignored',
+        ignored: version,
+        rowVersion,
+        version: this.index?.configuration.version,
+      },
+      'a later stored configuration has no higher version; keeping the one in force',
+    );
+  }
 }
--- a/packages/gateway/tests/configuration/configurationFollower.test.ts
+++ b/packages/gateway/tests/configuration/configurationFollower.test.ts
@@ -138,6 +138,20 @@
     expect(logLines.join('')).not.toContain('configuration-removed');
   });
 
+  // Guards against a withdrawal without a higher version, which has no effect and of which nothing told.
+  it.each([5, 7])('logs that it ignores a later row with version %i', async version => {
+    store.put(configurationAddress, sampleConfiguration(version, { workspaces: [] }));
+    await timers.advance(200);
+    expect(follower.current?.findWorkspace('key-of-clerks')).toBeDefined();
+    expect(logLines.join('')).toContain('"event":"configuration-ignored"');
+  });
+
+  it('does not log that it has read the configuration in force again', async () => {
+    store.compact();
+    await timers.advance(5_000);
+    expect(logLines.join('')).not.toContain('configuration-ignored');
+  });
+
   it('stays fresh without changes and after the feed history is lost', async () => {
     await timers.advance(20_000);
     store.compact();
