fix(callers): a route whose weights are all 0 sends requests to no service

All of its requests ran at the last service of the split. Cause: the choice by weight fell back to the last service where none was reached. Only services with a weight above 0 are chosen from now; without any the request is refused at once, as not run.

--- a/packages/gateway/src/callers/admitByConfiguration.ts
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -65,11 +65,14 @@
   if (facts.requestId === undefined) {
     return Err(new ZincringError('bad-request', { detail: 'the request has no id' }));
   }
-  const service = index.findService(pickService(route, facts));
+  const picked = pickService(route, facts);
+  const service = picked === undefined ? undefined : index.findService(picked);
   if (service === undefined) {
-    return Err(
-      new ZincringError('upstream-unavailable', { detail: 'the service is not described' }),
-    );
+    const detail =
+      picked === undefined
+        ? 'the route sends requests to no service'
+        : 'the service is not described';
+    return Err(new ZincringError('upstream-unavailable', { detail }));
   }
   return Ok({
     index,
@@ -81,18 +84,22 @@
   });
 }
 
-/** Distributes requests over the services of a route by weight; all requests of a session use one service. */
-function pickService(route: GatewayRoute, facts: RequestFacts): ServiceName {
-  const totalWeight = route.services.reduce((sum, { weight }) => sum + weight, 0);
+/**
+ * Distributes requests over the services of a route by weight; all requests of a session use one service. Returns
+ * `undefined` if none has a weight above 0.
+ */
+function pickService(route: GatewayRoute, facts: RequestFacts): ServiceName | undefined {
+  const weighted = route.services.filter(({ weight }) => weight > 0);
+  const totalWeight = weighted.reduce((sum, { weight }) => sum + weight, 0);
   const point = (hash32(facts.sessionId ?? facts.requestId ?? '') / HASH_RANGE) * totalWeight;
   let cumulativeWeight = 0;
-  for (const { service, weight } of route.services) {
+  for (const { service, weight } of weighted) {
     cumulativeWeight += weight;
     if (point < cumulativeWeight) {
       return service;
     }
   }
-  return route.services.at(-1)?.service ?? ('' as ServiceName);
+  return weighted.at(-1)?.service;
 }
 
 /**
