fix(configuration): a route with an empty path prefix matches no path

It matched every path of its host that no other route matches. Cause: every path begins with an empty text.

--- a/packages/gateway/src/configuration/configurationIndex.ts
+++ b/packages/gateway/src/configuration/configurationIndex.ts
@@ -22,7 +22,8 @@
   private readonly servicesByName = new Map<ServiceName, GatewayService>();
 
   public constructor(public readonly configuration: GatewayConfiguration) {
-    for (const route of configuration.routes) {
+    // An empty prefix would match every path of its host.
+    for (const route of configuration.routes.filter(({ pathPrefix }) => pathPrefix !== '')) {
       const routes = this.routesByHost.get(route.host) ?? [];
       routes.push(route);
       this.routesByHost.set(route.host, routes);
