--- a/packages/gateway/tests/lifecycle/withdrawnKeys.test.ts
+++ b/packages/gateway/tests/lifecycle/withdrawnKeys.test.ts
@@ -160,6 +160,23 @@
   }, 4 * NOTICE_MILLISECONDS);
 };
 
+/** Guards against a request that is given up for a withdrawal after it was sent, although it may have run. */
+describe('a request that waits for its replica while its key is withdrawn', () => {
+  it('gets its response, since only the time at which it was sent counts', async () => {
+    const late: Behaviour = (socket, request) => {
+      setTimeout(() => {
+        responds('done')(socket, request);
+      }, 4 * NOTICE_MILLISECONDS);
+    };
+    const fixture = await startGateway(unsafeRoute, [[late]]);
+    const pending = fixture.send();
+    await new Promise(resolve => setTimeout(resolve, NOTICE_MILLISECONDS));
+    await configure(fixture, 2, { workspaces: [] });
+    expect(await pending).toMatchObject({ body: 'done', status: 200 });
+    expect((await fixture.send()).status).toBe(401);
+  });
+});
+
 /** Guards against the continuation of what began with a key that has been withdrawn since. */
 describe('a stream that runs while its key is withdrawn', () => {
   it('is sent to its end, since only the time at which it was requested counts', async () => {
--- a/packages/gateway/tests/limits/workspaceRates.test.ts
+++ b/packages/gateway/tests/limits/workspaceRates.test.ts
@@ -143,6 +143,14 @@
     return Array.from({ length: count }, (_unused, index) => makeInstance(index, seed));
   }
 
+  // Guards against a burst of 0, which limits to nothing, that is taken for no limit.
+  it.each([1, 10, 200])('admits nobody at a rate of %i with a burst of 0', async ratePerSecond => {
+    const workspace = sampleWorkspace({ burst: 0, ratePerSecond });
+    const { admitted, refused } = await sendRequests([makeInstance(1)], workspace, 5, 4);
+    expect(admitted).toHaveLength(0);
+    expect(refused).toBeGreaterThan(0);
+  });
+
   it('admits workspaces without a rate and requests without a workspace', async () => {
     const rates = makeInstance(1);
     const unlimited = sampleWorkspace({ burst: 0, ratePerSecond: 0 });
