test(gateway): recording of what this landing writes

One row more than before: that some configuration contained workspaces. Whether each recorded build has it decides what a configuration without the list means.

--- a/packages/gateway/tests/compatibility/formats.test.ts
+++ b/packages/gateway/tests/compatibility/formats.test.ts
@@ -8,6 +8,10 @@
 import type { RequestId, TurnId } from '../../src/callers/requestFacts.js';
 import type { Recording } from './recording.js';
 
+import {
+  WorkspaceHistory,
+  workspaceHistoryAddress,
+} from '../../src/configuration/workspaceHistory.js';
 import { StoreCreditSource } from '../../src/limits/storeCreditSource.js';
 import { PeerClients } from '../../src/peers/peerClients.js';
 import { PeerDirectory } from '../../src/peers/peerDirectory.js';
@@ -27,7 +31,7 @@
 import { makeOwner, makeRelayServer } from '../support/fakePeer.js';
 import { finishWithin } from '../support/finishWithin.js';
 import { MemoryTable } from '../support/memoryTable.js';
-import { sampleTurn } from '../support/samples.js';
+import { sampleConfiguration, sampleTurn } from '../support/samples.js';
 import { startStranger } from '../support/startStranger.js';
 import { describeFields } from './recording.js';
 import {
@@ -150,6 +154,15 @@
     expect(version.ok && version.val).toBe('v2');
   });
 
+  it('tell whether there were workspaces', async () => {
+    const history = new WorkspaceHistory(makeCommon());
+    history.record(sampleConfiguration(1, { workspaces: undefined }));
+    await timers.advance(100);
+    const isRecorded = rows.some(row => row.table === workspaceHistoryAddress.table);
+    expect(history.hadWorkspaces).toBe(isRecorded);
+    history.stop();
+  });
+
   it('name an instance that may own keys', async () => {
     const directory = new PeerDirectory({
       run: 'entry-1/run-1',
--- a/packages/gateway/tests/compatibility/writeRecording.ts
+++ b/packages/gateway/tests/compatibility/writeRecording.ts
@@ -11,6 +11,7 @@
 import type { ReplicaRunId, SoftwareVersion } from '../../src/upstreams/replica.js';
 import type { RecordedCall, RecordedRow, Recording } from './recording.js';
 
+import { WorkspaceHistory } from '../../src/configuration/workspaceHistory.js';
 import { StoreCreditSource } from '../../src/limits/storeCreditSource.js';
 import { PeerClients } from '../../src/peers/peerClients.js';
 import { PeerDirectory } from '../../src/peers/peerDirectory.js';
@@ -26,7 +27,7 @@
 import { VersionRecord } from '../../src/upstreams/versionRecord.js';
 import { finishWithin } from '../support/finishWithin.js';
 import { MemoryTable } from '../support/memoryTable.js';
-import { sampleReplica, sampleRoute, sampleTurn } from '../support/samples.js';
+import { sampleConfiguration, sampleReplica, sampleRoute, sampleTurn } from '../support/samples.js';
 
 const { signal } = new AbortController();
 
@@ -142,6 +143,7 @@
     instance: 'entry-9' as InstanceId,
     retain: () => undefined,
   }).start('10.1.0.9:7780');
+  new WorkspaceHistory(common).record(sampleConfiguration(1));
   await timers.advance(2_000);
   // Builds take the keys of crashes from the rows and never compute them.
   const makeCrashKey = makeCounter('crash');
