--- a/packages/gateway/src/callers/admitByConfiguration.ts
+++ b/packages/gateway/src/callers/admitByConfiguration.ts
@@ -35,7 +35,7 @@
 
 /** What is known of the configurations before the one in force. */
 export interface EarlierConfigurations {
-  /** Whether any of them contained a list of workspaces; `undefined` while this is not known. */
+  /** Whether any of them contained a list of workspaces; counts as `true` while it is not known. */
   readonly hadWorkspaces: boolean | undefined;
 }
 
--- a/packages/gateway/src/configuration/workspaceHistory.ts
+++ b/packages/gateway/src/configuration/workspaceHistory.ts
@@ -25,9 +25,9 @@
 const RETRY_MILLISECONDS = 1_000;
 
 /**
- * Whether any configuration has ever contained a list of workspaces. Without the list requests need no key, unless
- * there were keys before: to leave the list out takes all of them away. A row in the store lets instances know that
- * started later.
+ * Remembers whether any configuration has contained a list of workspaces. Requests need no key without the list, unless
+ * there were keys before: a configuration that leaves the list out withdraws all of them. A row in the store tells
+ * instances that start later.
  *
  * @example
  * const history = new WorkspaceHistory(dependencies);
@@ -64,7 +64,7 @@
     this.retryTimer?.stop();
   }
 
-  /** Writes the row if there are workspaces, and otherwise asks for it until it is there or there are some. */
+  /** Writes the row once there are workspaces, and reads it until then; ends when the row exists. */
   private follow(): void {
     const step = this.hadWorkspacesBefore === true ? this.write() : this.read();
     void step.then(isDone => {
@@ -76,6 +76,7 @@
     });
   }
 
+  /** Makes sure that the row exists; returns whether it does. */
   private async write(): Promise<boolean> {
     if (await this.read()) {
       return true;
@@ -96,6 +97,7 @@
     return outcome.ok;
   }
 
+  /** Reads whether the row exists. */
   private async read(): Promise<boolean> {
     const { logger, table } = this.dependencies;
     const read = await readRow(table, workspaceHistoryAddress);
